--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,12 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['target/', 'journal/', 'node_modules/'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.recommended,
+  {
+    files: ['scripts/**', '*.js'],
+    languageOptions: { globals: { console: 'readonly', process: 'readonly' } },
+  },
+);
--- /dev/null
+++ b/src/control/controller.ts
@@ -0,0 +1,115 @@
+import { Election } from '../election/election.js';
+import { Catalogue } from '../fleet/catalogue.js';
+import type { Transport } from '../http/client.js';
+import { createApp, type ReportOutcome, type Service } from '../http/server.js';
+import { Desk } from '../jobs/desk.js';
+import { duty, type Runtime } from '../runtime/duty.js';
+import type { Settings } from '../settings/deploy.js';
+import type { Operator } from '../settings/operator.js';
+import { Store } from '../state/store.js';
+import type { Report } from '../wire/report.js';
+import { Leader } from './leader.js';
+
+export interface Links {
+  store: Transport;
+  cloud: Transport;
+}
+
+/** One controller: answers users at all times, and leads while it holds the leader key. */
+export class Controller implements Service {
+  readonly desk: Desk;
+  private readonly store: Store;
+  private readonly election: Election;
+  private readonly catalogue: Catalogue;
+  private leader: Leader | null = null;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly operator: Operator,
+    private readonly runtime: Runtime,
+    private readonly links: Links,
+  ) {
+    const { workers } = settings;
+    const lifetimeMs = workers.leaseMs * operator.election.lifetime;
+    this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
+    this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
+    this.election = new Election(this.store, runtime, settings.member, lifetimeMs);
+    this.desk = new Desk(
+      this.store,
+      this.catalogue,
+      settings,
+      runtime,
+      (id) => this.leader?.counts(id) ?? null,
+      (id) => this.leader?.hint(id),
+      // Users wait 5 s for a submission and 2 s for a poll.
+      { submitMs: 4000, pollMs: 1600 },
+    );
+  }
+
+  private get cloudTimeoutMs(): number {
+    return this.settings.workers.leaseMs * 0.4;
+  }
+
+  app(): ReturnType<typeof createApp> {
+    return createApp(this, this.runtime.log);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const restartMs = this.settings.workers.reportMs;
+    const subscription = this.election.role.subscribe((role) => {
+      if (role.kind !== 'leader') return;
+      const leader = new Leader(
+        {
+          store: this.store,
+          cloud: this.links.cloud,
+          catalogue: this.catalogue,
+          settings: this.settings,
+          operator: this.operator,
+          runtime: this.runtime,
+          cloudTimeoutMs: this.cloudTimeoutMs,
+        },
+        role.term,
+      );
+      this.leader = leader;
+      void leader
+        .run()
+        .catch((error: unknown) => {
+          if (!role.term.signal.aborted) {
+            this.runtime.log.error({ error: String(error) }, 'leader failed');
+          }
+          role.term.end();
+        })
+        .finally(() => {
+          if (this.leader === leader) this.leader = null;
+        });
+    });
+    try {
+      await Promise.all([
+        duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
+          await this.catalogue.load(s);
+          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+        }),
+        duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
+      ]);
+    } finally {
+      subscription.unsubscribe();
+    }
+  }
+
+  report(report: Report): ReportOutcome {
+    const role = this.election.role.value;
+    const elsewhere = (leader: string | null): ReportOutcome => ({ kind: 'elsewhere', leader });
+    if (role.kind === 'follower') {
+      return elsewhere(role.leader === this.settings.member ? null : role.leader);
+    }
+    const { term } = role;
+    // A worker that has seen a higher token would drop our answer, and wait for another in vain.
+    const now = this.runtime.clock.now();
+    if (!this.leader || !term.active(now) || report.token > term.token) return elsewhere(null);
+    return { kind: 'orders', token: term.token, orders: this.leader.report(report) };
+  }
+
+  ready(): boolean {
+    return this.catalogue.types.value !== null;
+  }
+}
--- /dev/null
+++ b/src/control/leader.ts
@@ -0,0 +1,526 @@
+import { Subject } from 'rxjs';
+import type { Term } from '../election/term.js';
+import type { Catalogue } from '../fleet/catalogue.js';
+import { Fleet } from '../fleet/fleet.js';
+import { Rentals } from '../fleet/rentals.js';
+import type { MachineType } from '../fleet/types.js';
+import type { Machine } from '../fleet/machine.js';
+import type { Transport } from '../http/client.js';
+import type { Counts } from '../jobs/desk.js';
+import { Ledger } from '../jobs/ledger.js';
+import { Job, type Placement } from '../jobs/live.js';
+import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { duty, type Runtime } from '../runtime/duty.js';
+import type { Plan } from '../scheduler/model.js';
+import { plan } from '../scheduler/plan.js';
+import type { Settings } from '../settings/deploy.js';
+import type { Operator } from '../settings/operator.js';
+import { jobOfKey, KEYS } from '../state/keys.js';
+import { HistoryLost, type Entry, type Store } from '../state/store.js';
+import type { Listed } from '../wire/cloud.js';
+import type { ExitWhy, Order, Report } from '../wire/report.js';
+import { checkTimeout, GateKeeper } from './gatekeeper.js';
+import { takeSnapshot } from './snapshot.js';
+
+export interface LeaderParts {
+  store: Store;
+  cloud: Transport;
+  catalogue: Catalogue;
+  settings: Settings;
+  operator: Operator;
+  runtime: Runtime;
+  cloudTimeoutMs: number;
+}
+
+/** All that a controller does while it leads. It lives for one term and is thrown away after it. */
+export class Leader {
+  readonly jobs = new Map<string, Job>();
+  readonly fleet: Fleet;
+  readonly rentals: Rentals;
+  readonly gate: GateKeeper;
+  private readonly ledger: Ledger;
+  private readonly wake = new Subject<void>();
+  private ready = false;
+  private listedOnce = false;
+  private dirty = true;
+
+  constructor(
+    readonly parts: LeaderParts,
+    readonly term: Term,
+  ) {
+    const { settings, runtime, store, cloud } = parts;
+    this.fleet = new Fleet(
+      {
+        running: (p) => this.onRunning(p),
+        exited: (p, why, saved) => this.onExited(p, why, saved),
+        lost: (p) => this.onLost(p),
+      },
+      term.token,
+      term.startedAt,
+      settings.workers.leaseMs,
+    );
+    this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, {
+      jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
+      recorded: (placements) => {
+        for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
+      },
+      forgotten: (placements) => {
+        for (const p of placements) this.fleet.recorded(p);
+      },
+      contradiction: (what) => {
+        runtime.log.error({ what }, 'giving up leadership');
+        term.end();
+      },
+      settled: (job) => this.jobs.delete(job.id),
+    });
+    this.rentals = new Rentals(
+      cloud,
+      store,
+      runtime,
+      settings,
+      term,
+      parts.cloudTimeoutMs,
+      {
+        rented: (ids, rent) => {
+          for (const id of ids) {
+            const m = this.fleet.machine(id, runtime.clock.now());
+            m.type ??= this.types.get(rent.type) ?? null;
+            m.zone = rent.zone;
+            m.spot = rent.spot;
+            m.listedState ??= 'booting';
+          }
+          this.touch();
+        },
+        listed: (machines) => this.onListed(machines),
+        returned: (ids) => {
+          for (const id of ids) this.fleet.gone(id);
+          this.touch();
+        },
+      },
+    );
+    this.gate = new GateKeeper(parts.operator);
+  }
+
+  private get now(): number {
+    return this.parts.runtime.clock.now();
+  }
+
+  private get types(): ReadonlyMap<string, MachineType> {
+    return this.parts.catalogue.types.value ?? new Map();
+  }
+
+  /** Something changed that the next round of decisions should see. */
+  private touch(): void {
+    this.dirty = true;
+    this.wake.next();
+  }
+
+  async run(): Promise<void> {
+    const { runtime } = this.parts;
+    const { signal } = this.term;
+    const restartMs = this.parts.settings.workers.reportMs;
+    const revision = await this.recover(signal);
+    if (signal.aborted) return;
+    await Promise.all([
+      duty(runtime, 'follow jobs', signal, restartMs, (s) => this.followJobs(revision, s)),
+      duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds(s)),
+      duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
+      duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
+    ]);
+  }
+
+  // ---- recovery and the users' changes
+
+  private async recover(signal: AbortSignal): Promise<number> {
+    const { store, runtime } = this.parts;
+    for (;;) {
+      try {
+        const jobs = await store.range(KEYS.jobs, signal);
+        const runs = await store.range(KEYS.runs, signal);
+        const rentals = await store.range(KEYS.rentals, signal);
+        this.jobs.clear();
+        for (const e of jobs.items) this.onJobEntry(e);
+        for (const e of runs.items) this.restoreRun(e);
+        for (const e of rentals.items) {
+          this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
+        }
+        this.ready = true;
+        runtime.log.info({ jobs: this.jobs.size, runs: runs.items.length }, 'recovered');
+        return jobs.revision;
+      } catch (error) {
+        signal.throwIfAborted();
+        runtime.log.debug({ error: String(error) }, 'recovery repeated');
+        await runtime.clock.sleep(200, signal);
+      }
+    }
+  }
+
+  private restoreRun(e: Entry): void {
+    const rest = e.key.slice(KEYS.runs.length);
+    const slash = rest.lastIndexOf('/');
+    const job = this.jobs.get(rest.slice(0, slash));
+    const record = parseRun(e.value);
+    const chunk = Number(rest.slice(slash + 1));
+    if (!job || !record || !job.chunks[chunk]) {
+      // What cannot be read may still run: the job is left alone rather than started again.
+      this.parts.runtime.log.error({ key: e.key }, 'unreadable run record, left as occupied');
+      if (job) job.retryAt = Infinity;
+      return;
+    }
+    const { clock } = this.parts.runtime;
+    for (const p of job.restore(chunk, e.version, record, clock.now(), clock.wall())) {
+      this.fleet.add(p, clock.now());
+      if (job.phase !== 'open') p.stop = { graceMs: 0 };
+    }
+  }
+
+  private async followJobs(from: number, signal: AbortSignal): Promise<void> {
+    const { store, runtime } = this.parts;
+    let revision = from;
+    while (!signal.aborted) {
+      try {
+        const news = await store.watch(KEYS.jobs, revision, 10_000, signal);
+        revision = news.revision;
+        for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
+      } catch (error) {
+        if (signal.aborted) return;
+        if (error instanceof HistoryLost) {
+          const all = await store.range(KEYS.jobs, signal);
+          for (const e of all.items) this.onJobEntry(e);
+          revision = all.revision;
+        } else await runtime.clock.sleep(200, signal);
+      }
+    }
+  }
+
+  private onJobEntry(e: Entry): void {
+    const record = parseJob(e.value);
+    if (!record) {
+      this.parts.runtime.log.error({ key: e.key }, 'unreadable job record');
+      return;
+    }
+    this.onJobRecord(jobOfKey(e.key), e.version, record);
+  }
+
+  private onJobRecord(id: string, version: number, record: JobRecord): void {
+    const known = this.jobs.get(id);
+    if (!known) {
+      if (!record.spec || record.at === undefined) return;
+      const job = new Job(
+        id,
+        record.spec,
+        record.at,
+        version,
+        tasksPerRecord(this.parts.settings.state.valueBytes),
+      );
+      job.phase = record.phase;
+      this.jobs.set(id, job);
+      this.ledger.flush(job);
+      this.touch();
+      return;
+    }
+    if (version <= known.version) return;
+    known.version = version;
+    known.phase = record.phase;
+    known.phaseStored = true;
+    if (record.phase !== 'open') this.stopAll(known, 0);
+    this.ledger.flush(known);
+    this.touch();
+  }
+
+  /** A user's node has just cancelled this job; the store's own news of it may take longer. */
+  hint(id: string): void {
+    const job = this.jobs.get(id);
+    if (job && job.phase === 'open') this.stopAll(job, 0);
+  }
+
+  counts(id: string): Counts | null {
+    const job = this.jobs.get(id);
+    return job ? { done: job.doneCount, running: job.running } : null;
+  }
+
+  // ---- reports
+
+  report(r: Report): Order[] {
+    const type = this.types.get(r.type) ?? null;
+    const m = this.fleet.machines.get(r.machine);
+    const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
+    const orders = this.fleet.report(r, type, this.now, this.ready);
+    const after = this.fleet.machines.get(r.machine)!;
+    if (Number(after.confirmed) + (after.noticeAt === null ? 0 : 2) !== before) this.touch();
+    return orders;
+  }
+
+  private onRunning(p: Placement): void {
+    p.runningSince = this.now;
+    const { job } = p;
+    job.failures = 0;
+    if (job.gang && job.gang.phase === 'placed') {
+      let ready = job.doneCount;
+      for (const other of job.live.values()) {
+        if (other.state === 'running' && !job.isDone(other.task)) ready++;
+      }
+      if (ready >= job.spec.tasks) {
+        job.gang.phase = 'started';
+        job.gang.holdsGate = false;
+        job.gang.suspensions = 0;
+        job.touch(0);
+        this.ledger.flush(job);
+        this.touch();
+      }
+    }
+  }
+
+  private onExited(p: Placement, why: ExitWhy, saved: boolean): void {
+    const { job } = p;
+    job.live.delete(p.task);
+    job.exited.push(p);
+    job.touch(p.task);
+    if (why === 'done') {
+      // The tasks of a gang complete together.
+      if (job.gang) for (let t = 0; t < job.spec.tasks; t++) job.markDone(t);
+      else job.markDone(p.task);
+    } else if (why === 'error' || why === 'no_room' || why === 'unknown' || why === 'busy') {
+      this.onFailure(p, why);
+    }
+    this.parts.runtime.log.debug(
+      { task: `${job.id}/${p.task}`, attempt: p.attempt, machine: p.machine, why, saved },
+      'task ended',
+    );
+    this.afterEnd(job);
+  }
+
+  private onFailure(p: Placement, why: ExitWhy): void {
+    const { job } = p;
+    job.failures++;
+    const pause = this.parts.settings.workers.reportMs * 2 ** Math.min(job.failures, 5);
+    job.retryAt = Math.max(job.retryAt, this.now + pause);
+    if (why !== 'error') return;
+    const m = this.fleet.machines.get(p.machine);
+    // One job that fails everywhere must not give every machine a bad name: it counts once each.
+    m?.failedJobs.add(job.id);
+    job.failedOn.add(p.machine);
+    if (job.failedOn.size > 3) job.failedOn.clear();
+  }
+
+  private onLost(p: Placement): void {
+    const { job } = p;
+    job.live.delete(p.task);
+    job.touch(p.task);
+    this.parts.runtime.log.debug(
+      { task: `${job.id}/${p.task}`, attempt: p.attempt, machine: p.machine },
+      'task gone',
+    );
+    this.afterEnd(job);
+  }
+
+  private afterEnd(job: Job): void {
+    if (job.phase === 'open' && job.complete) {
+      job.phase = 'done';
+      job.phaseStored = false;
+    }
+    if (job.gang && job.phase === 'open') this.gate.broken(job, (grace) => this.stopAll(job, grace));
+    this.ledger.flush(job);
+    this.touch();
+  }
+
+  flush(job: Job): void {
+    this.ledger.flush(job);
+  }
+
+  /** Stops every task of a job; what was never sent is taken back at once. */
+  stopAll(job: Job, graceMs: number): void {
+    for (const p of [...job.live.values()]) this.stop(p, graceMs);
+  }
+
+  stop(p: Placement, graceMs: number): void {
+    if (p.stop && p.stop.graceMs <= graceMs) return;
+    p.stop = { graceMs };
+    if (p.stage === 'recording' || p.stage === 'recorded') this.fleet.withdraw(p);
+  }
+
+  // ---- cloud
+
+  private async listMachines(signal: AbortSignal): Promise<void> {
+    const { settings, runtime } = this.parts;
+    while (!signal.aborted) {
+      if (await this.rentals.list()) this.listedOnce = true;
+      await runtime.clock.sleep(this.listedOnce ? settings.cloud.listLagMs : 500, signal);
+    }
+  }
+
+  private async refreshPrices(signal: AbortSignal): Promise<void> {
+    const { catalogue, runtime } = this.parts;
+    while (!signal.aborted) {
+      await catalogue.ask(signal).catch(() => false);
+      await runtime.clock.sleep(30_000, signal);
+    }
+  }
+
+  private onListed(listed: Listed[]): void {
+    const now = this.now;
+    const names = new Set<string>();
+    for (const l of listed) {
+      names.add(l.id);
+      const known = this.fleet.machines.get(l.id);
+      const m = known ?? this.fleet.machine(l.id, now);
+      if (!known) {
+        m.rentedAt = now - l.ageMs;
+        m.zone = l.zone;
+        m.spot = l.spot;
+      }
+      m.type ??= this.types.get(l.type) ?? null;
+      m.listedState = l.state;
+      m.missedLists = 0;
+      if (l.state === 'failed') {
+        // The cloud says it has stopped: nothing is on it any more.
+        for (const p of [...m.placements.values()]) this.fleet.withdraw(p);
+        m.returning = true;
+        this.rentals.giveBack(l.id);
+      }
+    }
+    for (const m of [...this.fleet.machines.values()]) {
+      if (names.has(m.id)) continue;
+      m.missedLists++;
+      // Absence from a list proves nothing; only what is silent as well is given up.
+      const silent = now > this.fleet.silentFrom(m);
+      if (m.missedLists >= 3 && silent && m.placements.size === 0) this.fleet.gone(m.id);
+    }
+    this.touch();
+  }
+
+  // ---- rounds of decisions
+
+  private async rounds(signal: AbortSignal): Promise<void> {
+    const { runtime, settings } = this.parts;
+    const { clock } = runtime;
+    const base = settings.workers.reportMs / 5;
+    let wakeUp: (() => void) | null = null;
+    const subscription = this.wake.subscribe(() => wakeUp?.());
+    try {
+      while (!signal.aborted) {
+        const startedAt = clock.now();
+        if (this.term.active(startedAt)) this.round();
+        // The longer a round takes, the longer the next one gathers work before it starts.
+        const took = clock.now() - startedAt;
+        await clock.sleep(Math.max(base, took * 3), signal);
+        if (!this.dirty) {
+          await new Promise<void>((resolve) => {
+            wakeUp = resolve;
+            void clock.sleep(settings.workers.reportMs, signal).then(resolve);
+          });
+          wakeUp = null;
+        }
+      }
+    } finally {
+      subscription.unsubscribe();
+    }
+  }
+
+  private round(): void {
+    const now = this.now;
+    this.dirty = false;
+    this.fleet.sweep(now);
+    this.drain();
+    for (const job of this.jobs.values()) {
+      if (job.gang) {
+        checkTimeout(this, job, now);
+      }
+      if (job.phase !== 'open' && job.live.size > 0) this.stopAll(job, 0);
+    }
+    if (this.types.size === 0) return;
+    // Before the first reports and the list are in, free machines look missing.
+    const settled = now - this.term.startedAt > this.parts.settings.workers.reportMs * 3;
+    const result = plan(takeSnapshot(this, now));
+    this.carryOut(result, now, settled && this.listedOnce);
+  }
+
+  /** Work leaves a machine that the cloud takes back or that has proven faulty. */
+  private drain(): void {
+    for (const m of this.fleet.machines.values()) {
+      if (m.noticeAt === null && !m.faulty) continue;
+      for (const p of m.placements.values()) {
+        if (p.stop || p.job.phase !== 'open') continue;
+        const grace = this.graceFor(p.job);
+        if (p.job.gang) this.stopAll(p.job, grace);
+        else this.stop(p, grace);
+      }
+      if (m.faulty && m.placements.size === 0) this.returnMachine(m);
+    }
+  }
+
+  graceFor(job: Job): number {
+    const { spec } = job;
+    return spec.checkpointMs > 0 ? spec.saveMs + this.parts.settings.workers.gangPeerMs : 0;
+  }
+
+  private returnMachine(m: Machine): void {
+    if (m.returning) return;
+    m.returning = true;
+    this.rentals.giveBack(m.id);
+  }
+
+  private carryOut(result: Plan, now: number, mayRent: boolean): void {
+    const touched = new Set<Job>();
+    for (const start of result.starts) {
+      const job = this.jobs.get(start.job)!;
+      this.place(job, start.on, now);
+      touched.add(job);
+    }
+    if (result.admit !== null) {
+      const job = this.jobs.get(result.admit)!;
+      this.gate.admit(job, now);
+      touched.add(job);
+    }
+    for (const { job, task } of result.stops) {
+      const p = this.jobs.get(job)?.live.get(task);
+      if (p) this.stop(p, this.graceFor(p.job));
+    }
+    for (const job of touched) this.ledger.flush(job);
+    if (!mayRent) return;
+    for (const rent of result.rents) this.rentals.rent(rent);
+    this.returnIdle(result.spare, now);
+  }
+
+  private place(job: Job, on: { machine: string; count: number }[], now: number): void {
+    const total = on.reduce((n, o) => n + o.count, 0);
+    const tasks = job.waitingTasks(total);
+    job.attempt++;
+    let next = 0;
+    for (const { machine, count } of on) {
+      const m = this.fleet.machines.get(machine)!;
+      for (let i = 0; i < count; i++) {
+        const task = tasks[next++]!;
+        const p: Placement = {
+          job,
+          task,
+          attempt: job.attempt,
+          machine,
+          session: m.session,
+          zone: m.zone,
+          stage: 'recording',
+          state: null,
+          placedAt: now,
+          runningSince: null,
+          stop: null,
+        };
+        job.live.set(task, p);
+        this.fleet.add(p, now);
+        job.touch(task);
+      }
+    }
+    if (job.gang) this.gate.placed(job, now);
+  }
+
+  private returnIdle(spare: string[], now: number): void {
+    const idle = new Set(spare);
+    for (const m of this.fleet.machines.values()) {
+      if (!idle.has(m.id) || m.placements.size > 0 || !m.type) {
+        m.idleSince = now;
+        continue;
+      }
+      const keepMs = m.type.bootMs * this.parts.operator.fleet.idleBoots;
+      if (now - m.idleSince > keepMs) this.returnMachine(m);
+    }
+  }
+}
--- /dev/null
+++ b/src/control/snapshot.ts
@@ -0,0 +1,148 @@
+import type { Machine } from '../fleet/machine.js';
+import type {
+  JobView,
+  MachineView,
+  Offer,
+  Snapshot,
+  TeamView,
+  VictimView,
+} from '../scheduler/model.js';
+import type { Leader } from './leader.js';
+
+/** What the leader believes at one moment, for a round of decisions. */
+export function takeSnapshot(leader: Leader, now: number): Snapshot {
+  return {
+    machines: machineViews(leader, now),
+    jobs: jobViews(leader, now),
+    teams: teamViews(leader),
+    offers: offers(leader),
+    victims: victims(leader, now),
+    gateShut: [...leader.jobs.values()].some((j) => j.gang?.holdsGate && j.phase === 'open'),
+  };
+}
+
+function machineViews(leader: Leader, now: number): MachineView[] {
+  const { workers } = leader.parts.settings;
+  const views: MachineView[] = [];
+  for (const m of leader.fleet.machines.values()) {
+    if (!m.type || m.returning || m.noticeAt !== null || m.faulty) continue;
+    const up = m.usable(now, workers.leaseMs / 3);
+    // Not heard of yet and not known to run: it boots. What fell silent is no room at all.
+    const booting = m.heardAt === null && m.placements.size === 0 && m.listedState === 'booting';
+    if (!up && !booting) continue;
+    views.push(machineView(m, up, now));
+  }
+  leader.rentals.onOrder(now).forEach((r, i) => {
+    const type = leader.parts.catalogue.types.value?.get(r.type);
+    if (!type) return;
+    for (let n = 0; n < r.count; n++) {
+      views.push({
+        id: `order-${i}-${n}`,
+        type,
+        zone: r.zone,
+        spot: r.spot,
+        free: { ...type.room },
+        up: false,
+        images: new Map(),
+        services: 0,
+        tasksOf: new Map(),
+        idleMs: 0,
+      });
+    }
+  });
+  return views;
+}
+
+function machineView(m: Machine, up: boolean, now: number): MachineView {
+  const tasksOf = new Map<string, number>();
+  let services = 0;
+  for (const p of m.placements.values()) {
+    tasksOf.set(p.job.id, (tasksOf.get(p.job.id) ?? 0) + 1);
+    if (p.job.spec.kind === 'service') services++;
+  }
+  return {
+    id: m.id,
+    type: m.type!,
+    zone: m.zone,
+    spot: m.spot,
+    free: m.free(),
+    up,
+    images: m.images,
+    services,
+    tasksOf,
+    idleMs: now - m.idleSince,
+  };
+}
+
+function jobViews(leader: Leader, now: number): JobView[] {
+  const views: JobView[] = [];
+  for (const job of leader.jobs.values()) {
+    if (job.phase !== 'open') continue;
+    const zones = new Map<string, number>();
+    for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
+    const { gang } = job;
+    // A gang is placed anew only when nothing of its last attempt can be left.
+    const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
+    views.push({
+      id: job.id,
+      spec: job.spec,
+      submittedAt: job.submittedAt,
+      waiting: job.waiting,
+      unfinished: job.spec.tasks - job.doneCount,
+      zones,
+      avoid: job.failedOn,
+      gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
+      admissible: gangMay && job.retryAt <= now,
+    });
+  }
+  return views;
+}
+
+/** What may be on machines counts in full until it is proven gone. */
+function teamViews(leader: Leader): Map<string, TeamView> {
+  const teams = new Map<string, TeamView>();
+  for (const t of leader.parts.settings.teams.values()) {
+    teams.set(t.name, { guarantee: t.guarantee, limit: t.limit, used: { cpus: 0, gpus: 0 } });
+  }
+  for (const job of leader.jobs.values()) {
+    const team = teams.get(job.spec.team);
+    if (!team) continue;
+    team.used.cpus += job.spec.need.cpus * job.live.size;
+    team.used.gpus += job.spec.need.gpus * job.live.size;
+  }
+  return teams;
+}
+
+function offers(leader: Leader): Offer[] {
+  const list: Offer[] = [];
+  for (const type of leader.parts.catalogue.types.value?.values() ?? []) {
+    for (const zone of type.zones) {
+      for (const spot of [false, true]) {
+        if (leader.rentals.refused(type.name, zone, spot)) continue;
+        list.push({ type, zone, spot, price: spot ? type.spotPrice : type.price });
+      }
+    }
+  }
+  return list;
+}
+
+function victims(leader: Leader, now: number): VictimView[] {
+  const list: VictimView[] = [];
+  for (const job of leader.jobs.values()) {
+    if (job.spec.kind === 'service') continue;
+    for (const p of job.live.values()) {
+      const ran = p.runningSince === null ? 0 : now - p.runningSince;
+      const { checkpointMs } = job.spec;
+      list.push({
+        job: job.id,
+        task: p.task,
+        machine: p.machine,
+        spec: job.spec,
+        lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
+        wholeGang: job.gang !== null,
+        stopping: p.stop !== null || job.phase !== 'open',
+      });
+    }
+  }
+  return list;
+}
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,181 @@
+import type { Placement } from '../jobs/live.js';
+import { DRIFT } from '../runtime/clock.js';
+import type { ExitWhy, Order, Report, TaskReport } from '../wire/report.js';
+import { Machine, startKey, taskKey } from './machine.js';
+import type { MachineType } from './types.js';
+
+/** What reports prove about starts. */
+export interface FleetEvents {
+  running(placement: Placement): void;
+  exited(placement: Placement, why: ExitWhy, saved: boolean): void;
+  /** Proven gone without having reported an end. */
+  lost(placement: Placement): void;
+}
+
+/**
+ * Belief about machines, built from reports. A recorded start stays on its machine until one of
+ * the proofs below: a newer report of the same session that knows our token and does not show it,
+ * a later session, a confirmed return, a failed machine, or a silence longer than any lease.
+ */
+export class Fleet {
+  readonly machines = new Map<string, Machine>();
+
+  constructor(
+    private readonly events: FleetEvents,
+    private readonly token: number,
+    /** From when on no other controller could answer a worker. */
+    private readonly soleSince: number,
+    private readonly leaseMs: number,
+  ) {}
+
+  machine(id: string, now: number): Machine {
+    let m = this.machines.get(id);
+    if (!m) {
+      m = new Machine(id, now);
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  add(p: Placement, now: number): void {
+    const m = this.machine(p.machine, now);
+    if (p.zone === '') p.zone = m.zone;
+    m.placements.set(taskKey(p.job.id, p.task), p);
+  }
+
+  /**
+   * Takes one report and answers what to order. `act` is false while the records are still being
+   * read: then nothing is believed and nothing ordered, but the lease is kept alive.
+   */
+  report(r: Report, type: MachineType | null, now: number, act: boolean): Order[] {
+    const m = this.machine(r.machine, now);
+    if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
+    m.heardAt = now;
+    // Counted even for an old copy: taking a machine for gone later than needed is always safe.
+    m.answeredAt = now;
+    if (!m.newer(r.session, r.seq)) return [];
+    const before = m.session;
+    if (act) m.session = r.session;
+    m.seq = r.seq;
+    m.type = type ?? m.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    m.noticeAt = r.noticeMs === null ? null : now + r.noticeMs;
+    for (const p of m.placements.values()) p.zone = r.zone;
+    if (!act) return [];
+
+    if (r.session > before) {
+      // Answered without a gap for longer than a lease, and the lease ran out all the same: the
+      // reports arrive, the answers do not.
+      if (before >= 0 && now - m.steadySince > this.leaseMs * 1.1) m.deafSessions++;
+      m.steadySince = now;
+      m.unrecorded.clear();
+      for (const p of [...m.placements.values()]) {
+        if (p.session < r.session) this.lose(m, p);
+      }
+    }
+    // An order of an earlier leader may still be on its way to a worker that has not seen our
+    // token; only from the next report on does absence prove anything.
+    if (r.token < this.token) return [];
+    m.confirmed = true;
+    return this.settle(m, r);
+  }
+
+  private settle(m: Machine, r: Report): Order[] {
+    const stops: Order[] = [];
+    const forgets: Order[] = [];
+    const seen = new Set<string>();
+    for (const t of r.tasks) {
+      const key = taskKey(t.job, t.task);
+      const p = m.placements.get(key);
+      if (!p || p.attempt !== t.attempt || p.session !== r.session) {
+        this.unexpected(m, t, stops, forgets);
+        continue;
+      }
+      seen.add(key);
+      if (t.state === 'exited') {
+        m.placements.delete(key);
+        m.unrecorded.add(startKey(t.job, t.task, t.attempt));
+        this.events.exited(p, t.why ?? 'error', t.saved);
+        continue;
+      }
+      p.stage = 'live';
+      const before = p.state;
+      p.state = t.state;
+      m.useImage(p.job.spec.image, p.job.spec.imageGb);
+      if (t.state === 'running' && before !== 'running') this.events.running(p);
+    }
+    const starts: Order[] = [];
+    for (const [key, p] of [...m.placements]) {
+      if (p.session !== r.session) continue;
+      if (!seen.has(key) && p.stage !== 'recording') this.absent(m, p, starts);
+      else if (p.stop && p.stage === 'live') {
+        stops.push({
+          op: 'stop',
+          job: p.job.id,
+          task: p.task,
+          attempt: p.attempt,
+          graceMs: p.stop.graceMs,
+        });
+      }
+    }
+    return [...stops, ...forgets, ...starts];
+  }
+
+  /** On the machine but not in our records, or an exited start that was recorded as such. */
+  private unexpected(m: Machine, t: TaskReport, stops: Order[], forgets: Order[]): void {
+    const { job, task, attempt } = t;
+    if (t.state !== 'exited') stops.push({ op: 'stop', job, task, attempt, graceMs: 0 });
+    else if (!m.unrecorded.has(startKey(job, task, attempt))) {
+      forgets.push({ op: 'forget', job, task, attempt });
+    }
+  }
+
+  /** A recorded start that its worker, which knows our token, does not show. */
+  private absent(m: Machine, p: Placement, starts: Order[]): void {
+    if (p.stage === 'live' || p.stop) {
+      // Seen before and now gone, or never executed and no longer wanted.
+      this.lose(m, p);
+      return;
+    }
+    p.stage = 'offered';
+    m.useImage(p.job.spec.image, p.job.spec.imageGb);
+    starts.push({ op: 'start', job: p.job.id, task: p.task, attempt: p.attempt });
+  }
+
+  private lose(m: Machine, p: Placement): void {
+    m.placements.delete(taskKey(p.job.id, p.task));
+    this.events.lost(p);
+  }
+
+  /** A start that was recorded in this term and never sent can be taken back at once. */
+  withdraw(p: Placement): void {
+    const m = this.machines.get(p.machine);
+    if (m) this.lose(m, p);
+  }
+
+  /** The end of a start is in the store: its worker may forget it. */
+  recorded(p: Placement): void {
+    this.machines.get(p.machine)?.unrecorded.delete(startKey(p.job.id, p.task, p.attempt));
+  }
+
+  /** The machine no longer exists, and with it all that was on it. */
+  gone(id: string): void {
+    const m = this.machines.get(id);
+    if (!m) return;
+    for (const p of [...m.placements.values()]) this.lose(m, p);
+    this.machines.delete(id);
+  }
+
+  /** From when on the silence of a machine proves that its worker's lease has run out. */
+  silentFrom(m: Machine): number {
+    return Math.max(m.answeredAt ?? -Infinity, this.soleSince) + this.leaseMs * (1 + DRIFT) + 50;
+  }
+
+  sweep(now: number): void {
+    for (const m of this.machines.values()) {
+      if (m.placements.size === 0 || now <= this.silentFrom(m)) continue;
+      for (const p of [...m.placements.values()]) this.lose(m, p);
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/machine.ts
@@ -0,0 +1,88 @@
+import type { Placement } from '../jobs/live.js';
+import type { MachineType, Need } from './types.js';
+import { take } from './types.js';
+
+export const taskKey = (job: string, task: number): string => `${job}/${task}`;
+export const startKey = (job: string, task: number, attempt: number): string =>
+  `${job}/${task}/${attempt}`;
+
+/** What is known of one machine, and what may be on it. */
+export class Machine {
+  type: MachineType | null = null;
+  zone = '';
+  spot = false;
+  /** Session and sequence number of the newest report; -1: none yet. */
+  session = -1;
+  seq = -1;
+  /** Its worker has reported with our token, so no older leader's order can still run there. */
+  confirmed = false;
+  /** When the last report came, and when one was last answered; null: not in this term. */
+  heardAt: number | null = null;
+  answeredAt: number | null = null;
+  /** Since when its reports have come without a gap. */
+  steadySince = 0;
+  listedState: 'booting' | 'running' | 'failed' | null = null;
+  rentedAt: number;
+  missedLists = 0;
+  noticeAt: number | null = null;
+  returning = false;
+  /** Sessions that ended although we answered: its worker does not get the answers. */
+  deafSessions = 0;
+  readonly failedJobs = new Set<string>();
+  readonly placements = new Map<string, Placement>();
+  /** Exited starts that must not be forgotten yet, since their end is not in the store. */
+  readonly unrecorded = new Set<string>();
+  /** Images on the machine or on their way, least recently used first, with their sizes. */
+  readonly images = new Map<string, number>();
+  idleSince: number;
+
+  constructor(
+    readonly id: string,
+    now: number,
+  ) {
+    this.rentedAt = now;
+    this.idleSince = now;
+  }
+
+  /** It may get new work: it answers, is not on its way out and has not proven faulty. */
+  usable(now: number, silentMs: number): boolean {
+    return (
+      this.type !== null &&
+      this.confirmed &&
+      !this.returning &&
+      this.noticeAt === null &&
+      this.listedState !== 'failed' &&
+      this.heardAt !== null &&
+      now - this.heardAt <= silentMs &&
+      !this.faulty
+    );
+  }
+
+  get faulty(): boolean {
+    return this.deafSessions > 0 || this.failedJobs.size >= 2;
+  }
+
+  free(): Need {
+    const room: Need = this.type
+      ? { ...this.type.room }
+      : { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const p of this.placements.values()) take(room, p.job.spec.need);
+    return room;
+  }
+
+  useImage(image: string, gb: number): void {
+    this.images.delete(image);
+    this.images.set(image, gb);
+    let sum = 0;
+    for (const size of this.images.values()) sum += size;
+    for (const [name, size] of this.images) {
+      if (sum <= (this.type?.cacheGb ?? Infinity) || name === image) break;
+      this.images.delete(name);
+      sum -= size;
+    }
+  }
+
+  newer(session: number, seq: number): boolean {
+    return session > this.session || (session === this.session && seq > this.seq);
+  }
+}
--- /dev/null
+++ b/src/fleet/rentals.ts
@@ -0,0 +1,225 @@
+import { NoAnswer, type Reply, type Transport } from '../http/client.js';
+import type { Runtime } from '../runtime/duty.js';
+import { jitter } from '../runtime/random.js';
+import type { Settings } from '../settings/deploy.js';
+import { Budget } from '../state/budget.js';
+import { KEYS } from '../state/keys.js';
+import type { Store } from '../state/store.js';
+import type { Term } from '../election/term.js';
+import { parseRental, type RentalRecord } from '../jobs/records.js';
+import type { Rent } from '../scheduler/model.js';
+import {
+  listPath,
+  MAX_RENT,
+  MAX_RETURN,
+  parseList,
+  parseRented,
+  PATHS,
+  rentBody,
+  returnBody,
+  type Listed,
+} from '../wire/cloud.js';
+
+/** A rental whose machines are not all known yet. */
+interface Pending extends Rent {
+  request: string;
+  /** Steady time after which its machines must be in the list if there are any. */
+  until: number;
+}
+
+export interface RentalEvents {
+  rented(ids: string[], rent: Rent): void;
+  listed(machines: Listed[]): void;
+  returned(ids: string[]): void;
+}
+
+/** The leader's dealings with the cloud. */
+export class Rentals {
+  private readonly budget: Budget;
+  private readonly pending = new Map<string, Pending>();
+  private readonly refusedUntil = new Map<string, number>();
+  private readonly returns = new Set<string>();
+  private returning = false;
+  /** Since when the cloud has refused or been silent; null while it serves. */
+  troubleSince: number | null = null;
+
+  constructor(
+    private readonly cloud: Transport,
+    private readonly store: Store,
+    private readonly runtime: Runtime,
+    private readonly settings: Settings,
+    private readonly term: Term,
+    private readonly timeoutMs: number,
+    private readonly events: RentalEvents,
+  ) {
+    const { rps } = settings.cloud;
+    this.budget = new Budget(runtime.clock, rps * 0.9, rps);
+  }
+
+  /** After a takeover: requests whose machines may not be in the list yet. */
+  restore(request: string, value: unknown): void {
+    const record = parseRental(value);
+    if (!record) return;
+    const { clock } = this.runtime;
+    this.pending.set(request, {
+      ...record,
+      request,
+      until: clock.now() + this.settings.cloud.listLagMs * 2,
+    });
+  }
+
+  /** Machines on order that are not known by name yet. */
+  onOrder(now: number): Rent[] {
+    for (const [request, p] of this.pending) {
+      if (p.until < now) {
+        this.pending.delete(request);
+        void this.settle(request).catch(() => undefined);
+      }
+    }
+    return [...this.pending.values()];
+  }
+
+  refused(type: string, zone: string, spot: boolean): boolean {
+    return (this.refusedUntil.get(offerKey(type, zone, spot)) ?? 0) > this.runtime.clock.now();
+  }
+
+  rent(rent: Rent): void {
+    let left = rent.count;
+    while (left > 0) {
+      const count = Math.min(left, MAX_RENT);
+      left -= count;
+      const request = this.runtime.random.unique();
+      // Until its answer comes it counts as ordered, so that no round orders the same again.
+      this.pending.set(request, { ...rent, count, request, until: Infinity });
+      void this.order(request, { ...rent, count }).catch((error: unknown) => {
+        this.pending.delete(request);
+        this.runtime.log.debug({ error: String(error) }, 'rental given up');
+      });
+    }
+  }
+
+  private async order(request: string, rent: Rent): Promise<void> {
+    const { clock, random, log } = this.runtime;
+    const { signal } = this.term;
+    const record: RentalRecord = { w: request, ...rent, at: clock.wall() };
+    const fence = { key: KEYS.leader, version: this.term.token };
+    const written = await this.store.commit(
+      [fence, { key: KEYS.rental(request), version: 0 }],
+      [{ put: KEYS.rental(request), value: record }],
+      2,
+      signal,
+    );
+    // An unanswered copy that was applied makes the repeat fail on its own key alone.
+    if (!written.ok && written.failed.includes(KEYS.leader)) return this.term.end();
+    let wait = 500;
+    for (;;) {
+      let reply: Reply | null = null;
+      try {
+        reply = await this.call('POST', PATHS.rent, rentBody({ request, ...rent }));
+      } catch (error) {
+        if (!(error instanceof NoAnswer)) throw error;
+      }
+      if (reply?.status === 200) {
+        const ids = parseRented(reply.body);
+        log.debug({ ...rent, got: ids.length }, 'rented');
+        if (ids.length < rent.count) this.refuse(rent);
+        this.events.rented(ids, rent);
+        this.pending.delete(request);
+        // The record stays until the list shows the machines, so that a successor does not order
+        // the same again.
+        await clock.sleep(this.settings.cloud.listLagMs * 2, signal);
+        await this.settle(request);
+        return;
+      }
+      if (reply && reply.status === 503 && noCapacity(reply.body)) {
+        this.refuse(rent);
+        this.pending.delete(request);
+        await this.settle(request);
+        return;
+      }
+      if (reply && reply.status === 400) throw new Error('the cloud calls the request malformed');
+      await clock.sleep(jitter(wait, random), signal);
+      signal.throwIfAborted();
+      wait = Math.min(wait * 2, 4000);
+    }
+  }
+
+  private async settle(request: string): Promise<void> {
+    await this.store.commit(
+      [{ key: KEYS.leader, version: this.term.token }],
+      [{ delete: KEYS.rental(request) }],
+      2,
+      this.term.signal,
+    );
+  }
+
+  private refuse(rent: Rent): void {
+    const until = this.runtime.clock.now() + jitter(REFUSED_MS, this.runtime.random);
+    this.refusedUntil.set(offerKey(rent.type, rent.zone, rent.spot), until);
+  }
+
+  giveBack(id: string): void {
+    this.returns.add(id);
+    if (!this.returning) void this.returnAll();
+  }
+
+  private async returnAll(): Promise<void> {
+    this.returning = true;
+    while (this.returns.size > 0 && !this.term.signal.aborted) {
+      const ids = [...this.returns].slice(0, MAX_RETURN);
+      const reply = await this.call('POST', PATHS.giveBack, returnBody(ids)).catch(() => null);
+      if (reply?.status === 200) {
+        for (const id of ids) this.returns.delete(id);
+        this.events.returned(ids);
+      } else {
+        await this.runtime.clock.sleep(jitter(1000, this.runtime.random), this.term.signal);
+      }
+    }
+    this.returning = false;
+  }
+
+  /** Reads the whole list once. */
+  async list(): Promise<boolean> {
+    const machines: Listed[] = [];
+    let after: string | null = null;
+    for (;;) {
+      const reply = await this.call('GET', listPath(after), null).catch(() => null);
+      if (reply?.status !== 200) return false;
+      const page = parseList(reply.body);
+      machines.push(...page.machines);
+      if (!page.more || page.machines.length === 0) break;
+      after = page.machines[page.machines.length - 1]!.id;
+    }
+    this.events.listed(machines);
+    return true;
+  }
+
+  private async call(method: 'GET' | 'POST', path: string, body: object | null): Promise<Reply> {
+    const { signal } = this.term;
+    await this.budget.take(1, path === PATHS.giveBack ? 0 : 1, signal);
+    try {
+      const reply = await this.cloud.request(method, path, body, this.timeoutMs, signal);
+      const served = reply.status === 200 || (reply.status === 503 && noCapacity(reply.body));
+      this.note(served);
+      return reply;
+    } catch (error) {
+      this.note(false);
+      throw error;
+    }
+  }
+
+  private note(served: boolean): void {
+    if (served) this.troubleSince = null;
+    else this.troubleSince ??= this.runtime.clock.now();
+  }
+}
+
+/** How long an offer that was refused is left alone. */
+const REFUSED_MS = 10_000;
+
+const offerKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
+
+const noCapacity = (body: unknown): boolean =>
+  typeof body === 'object' &&
+  body !== null &&
+  (body as { error?: unknown }).error === 'no capacity';
--- /dev/null
+++ b/src/fleet/types.ts
@@ -0,0 +1,44 @@
+/** What one task takes of its machine. */
+export interface Need {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export interface MachineType {
+  name: string;
+  room: Need;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootMs: number;
+  zones: string[];
+}
+
+/** Sums of decimal amounts may be off in the last digits; this much is not a lack of room. */
+const EPSILON = 1e-6;
+
+export function fits(need: Need, room: Need): boolean {
+  return (
+    need.cpus <= room.cpus + EPSILON &&
+    need.gpus <= room.gpus + EPSILON &&
+    need.memoryGb <= room.memoryGb + EPSILON
+  );
+}
+
+export function take(room: Need, need: Need, times = 1): void {
+  room.cpus -= need.cpus * times;
+  room.gpus -= need.gpus * times;
+  room.memoryGb -= need.memoryGb * times;
+}
+
+/** How many tasks of `need` go into `room`. */
+export function howMany(need: Need, room: Need): number {
+  const per = (n: number, r: number): number =>
+    n <= 0 ? Infinity : Math.floor((r + EPSILON) / n);
+  return Math.max(
+    0,
+    Math.min(per(need.cpus, room.cpus), per(need.gpus, room.gpus), per(need.memoryGb, room.memoryGb)),
+  );
+}
--- /dev/null
+++ b/src/http/client.ts
@@ -0,0 +1,68 @@
+import { Agent, request as httpRequest } from 'node:http';
+
+export interface Reply {
+  status: number;
+  body: unknown;
+}
+
+/** The request got no answer: the other side may have carried it out, or may still do so. */
+export class NoAnswer extends Error {}
+
+export interface Transport {
+  request(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: object | null,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Reply>;
+}
+
+export function httpTransport(address: string, sockets: number): Transport {
+  const agent = new Agent({ keepAlive: true, maxSockets: sockets, scheduling: 'lifo' });
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon);
+  const port = Number(address.slice(colon + 1));
+  return {
+    request: (method, path, body, timeoutMs, signal) =>
+      new Promise<Reply>((resolve, reject) => {
+        const payload = body === null ? null : Buffer.from(JSON.stringify(body));
+        const req = httpRequest({ host, port, method, path, agent, signal });
+        const timer = setTimeout(
+          () => req.destroy(new NoAnswer(`${method} ${path}: no answer in ${timeoutMs} ms`)),
+          timeoutMs,
+        );
+        const fail = (error: Error): void => {
+          clearTimeout(timer);
+          reject(error instanceof NoAnswer ? error : new NoAnswer(error.message));
+        };
+        req.on('error', fail);
+        req.on('response', (res) => {
+          const parts: Buffer[] = [];
+          res.on('data', (part: Buffer) => parts.push(part));
+          res.on('error', fail);
+          res.on('close', () => {
+            if (!res.complete) fail(new NoAnswer('connection lost in the middle of an answer'));
+          });
+          res.on('end', () => {
+            clearTimeout(timer);
+            const text = Buffer.concat(parts).toString('utf8');
+            let parsed: unknown = null;
+            try {
+              parsed = text === '' ? null : JSON.parse(text);
+            } catch {
+              parsed = null;
+            }
+            resolve({ status: res.statusCode ?? 0, body: parsed });
+          });
+        });
+        if (payload) {
+          req.setHeader('content-type', 'application/json');
+          req.setHeader('content-length', payload.length);
+          req.end(payload);
+        } else {
+          req.end();
+        }
+      }),
+  };
+}
--- /dev/null
+++ b/src/jobs/feasible.ts
@@ -0,0 +1,28 @@
+import { fits, type MachineType } from '../fleet/types.js';
+import type { Settings } from '../settings/deploy.js';
+import type { JobSpec } from './job.js';
+
+/** Why a job can never run; null if it can. */
+export function whyNever(
+  spec: JobSpec,
+  settings: Settings,
+  types: ReadonlyMap<string, MachineType>,
+): string | null {
+  const team = settings.teams.get(spec.team);
+  if (!team) return `unknown team ${spec.team}`;
+  const fitting = [...types.values()].some(
+    (t) =>
+      (spec.types === null || spec.types.includes(t.name)) &&
+      (spec.zone === null || t.zones.includes(spec.zone)) &&
+      fits(spec.need, t.room),
+  );
+  if (!fitting) return 'a task fits no allowed machine type';
+  const atOnce = spec.kind === 'array' ? 1 : spec.tasks;
+  if (
+    spec.need.gpus * atOnce > team.limit.gpus + 1e-6 ||
+    spec.need.cpus * atOnce > team.limit.cpus + 1e-6
+  ) {
+    return `more than the limit of team ${spec.team}`;
+  }
+  return null;
+}
--- /dev/null
+++ b/src/jobs/job.ts
@@ -0,0 +1,36 @@
+import type { Need } from '../fleet/types.js';
+
+export type JobKind = 'array' | 'gang' | 'service';
+/** Smaller is more important. */
+export enum Priority {
+  Production,
+  High,
+  Normal,
+  Low,
+}
+
+/** What a user asked for, in our terms; durations in milliseconds. */
+export interface JobSpec {
+  jobClass: string;
+  team: string;
+  kind: JobKind;
+  priority: Priority;
+  tasks: number;
+  need: Need;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: string;
+  imageGb: number;
+  estimateMs: number;
+  checkpointMs: number;
+  saveMs: number;
+  deadlineMs: number | null;
+}
+
+export type JobPhase = 'open' | 'done' | 'cancelled';
+
+/** At most this many tasks of a job that asks to be spread may be in one zone. */
+export const spreadLimit = (tasks: number): number => Math.ceil(tasks / 2);
--- /dev/null
+++ b/src/jobs/records.ts
@@ -0,0 +1,113 @@
+import { z } from 'zod/mini';
+import type { JobPhase, JobSpec } from './job.js';
+
+/**
+ * What the store keeps. Field names are short since values have a limit and every controller reads
+ * all of them when it takes office. `w` marks the write, so that one whose answer was lost can be
+ * told from another's.
+ */
+const count = z.int().check(z.nonnegative());
+const amount = z.number().check(z.nonnegative());
+
+const spec = z.object({
+  jobClass: z.string(),
+  team: z.string(),
+  kind: z.enum(['array', 'gang', 'service']),
+  priority: z.int().check(z.minimum(0), z.maximum(3)),
+  tasks: count,
+  need: z.object({ cpus: amount, gpus: amount, memoryGb: amount }),
+  types: z.nullable(z.array(z.string())),
+  zone: z.nullable(z.string()),
+  oneZone: z.boolean(),
+  spread: z.boolean(),
+  spot: z.boolean(),
+  image: z.string(),
+  imageGb: amount,
+  estimateMs: amount,
+  checkpointMs: amount,
+  saveMs: amount,
+  deadlineMs: z.nullable(amount),
+});
+
+const job = z.object({
+  w: z.string(),
+  phase: z.enum(['open', 'done', 'cancelled']),
+  tasks: count,
+  at: z.optional(z.number()),
+  spec: z.optional(spec),
+});
+
+export interface JobRecord {
+  w: string;
+  phase: JobPhase;
+  tasks: number;
+  /** Time of day of the acceptance, and the job: left out once nothing can run any more. */
+  at?: number;
+  spec?: JobSpec;
+}
+
+export function parseJob(value: unknown): JobRecord | null {
+  const result = z.safeParse(job, value);
+  return result.success ? (result.data as JobRecord) : null;
+}
+
+const run = z.object({
+  w: z.string(),
+  attempt: count,
+  gang: z.optional(
+    z.object({
+      phase: z.enum(['admitted', 'placed', 'started', 'suspended']),
+      suspensions: count,
+      until: z.number(),
+    }),
+  ),
+  done: z.array(z.tuple([count, count])),
+  placed: z.array(z.tuple([count, count, z.string(), count])),
+});
+
+export interface GangRecord {
+  phase: 'admitted' | 'placed' | 'started' | 'suspended';
+  suspensions: number;
+  /** Time of day until which a suspended gang stays inadmissible. */
+  until: number;
+}
+
+export interface RunRecord {
+  w: string;
+  /** The highest attempt given out. */
+  attempt: number;
+  gang?: GangRecord;
+  /** Completed tasks as ranges, both ends included. */
+  done: [number, number][];
+  /** Task, attempt, machine and session of each start that is not proven gone. */
+  placed: [number, number, string, number][];
+}
+
+export function parseRun(value: unknown): RunRecord | null {
+  const result = z.safeParse(run, value);
+  return result.success ? (result.data as RunRecord) : null;
+}
+
+/** Bytes that one task may take in a record: its place, or its share of the ranges. */
+const BYTES_PER_TASK = 64;
+
+/** How many tasks share one run record, so that it stays below the limit for a value. */
+export function tasksPerRecord(valueBytes: number): number {
+  return Math.max(1, Math.floor((valueBytes * 0.8) / BYTES_PER_TASK));
+}
+
+const rental = z.object({
+  w: z.string(),
+  type: z.string(),
+  zone: z.string(),
+  spot: z.boolean(),
+  count,
+  at: z.number(),
+});
+
+export type RentalRecord = z.infer<typeof rental>;
+
+export function parseRental(value: unknown): RentalRecord | null {
+  const result = z.safeParse(rental, value);
+  return result.success ? result.data : null;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,47 @@
+import { Controller } from './control/controller.js';
+import { httpTransport } from './http/client.js';
+import { listen } from './http/server.js';
+import { systemClock } from './runtime/clock.js';
+import { createLogger } from './runtime/log.js';
+import { systemRandom } from './runtime/random.js';
+import { parseArguments } from './settings/cli.js';
+import { loadDeploy } from './settings/deploy.js';
+import { SettingsError } from './settings/error.js';
+import { loadOperator, OPERATOR_DEFAULTS } from './settings/operator.js';
+import { VERSION } from './version.js';
+
+async function main(): Promise<void> {
+  const args = parseArguments(process.argv, VERSION);
+  if (typeof args === 'number') {
+    process.exitCode = args;
+    return;
+  }
+  const settings = loadDeploy(args.config);
+  const operator = args.operator === null ? OPERATOR_DEFAULTS : loadOperator(args.operator);
+  if (args.check) return;
+
+  const log = createLogger(process.env.LOG_LEVEL, settings.member);
+  const runtime = { clock: systemClock, random: systemRandom(), log };
+  const stop = new AbortController();
+  for (const name of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(name, () => stop.abort(new Error(name)));
+  }
+  const sockets = Math.max(4, Math.floor(settings.machine.sockets / 20));
+  const controller = new Controller(settings, operator, runtime, {
+    store: httpTransport(settings.stateAddress, sockets),
+    cloud: httpTransport(settings.cloudAddress, Math.max(2, Math.ceil(settings.cloud.rps / 2))),
+  });
+  await listen(controller.app(), settings.publicAddress, stop.signal);
+  log.info({ address: settings.publicAddress }, 'listening');
+  await controller.run(stop.signal);
+  process.exit(0);
+}
+
+main().catch((error: unknown) => {
+  if (error instanceof SettingsError) {
+    process.stderr.write(`${error.message}\n`);
+    process.exit(2);
+  }
+  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+  process.exit(1);
+});
--- /dev/null
+++ b/src/runtime/duty.ts
@@ -0,0 +1,31 @@
+import type { Logger } from './log.js';
+import type { Clock } from './clock.js';
+import { jitter, type Random } from './random.js';
+
+export interface Runtime {
+  clock: Clock;
+  random: Random;
+  log: Logger;
+}
+
+/**
+ * Runs a long-lived duty until `signal` is aborted. A duty that throws is a bug or a lost
+ * partner: it is logged and started again after a wait.
+ */
+export async function duty(
+  runtime: Runtime,
+  name: string,
+  signal: AbortSignal,
+  restartMs: number,
+  body: (signal: AbortSignal) => Promise<void>,
+): Promise<void> {
+  while (!signal.aborted) {
+    try {
+      await body(signal);
+    } catch (error) {
+      if (signal.aborted) return;
+      runtime.log.warn({ duty: name, error: String(error) }, 'duty failed');
+    }
+    if (!signal.aborted) await runtime.clock.sleep(jitter(restartMs, runtime.random), signal);
+  }
+}
--- /dev/null
+++ b/src/scheduler/model.ts
@@ -0,0 +1,100 @@
+import type { MachineType, Need } from '../fleet/types.js';
+import type { JobSpec } from '../jobs/job.js';
+
+/** A machine as a round of decisions sees it; the round works on its own copy of `free`. */
+export interface MachineView {
+  id: string;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  free: Need;
+  /** False while it boots. */
+  up: boolean;
+  images: ReadonlyMap<string, number>;
+  /** How many services' tasks it holds, and of which jobs it holds how many tasks. */
+  services: number;
+  tasksOf: ReadonlyMap<string, number>;
+  idleMs: number;
+}
+
+export interface JobView {
+  id: string;
+  spec: JobSpec;
+  submittedAt: number;
+  /** Tasks that are neither done nor possibly on a machine. */
+  waiting: number;
+  unfinished: number;
+  /** Where its tasks are or may be, by zone. */
+  zones: ReadonlyMap<string, number>;
+  /** Machines on which it failed. */
+  avoid: ReadonlySet<string>;
+  gang: GangView | null;
+  /** False while it waits after a failure or on the inadmissible list. */
+  admissible: boolean;
+}
+
+export interface GangView {
+  /** It was admitted to wait for room, and nothing else that waits for room may be. */
+  holdsGate: boolean;
+  suspensions: number;
+}
+
+export interface TeamView {
+  guarantee: { cpus: number; gpus: number };
+  limit: { cpus: number; gpus: number };
+  used: { cpus: number; gpus: number };
+}
+
+/** Work that could be stopped. */
+export interface VictimView {
+  job: string;
+  task: number;
+  machine: string;
+  spec: JobSpec;
+  /** Work that would have to be done again, in machine milliseconds. */
+  lossMs: number;
+  /** All tasks of a gang stop together. */
+  wholeGang: boolean;
+  stopping: boolean;
+}
+
+export interface Offer {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  price: number;
+}
+
+export interface Snapshot {
+  machines: MachineView[];
+  jobs: JobView[];
+  teams: ReadonlyMap<string, TeamView>;
+  /** What the cloud may rent out: offers refused lately are left out. */
+  offers: Offer[];
+  victims: VictimView[];
+  /** An admitted gang that is placed but not ready keeps the gate shut. */
+  gateShut: boolean;
+}
+
+export interface Start {
+  job: string;
+  /** How many of its waiting tasks go to which machine. */
+  on: { machine: string; count: number }[];
+}
+
+export interface Rent {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export interface Plan {
+  starts: Start[];
+  /** The gang that passes the gate to wait for room. */
+  admit: string | null;
+  stops: { job: string; task: number }[];
+  rents: Rent[];
+  /** Machines that no task in sight needs. */
+  spare: string[];
+}
--- /dev/null
+++ b/src/scheduler/order.ts
@@ -0,0 +1,55 @@
+import { Priority } from '../jobs/job.js';
+import type { JobView, TeamView } from './model.js';
+
+/**
+ * A job is within its team's guarantee if it fits into it together with the team's earlier
+ * unfinished jobs.
+ */
+export function withinGuarantee(
+  jobs: JobView[],
+  teams: ReadonlyMap<string, TeamView>,
+): Set<string> {
+  const inside = new Set<string>();
+  const sums = new Map<string, { cpus: number; gpus: number }>();
+  for (const job of [...jobs].sort((a, b) => a.submittedAt - b.submittedAt)) {
+    const team = teams.get(job.spec.team);
+    if (!team) continue;
+    const sum = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+    sum.cpus += job.spec.need.cpus * job.unfinished;
+    sum.gpus += job.spec.need.gpus * job.unfinished;
+    sums.set(job.spec.team, sum);
+    // 0 means that nothing of the kind is guaranteed, and nothing is asked of it either.
+    const covers = (guarantee: number, used: number): boolean =>
+      guarantee === 0 || used <= guarantee + 1e-6;
+    const any = team.guarantee.cpus > 0 || team.guarantee.gpus > 0;
+    if (any && covers(team.guarantee.cpus, sum.cpus) && covers(team.guarantee.gpus, sum.gpus)) {
+      inside.add(job.id);
+    }
+  }
+  return inside;
+}
+
+/**
+ * Smaller goes first. A guarantee is worth one and a half steps of priority, so that production
+ * work beyond its guarantee still goes before batches within theirs.
+ */
+export function rank(job: JobView, guaranteed: boolean): number {
+  return job.spec.priority * 2 - (guaranteed ? 3 : 0);
+}
+
+export function inOrder(jobs: JobView[], guaranteed: ReadonlySet<string>): JobView[] {
+  const due = (j: JobView): number =>
+    j.spec.deadlineMs === null ? j.submittedAt : j.submittedAt + j.spec.deadlineMs;
+  const sameClass = (a: JobView, b: JobView): boolean =>
+    a.spec.priority === b.spec.priority && a.spec.kind === b.spec.kind;
+  return [...jobs].sort((a, b) => {
+    // The gang that holds the gate goes before other standard work: all other gangs wait for it.
+    const byRank = rank(a, guaranteed.has(a.id)) - rank(b, guaranteed.has(b.id));
+    if (byRank !== 0) return byRank;
+    const gate = Number(b.gang?.holdsGate ?? false) - Number(a.gang?.holdsGate ?? false);
+    if (gate !== 0) return gate;
+    return sameClass(a, b) ? due(a) - due(b) : a.submittedAt - b.submittedAt;
+  });
+}
+
+export const outranks = (a: Priority, b: Priority): boolean => a < b;
--- /dev/null
+++ b/src/scheduler/placement.ts
@@ -0,0 +1,124 @@
+import { fits, howMany, take, type Need } from '../fleet/types.js';
+import { spreadLimit, type JobSpec } from '../jobs/job.js';
+import type { JobView, MachineView } from './model.js';
+
+/** May a task of this job be on a machine of this type, zone and kind at all? */
+export function allows(
+  spec: JobSpec,
+  type: string,
+  zone: string,
+  spot: boolean,
+): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (spec.spot || !spot)
+  );
+}
+
+/** Where the tasks of one job may still go while a round places them one by one. */
+export class ZoneRules {
+  private readonly counts: Map<string, number>;
+  private readonly most: number;
+
+  constructor(
+    private readonly spec: JobSpec,
+    zones: ReadonlyMap<string, number>,
+  ) {
+    this.counts = new Map(zones);
+    this.most = spec.spread ? spreadLimit(spec.tasks) : Infinity;
+  }
+
+  room(zone: string): number {
+    if (this.spec.oneZone) {
+      for (const [other, n] of this.counts) if (n > 0 && other !== zone) return 0;
+    }
+    return Math.max(0, this.most - (this.counts.get(zone) ?? 0));
+  }
+
+  add(zone: string, n = 1): void {
+    this.counts.set(zone, (this.counts.get(zone) ?? 0) + n);
+  }
+}
+
+/** The first zone named may be unknown after a takeover; then nothing may be said of others. */
+export const UNKNOWN_ZONE = '';
+
+/**
+ * What it costs to put a task there, in seconds of waiting or their like: the image's fetch first;
+ * then services keep apart and other work fills up the fullest machines, so that whole machines
+ * stay free for gangs and can be given back.
+ */
+export function placementCost(job: JobView, m: MachineView): number {
+  const { spec } = job;
+  const fetch = m.images.has(spec.image) ? 0 : spec.imageGb / m.type.fetchGbPerS;
+  const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
+  let cost = fetch * 4 + leftover * 8;
+  if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20 + m.services;
+  // A cheap machine is for those who may use it; the others leave it free.
+  if (spec.spot && m.spot) cost -= 4;
+  return cost;
+}
+
+export interface Placed {
+  machine: MachineView;
+  count: number;
+}
+
+/** Puts up to `count` tasks on machines, taking their room; answers where they went. */
+export function place(
+  job: JobView,
+  count: number,
+  machines: MachineView[],
+  rules: ZoneRules,
+): Placed[] {
+  const { spec } = job;
+  const candidates = machines
+    .filter(
+      (m) =>
+        allows(spec, m.type.name, m.zone, m.spot) &&
+        fits(spec.need, m.free) &&
+        !job.avoid.has(m.id),
+    )
+    .map((machine) => ({ machine, cost: placementCost(job, machine) }))
+    .sort((a, b) => a.cost - b.cost);
+  const placed = new Map<MachineView, number>();
+  let left = count;
+  const put = (m: MachineView, most: number): void => {
+    const n = Math.min(most, left, rules.room(m.zone), howMany(spec.need, m.free));
+    if (n <= 0) return;
+    take(m.free, spec.need, n);
+    rules.add(m.zone, n);
+    placed.set(m, (placed.get(m) ?? 0) + n);
+    left -= n;
+  };
+  // Replicas of one service go to different machines as far as there are any.
+  if (spec.kind === 'service') for (const { machine } of candidates) put(machine, 1);
+  for (const { machine } of candidates) put(machine, Infinity);
+  return [...placed].map(([machine, n]) => ({ machine, count: n }));
+}
+
+/** Gives back the room that a trial took. */
+export function unplace(need: Need, placed: Placed[]): void {
+  for (const { machine, count } of placed) take(machine.free, need, -count);
+}
+
+/** Places a gang whole or not at all. */
+export function placeGang(
+  job: JobView,
+  machines: MachineView[],
+): Placed[] | null {
+  const zones = job.spec.oneZone ? [...new Set(machines.map((m) => m.zone))] : [null];
+  let best: { placed: Placed[]; cost: number } | null = null;
+  for (const zone of zones) {
+    const inZone = zone === null ? machines : machines.filter((m) => m.zone === zone);
+    const placed = place(job, job.spec.tasks, inZone, new ZoneRules(job.spec, job.zones));
+    const size = placed.reduce((n, p) => n + p.count, 0);
+    unplace(job.spec.need, placed);
+    if (size < job.spec.tasks) continue;
+    const cost = Math.max(...placed.map((p) => placementCost(job, p.machine)));
+    if (!best || cost < best.cost) best = { placed, cost };
+  }
+  if (best) for (const { machine, count } of best.placed) take(machine.free, job.spec.need, count);
+  return best?.placed ?? null;
+}
--- /dev/null
+++ b/src/scheduler/plan.ts
@@ -0,0 +1,201 @@
+import { fits, howMany, take } from '../fleet/types.js';
+import type { JobSpec } from '../jobs/job.js';
+import { inOrder, withinGuarantee } from './order.js';
+import type { JobView, MachineView, Offer, Plan, Rent, Snapshot, TeamView } from './model.js';
+import { allows, place, placeGang, ZoneRules } from './placement.js';
+import { Preemption } from './preemption.js';
+
+/** How many more tasks of `spec` a team's limit allows. */
+function limitRoom(team: TeamView, spec: JobSpec): number {
+  const per = (need: number, limit: number, used: number): number =>
+    need <= 0 || limit === Infinity ? Infinity : Math.floor((limit - used + 1e-6) / need);
+  return Math.max(
+    0,
+    Math.min(
+      per(spec.need.cpus, team.limit.cpus, team.used.cpus),
+      per(spec.need.gpus, team.limit.gpus, team.used.gpus),
+    ),
+  );
+}
+
+/** One round of decisions. It changes nothing but its own snapshot. */
+export function plan(snapshot: Snapshot): Plan {
+  return new Round(snapshot).run();
+}
+
+class Round {
+  private readonly up: MachineView[];
+  private readonly booting: MachineView[];
+  private readonly result: Plan = { starts: [], admit: null, stops: [], rents: [], spare: [] };
+  private readonly needed = new Set<string>();
+  private readonly rented: { offer: Offer; view: MachineView }[] = [];
+  private readonly guaranteed: Set<string>;
+  private readonly preemption: Preemption;
+
+  constructor(private readonly s: Snapshot) {
+    this.up = s.machines.filter((m) => m.up);
+    this.booting = s.machines.filter((m) => !m.up);
+    this.guaranteed = withinGuarantee(s.jobs, s.teams);
+    this.preemption = new Preemption(s.victims, this.up, s.teams);
+  }
+
+  run(): Plan {
+    const waiting = this.s.jobs.filter((j) => j.waiting > 0 && j.admissible);
+    for (const job of inOrder(waiting, this.guaranteed)) {
+      const team = this.s.teams.get(job.spec.team);
+      if (!team) continue;
+      if (job.gang) this.gang(job, team);
+      else {
+        const count = Math.min(job.waiting, limitRoom(team, job.spec));
+        if (count <= 0) continue;
+        const rules = new ZoneRules(job.spec, job.zones);
+        const missing = count - this.start(job, count, rules, team);
+        if (missing > 0) {
+          this.charge(team, job.spec, missing);
+          const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id));
+          this.reserve(job, missing - freed, rules);
+        }
+      }
+    }
+    this.result.stops = this.preemption.stops;
+    this.result.rents = this.rents();
+    this.result.spare = this.up
+      .filter((m) => !this.needed.has(m.id) && m.tasksOf.size === 0)
+      .map((m) => m.id);
+    return this.result;
+  }
+
+  private charge(team: TeamView, spec: JobSpec, count: number): void {
+    team.used.cpus += spec.need.cpus * count;
+    team.used.gpus += spec.need.gpus * count;
+  }
+
+  private start(job: JobView, count: number, rules: ZoneRules, team: TeamView): number {
+    const placed = place(job, count, this.up, rules);
+    if (placed.length === 0) return 0;
+    const size = placed.reduce((n, p) => n + p.count, 0);
+    this.charge(team, job.spec, size);
+    this.record(job, placed);
+    return size;
+  }
+
+  private record(job: JobView, placed: { machine: MachineView; count: number }[]): void {
+    for (const { machine } of placed) this.needed.add(machine.id);
+    this.result.starts.push({
+      job: job.id,
+      on: placed.map((p) => ({ machine: p.machine.id, count: p.count })),
+    });
+  }
+
+  /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
+  private gang(job: JobView, team: TeamView): void {
+    if (limitRoom(team, job.spec) < job.spec.tasks) return;
+    const placed = placeGang(job, this.up);
+    if (placed) {
+      this.charge(team, job.spec, job.spec.tasks);
+      this.record(job, placed);
+      return;
+    }
+    const holds = job.gang?.holdsGate ?? false;
+    if (!holds && (this.s.gateShut || this.result.admit !== null)) return;
+    if (!this.reserveGang(job)) return;
+    this.charge(team, job.spec, job.spec.tasks);
+    if (!holds) this.result.admit = job.id;
+  }
+
+  /** Sets aside free, booting and rentable room for a whole gang. */
+  private reserveGang(job: JobView): boolean {
+    const { spec } = job;
+    const machines = [...this.up, ...this.booting, ...this.rented.map((r) => r.view)];
+    const zones = spec.oneZone
+      ? [...new Set([...machines, ...this.s.offers].map((m) => m.zone))]
+      : [null];
+    let best: { zone: string | null; missing: number } | null = null;
+    for (const zone of zones) {
+      const inZone = (m: { zone: string }): boolean => zone === null || m.zone === zone;
+      const here = machines.filter(
+        (m) => inZone(m) && allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
+      );
+      let missing = spec.tasks;
+      for (const m of here) missing -= howMany(spec.need, m.free);
+      missing = Math.max(0, missing);
+      if (missing > 0 && !this.s.offers.some((o) => inZone(o) && this.suits(spec, o))) continue;
+      if (!best || missing < best.missing) best = { zone, missing };
+    }
+    if (!best) return false;
+    const rules = new ZoneRules(spec, job.zones);
+    const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
+    const placed = place(job, spec.tasks, machines.filter(inBest), rules);
+    for (const { machine } of placed) this.needed.add(machine.id);
+    const left = spec.tasks - placed.reduce((n, p) => n + p.count, 0);
+    return this.rent(job, left, rules, best.zone) === 0;
+  }
+
+  /** Room on machines that boot or will be rented, for tasks that found none. */
+  private reserve(job: JobView, count: number, rules: ZoneRules): void {
+    if (count <= 0) return;
+    const coming = [...this.booting, ...this.rented.map((r) => r.view)];
+    const placed = place(job, count, coming, rules);
+    const left = count - placed.reduce((n, p) => n + p.count, 0);
+    this.rent(job, left, rules, null);
+  }
+
+  private suits(spec: JobSpec, o: Offer): boolean {
+    return allows(spec, o.type.name, o.zone, o.spot) && fits(spec.need, o.type.room);
+  }
+
+  /** Plans rentals for `count` tasks; answers how many found no offer. */
+  private rent(job: JobView, count: number, rules: ZoneRules, zone: string | null): number {
+    const { spec } = job;
+    let left = count;
+    while (left > 0) {
+      let best: { offer: Offer; cost: number } | null = null;
+      for (const offer of this.s.offers) {
+        if ((zone !== null && offer.zone !== zone) || !this.suits(spec, offer)) continue;
+        const most = Math.min(howMany(spec.need, offer.type.room), rules.room(offer.zone));
+        if (most <= 0) continue;
+        const cost = offer.price / Math.min(most, left) + this.crowd(offer) * 1e-3;
+        if (!best || cost < best.cost) best = { offer, cost };
+      }
+      if (!best) break;
+      const { offer } = best;
+      const view: MachineView = {
+        id: `rent-${this.rented.length}`,
+        type: offer.type,
+        zone: offer.zone,
+        spot: offer.spot,
+        free: { ...offer.type.room },
+        up: false,
+        images: new Map(),
+        services: 0,
+        tasksOf: new Map(),
+        idleMs: 0,
+      };
+      const n = Math.min(left, rules.room(offer.zone), howMany(spec.need, view.free));
+      take(view.free, spec.need, n);
+      rules.add(offer.zone, n);
+      this.rented.push({ offer, view });
+      left -= n;
+    }
+    return left;
+  }
+
+  /** Between offers of one price the emptier zone is taken. */
+  private crowd(offer: Offer): number {
+    let n = 0;
+    for (const m of this.s.machines) if (m.zone === offer.zone) n++;
+    for (const r of this.rented) if (r.offer.zone === offer.zone) n++;
+    return n;
+  }
+
+  private rents(): Rent[] {
+    const sums = new Map<Offer, number>();
+    for (const { offer } of this.rented) sums.set(offer, (sums.get(offer) ?? 0) + 1);
+    return [...sums].map(([offer, count]) => ({
+      type: offer.type.name,
+      zone: offer.zone,
+      spot: offer.spot,
+      count,
+    }));
+  }
+}
--- /dev/null
+++ b/src/scheduler/preemption.ts
@@ -0,0 +1,116 @@
+import { fits, howMany, take, type Need } from '../fleet/types.js';
+import { outranks } from './order.js';
+import type { JobView, MachineView, TeamView, VictimView } from './model.js';
+import { allows } from './placement.js';
+
+/**
+ * Stops work to make room: of lower priority, or, for a job within its team's guarantee, what
+ * other teams run beyond theirs. The cheapest loss goes first. Room that is already being made is
+ * counted before more is asked for.
+ */
+export class Preemption {
+  readonly stops: { job: string; task: number }[] = [];
+  private readonly byMachine = new Map<string, VictimView[]>();
+  private readonly chosen = new Set<VictimView>();
+  /** Room that a machine will have once what is being stopped there has left. */
+  private readonly coming = new Map<string, Need>();
+
+  constructor(
+    victims: VictimView[],
+    private readonly up: MachineView[],
+    private readonly teams: ReadonlyMap<string, TeamView>,
+  ) {
+    for (const v of victims) {
+      const list = this.byMachine.get(v.machine);
+      if (list) list.push(v);
+      else this.byMachine.set(v.machine, [v]);
+    }
+    for (const m of up) {
+      const room = { ...m.free };
+      for (const v of this.byMachine.get(m.id) ?? []) {
+        if (v.stopping) take(room, v.spec.need, -1);
+      }
+      this.coming.set(m.id, room);
+    }
+  }
+
+  /** How many of `count` tasks will find room by stopping others. */
+  free(job: JobView, count: number, guaranteed: boolean): number {
+    let found = 0;
+    const suitable = this.up.filter(
+      (m) => allows(job.spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
+    );
+    for (const m of suitable) {
+      const room = this.coming.get(m.id)!;
+      const n = Math.min(count - found, howMany(job.spec.need, room));
+      if (n > 0) {
+        this.claim(m, job, n);
+        found += n;
+      }
+    }
+    while (found < count) {
+      let best: { machine: MachineView; victims: VictimView[]; loss: number } | null = null;
+      for (const m of suitable) {
+        const choice = this.cheapest(job, m, guaranteed);
+        if (choice && (!best || choice.loss < best.loss)) best = { machine: m, ...choice };
+      }
+      if (!best) break;
+      const room = this.coming.get(best.machine.id)!;
+      for (const v of best.victims) {
+        this.chosen.add(v);
+        this.stops.push({ job: v.job, task: v.task });
+        take(room, v.spec.need, -1);
+        const team = this.teams.get(v.spec.team);
+        if (team) {
+          team.used.cpus -= v.spec.need.cpus;
+          team.used.gpus -= v.spec.need.gpus;
+        }
+      }
+      this.claim(best.machine, job, 1);
+      found++;
+    }
+    return found;
+  }
+
+  /** Sets room aside, also what is free already: smaller work must not slip into it meanwhile. */
+  private claim(m: MachineView, job: JobView, count: number): void {
+    take(this.coming.get(m.id)!, job.spec.need, count);
+    take(m.free, job.spec.need, count);
+  }
+
+  private overGuarantee(name: string): boolean {
+    const team = this.teams.get(name);
+    return (
+      team !== undefined &&
+      (team.used.gpus > team.guarantee.gpus + 1e-6 ||
+        (team.guarantee.cpus > 0 && team.used.cpus > team.guarantee.cpus + 1e-6))
+    );
+  }
+
+  private cheapest(
+    job: JobView,
+    m: MachineView,
+    guaranteed: boolean,
+  ): { victims: VictimView[]; loss: number } | null {
+    const room = { ...this.coming.get(m.id)! };
+    const may = (this.byMachine.get(m.id) ?? [])
+      .filter(
+        (v) =>
+          !v.stopping &&
+          !this.chosen.has(v) &&
+          !v.wholeGang &&
+          (outranks(job.spec.priority, v.spec.priority) ||
+            (guaranteed && this.overGuarantee(v.spec.team) && v.spec.team !== job.spec.team)),
+      )
+      .sort((a, b) => b.spec.priority - a.spec.priority || a.lossMs - b.lossMs);
+    const victims: VictimView[] = [];
+    let loss = 0;
+    for (const v of may) {
+      if (fits(job.spec.need, room)) break;
+      victims.push(v);
+      loss += v.lossMs + 1;
+      take(room, v.spec.need, -1);
+    }
+    return victims.length > 0 && fits(job.spec.need, room) ? { victims, loss } : null;
+  }
+}
--- /dev/null
+++ b/src/settings/cli.ts
@@ -0,0 +1,26 @@
+import { Command, CommanderError } from 'commander';
+
+export interface Arguments {
+  config: string;
+  operator: string | null;
+  check: boolean;
+}
+
+/** Reads the command line; answers an exit code where there is nothing to run. */
+export function parseArguments(argv: string[], version: string): Arguments | number {
+  const command = new Command('leverhatch')
+    .description('A scheduler for fleets that serve language models')
+    .version(version)
+    .requiredOption('--config <file>', 'the settings file (TOML) that the platform hands over')
+    .option('--operator <file>', "the operators' own settings (XML)")
+    .option('--check', 'validate the settings and exit: 0 if they are sound, 2 if not', false)
+    .exitOverride();
+  try {
+    command.parse(argv);
+  } catch (error) {
+    if (error instanceof CommanderError) return error.exitCode === 0 ? 0 : 2;
+    throw error;
+  }
+  const options = command.opts<{ config: string; operator?: string; check: boolean }>();
+  return { config: options.config, operator: options.operator ?? null, check: options.check };
+}
--- /dev/null
+++ b/src/settings/deploy.ts
@@ -0,0 +1,178 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import { z } from 'zod/mini';
+import { SettingsError } from './error.js';
+
+const positive = z.number().check(z.positive());
+const amount = z.number().check(z.nonnegative());
+const address = z.string().check(z.regex(/^[^:\s]+:\d{1,5}$/, 'must be HOST:PORT'));
+
+const schema = z.object({
+  member: z.string().check(z.minLength(1)),
+  site: z.string(),
+  public_addr: address,
+  peer_bind: address,
+  known: z._default(z.array(z.object({ member: z.string(), site: z.string(), address })), []),
+  external: z.object({ cloud: address, state: address }),
+  facts: z.object({
+    size: z.int().check(z.positive()),
+    zones: z.array(z.string()),
+    clock_error_ms: amount,
+    teams: z.array(
+      z.object({
+        name: z.string(),
+        cpus: z._default(amount, 0),
+        cpus_max: z._default(amount, 0),
+        gpus: z._default(amount, 0),
+        gpus_max: z._default(amount, 0),
+      }),
+    ),
+    objectives: z._default(
+      z.array(
+        z.object({
+          kind: z.string(),
+          class: z.optional(z.string()),
+          within_s: z.optional(z.number()),
+          share: z.optional(z.number()),
+        }),
+      ),
+      [],
+    ),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: z.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: z.int().check(z.minimum(2)),
+    }),
+    cloud: z.object({ rps: positive, list_lag_s: positive }),
+    resources: z.object({ core_share: positive, ram_mb: positive, sockets: positive }),
+  }),
+});
+
+export interface Team {
+  name: string;
+  /** What the team may have at once without waiting for others; 0: nothing is guaranteed. */
+  guarantee: { cpus: number; gpus: number };
+  /** What its tasks may use at most; Infinity where the settings say 0, which means no limit. */
+  limit: { cpus: number; gpus: number };
+}
+
+export interface Objective {
+  kind: string;
+  jobClass: string | null;
+  withinMs: number | null;
+  share: number | null;
+}
+
+export interface Settings {
+  member: string;
+  zone: string;
+  publicAddress: string;
+  peerAddress: string;
+  peers: { member: string; zone: string; address: string }[];
+  cloudAddress: string;
+  stateAddress: string;
+  size: number;
+  zones: string[];
+  clockErrorMs: number;
+  teams: Map<string, Team>;
+  objectives: Objective[];
+  workers: {
+    reportMs: number;
+    leaseMs: number;
+    gangWaitMs: number;
+    gangPeerMs: number;
+    cancelMs: number;
+  };
+  state: { rps: number; writeRps: number; valueBytes: number; txnOps: number };
+  cloud: { rps: number; listLagMs: number };
+  machine: { coreShare: number; memoryMb: number; sockets: number };
+}
+
+export function parseDeploy(text: string, file: string): Settings {
+  let document: unknown;
+  try {
+    document = parse(text);
+  } catch (error) {
+    throw new SettingsError(file, null, firstLine(error));
+  }
+  const result = schema.safeParse(document);
+  if (!result.success) {
+    const issue = result.error.issues[0];
+    throw new SettingsError(file, issue?.path.join('.') ?? null, issue?.message ?? 'is invalid');
+  }
+  return toSettings(result.data);
+}
+
+export function loadDeploy(file: string): Settings {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(file, null, firstLine(error));
+  }
+  return parseDeploy(text, file);
+}
+
+function firstLine(error: unknown): string {
+  return (error instanceof Error ? error.message : String(error)).split('\n')[0] ?? '';
+}
+
+function toSettings(d: z.infer<typeof schema>): Settings {
+  const { facts } = d;
+  const noLimit = (limit: number): number => (limit === 0 ? Infinity : limit);
+  return {
+    member: d.member,
+    zone: d.site,
+    publicAddress: d.public_addr,
+    peerAddress: d.peer_bind,
+    peers: d.known.map((p) => ({ member: p.member, zone: p.site, address: p.address })),
+    cloudAddress: d.external.cloud,
+    stateAddress: d.external.state,
+    size: facts.size,
+    zones: facts.zones,
+    clockErrorMs: facts.clock_error_ms,
+    teams: new Map(
+      facts.teams.map((t) => [
+        t.name,
+        {
+          name: t.name,
+          guarantee: { cpus: t.cpus, gpus: t.gpus },
+          limit: { cpus: noLimit(t.cpus_max), gpus: noLimit(t.gpus_max) },
+        },
+      ]),
+    ),
+    objectives: facts.objectives.map((o) => ({
+      kind: o.kind,
+      jobClass: o.class ?? null,
+      withinMs: o.within_s === undefined ? null : o.within_s * 1000,
+      share: o.share ?? null,
+    })),
+    workers: {
+      reportMs: facts.workers.report_s * 1000,
+      leaseMs: facts.workers.lease_s * 1000,
+      gangWaitMs: facts.workers.gang_wait_s * 1000,
+      gangPeerMs: facts.workers.gang_peer_s * 1000,
+      cancelMs: facts.workers.cancel_s * 1000,
+    },
+    state: {
+      rps: facts.state.rps,
+      writeRps: facts.state.write_rps,
+      valueBytes: facts.state.value_kb * 1024,
+      txnOps: facts.state.txn_ops,
+    },
+    cloud: { rps: facts.cloud.rps, listLagMs: facts.cloud.list_lag_s * 1000 },
+    machine: {
+      coreShare: facts.resources.core_share,
+      memoryMb: facts.resources.ram_mb,
+      sockets: facts.resources.sockets,
+    },
+  };
+}
--- /dev/null
+++ b/src/state/budget.ts
@@ -0,0 +1,88 @@
+import type { Clock } from '../runtime/clock.js';
+
+interface Waiter {
+  cost: number;
+  grant(): void;
+}
+
+/**
+ * A token bucket with a queue for each urgency: the first queue is always served first. It holds
+ * one node's callers below a rate that a partner enforces with refusals.
+ */
+export class Budget {
+  private tokens: number;
+  private filledAt: number;
+  private readonly queues: Waiter[][] = [[], [], []];
+  private timer: Promise<void> | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.tokens = burst;
+    this.filledAt = clock.now();
+  }
+
+  /** Resolves once `cost` may be spent; rejects if `signal` is aborted first. */
+  take(cost: number, urgency: 0 | 1 | 2, signal?: AbortSignal): Promise<void> {
+    signal?.throwIfAborted();
+    this.fill();
+    // A cost above the burst would never be covered; it is let through once the bucket is full.
+    const price = Math.min(cost, this.burst);
+    if (this.queues.every((q) => q.length === 0) && this.tokens >= price) {
+      this.tokens -= price;
+      return Promise.resolve();
+    }
+    return new Promise((resolve, reject) => {
+      const queue = this.queues[urgency]!;
+      const leave = (): void => {
+        const at = queue.indexOf(waiter);
+        if (at >= 0) queue.splice(at, 1);
+        reject(signal!.reason as Error);
+      };
+      const waiter: Waiter = {
+        cost: price,
+        grant: () => {
+          signal?.removeEventListener('abort', leave);
+          resolve();
+        },
+      };
+      signal?.addEventListener('abort', leave, { once: true });
+      queue.push(waiter);
+      this.timer ??= this.serve();
+    });
+  }
+
+  /** How many callers wait: callers widen their batches by it. */
+  get waiting(): number {
+    return this.queues.reduce((sum, q) => sum + q.length, 0);
+  }
+
+  private fill(): void {
+    const now = this.clock.now();
+    this.tokens = Math.min(
+      this.burst,
+      this.tokens + ((now - this.filledAt) / 1000) * this.perSecond,
+    );
+    this.filledAt = now;
+  }
+
+  private async serve(): Promise<void> {
+    for (;;) {
+      this.fill();
+      const queue = this.queues.find((q) => q.length > 0);
+      if (!queue) break;
+      const next = queue[0]!;
+      // The small allowance keeps rounding from turning into a wait of no length.
+      if (this.tokens + 1e-6 >= next.cost) {
+        this.tokens -= next.cost;
+        queue.shift();
+        next.grant();
+      } else {
+        await this.clock.sleep(((next.cost - this.tokens) / this.perSecond) * 1000 + 1);
+      }
+    }
+    this.timer = null;
+  }
+}
--- /dev/null
+++ b/src/state/store.ts
@@ -0,0 +1,204 @@
+import { NoAnswer, type Reply, type Transport } from '../http/client.js';
+import type { Runtime } from '../runtime/duty.js';
+import { jitter } from '../runtime/random.js';
+import type { Settings } from '../settings/deploy.js';
+import * as wire from '../wire/store.js';
+import { Budget } from './budget.js';
+
+export type { Change, Condition, Entry, StoreEvent } from '../wire/store.js';
+
+/** The store did not execute the request; `status` says why. */
+export class Refused extends Error {
+  constructor(
+    readonly status: number,
+    what: string,
+  ) {
+    super(`${what}: refused with ${status}`);
+  }
+}
+export class HistoryLost extends Error {}
+export class LeaseGone extends Error {}
+
+export type Outcome =
+  | { ok: true; revision: number }
+  /** `doubtful`: an earlier copy of the same transaction got no answer and may have been applied. */
+  | { ok: false; failed: string[]; doubtful: boolean };
+
+export type Urgency = 0 | 1 | 2;
+
+export class Store {
+  private readonly requests: Budget;
+  private readonly writes: Budget;
+  private contactAt = -Infinity;
+  private refusedSince: number | null = null;
+
+  constructor(
+    private readonly transport: Transport,
+    private readonly runtime: Runtime,
+    settings: Settings,
+    private readonly timeoutMs: number,
+  ) {
+    // The limits hold for all nodes together. One node does nearly all of the writing, so each may
+    // take half; what is refused all the same is tried again after a wait.
+    this.requests = new Budget(runtime.clock, settings.state.rps / 2, settings.state.rps / 4);
+    this.writes = new Budget(
+      runtime.clock,
+      settings.state.writeRps * 0.7,
+      settings.state.writeRps * 0.5,
+    );
+  }
+
+  /** When the store last answered anything but a refusal. */
+  get answeredAt(): number {
+    return this.contactAt;
+  }
+
+  /** Since when every request has failed; null while the store serves. */
+  get failingSince(): number | null {
+    return this.refusedSince;
+  }
+
+  async get(key: string, urgency: Urgency, signal?: AbortSignal): Promise<wire.Entry | null> {
+    const reply = await this.call('GET', wire.STORE_PATHS.key(key), null, urgency, signal);
+    if (reply.status === 404) return null;
+    return wire.parseEntry(expect(reply, 200, key));
+  }
+
+  /** Reads a key however long it takes. */
+  async read(key: string, signal: AbortSignal): Promise<wire.Entry | null> {
+    for (;;) {
+      try {
+        return await this.get(key, 1, signal);
+      } catch {
+        signal.throwIfAborted();
+        await this.runtime.clock.sleep(jitter(this.timeoutMs / 10, this.runtime.random), signal);
+      }
+    }
+  }
+
+  /** All entries below `prefix`, and the revision from which to follow them. */
+  async range(
+    prefix: string,
+    signal?: AbortSignal,
+  ): Promise<{ items: wire.Entry[]; revision: number }> {
+    const items: wire.Entry[] = [];
+    let after: string | null = null;
+    // Changes made while later pages are read are seen again by following from the first page on.
+    let revision: number | null = null;
+    for (;;) {
+      const path = wire.STORE_PATHS.range(prefix, after, wire.RANGE_PAGE);
+      const reply = await this.call('GET', path, null, 0, signal);
+      const page = wire.parseRange(expect(reply, 200, prefix));
+      revision ??= page.revision;
+      items.push(...page.items);
+      if (!page.more || page.items.length === 0) return { items, revision };
+      after = page.items[page.items.length - 1]!.key;
+    }
+  }
+
+  /** One try. Throws `Refused` if it was not executed, `NoAnswer` if that cannot be told. */
+  async txn(
+    when: wire.Condition[],
+    then: wire.Change[],
+    urgency: Urgency,
+    signal?: AbortSignal,
+  ): Promise<{ ok: true; revision: number } | { ok: false; failed: string[] }> {
+    if (then.length > 0) await this.writes.take(then.length, urgency, signal);
+    const body = wire.txnBody(when, then);
+    const reply = await this.call('POST', wire.STORE_PATHS.txn, body, urgency, signal);
+    if (reply.status === 409) return { ok: false, failed: wire.parseConflict(reply.body) };
+    if (reply.status === 400 && isLeaseGone(reply.body)) throw new LeaseGone('no such lease');
+    return { ok: true, revision: wire.parseCommitted(expect(reply, 200, 'txn')) };
+  }
+
+  /**
+   * Repeats one transaction until the store gives a definite answer. A copy that got no answer may
+   * still be applied later; since all copies carry the same conditions on the keys they write,
+   * at most one of them ever is.
+   */
+  async commit(
+    when: wire.Condition[],
+    then: wire.Change[],
+    urgency: Urgency,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    let doubtful = false;
+    let wait = this.timeoutMs / 20;
+    for (;;) {
+      signal.throwIfAborted();
+      try {
+        const result = await this.txn(when, then, urgency, signal);
+        return result.ok ? result : { ...result, doubtful };
+      } catch (error) {
+        if (error instanceof NoAnswer) doubtful = true;
+        else if (!(error instanceof Refused) || !isRetryable(error.status)) throw error;
+      }
+      await this.runtime.clock.sleep(jitter(wait, this.runtime.random), signal);
+      wait = Math.min(wait * 2, this.timeoutMs / 2);
+    }
+  }
+
+  async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
+    const body = wire.grantBody(ttlMs);
+    const reply = await this.call('POST', wire.STORE_PATHS.leases, body, null, signal);
+    return wire.parseGranted(expect(reply, 200, 'lease'));
+  }
+
+  /** Throws `LeaseGone` if the lease has ended. Renewals never queue behind other requests. */
+  async renew(lease: number, timeoutMs: number, signal?: AbortSignal): Promise<void> {
+    const path = wire.STORE_PATHS.renew(lease);
+    const reply = await this.call('POST', path, {}, null, signal, timeoutMs);
+    if (reply.status === 404) throw new LeaseGone('the lease has ended');
+    expect(reply, 200, 'renewal');
+  }
+
+  async revoke(lease: number): Promise<void> {
+    await this.call('DELETE', wire.STORE_PATHS.lease(lease), null, null);
+  }
+
+  async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<{ revision: number; events: wire.StoreEvent[] }> {
+    const path = wire.STORE_PATHS.watch(prefix, after, waitMs);
+    const reply = await this.call('GET', path, null, 1, signal, waitMs + this.timeoutMs);
+    if (reply.status === 410) throw new HistoryLost(prefix);
+    return wire.parseFollow(expect(reply, 200, 'watch'));
+  }
+
+  private async call(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: object | null,
+    urgency: Urgency | null,
+    signal?: AbortSignal,
+    timeoutMs = this.timeoutMs,
+  ): Promise<Reply> {
+    if (urgency !== null) await this.requests.take(1, urgency, signal);
+    try {
+      const reply = await this.transport.request(method, path, body, timeoutMs, signal);
+      if (reply.status === 503) throw new Refused(503, path);
+      this.contactAt = this.runtime.clock.now();
+      this.refusedSince = null;
+      if (reply.status === 429) throw new Refused(429, path);
+      return reply;
+    } catch (error) {
+      if (!signal?.aborted && !(error instanceof Refused && error.status === 429)) {
+        this.refusedSince ??= this.runtime.clock.now();
+      }
+      throw error;
+    }
+  }
+}
+
+function expect(reply: Reply, status: number, what: string): unknown {
+  if (reply.status !== status) throw new Refused(reply.status, what);
+  return reply.body;
+}
+
+const isRetryable = (status: number): boolean => status === 429 || status === 503;
+
+const isLeaseGone = (body: unknown): boolean =>
+  typeof body === 'object' && body !== null && (body as { error?: unknown }).error === 'no such lease';
--- /dev/null
+++ b/src/version.ts
@@ -0,0 +1,1 @@
+export const VERSION = '0.1.0';
--- /dev/null
+++ b/src/wire/store.ts
@@ -0,0 +1,95 @@
+import { z } from 'zod/mini';
+
+export interface Entry {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+export interface Condition {
+  key: string;
+  /** 0: the key must not exist. */
+  version: number;
+}
+
+export type Change =
+  | { put: string; value: object; lease?: number }
+  | { delete: string };
+
+export type StoreEvent = { key: string; value: unknown; version: number } | { key: string; gone: true };
+
+const count = z.int().check(z.nonnegative());
+const entry = z.object({ k: z.string(), value: z.unknown(), stamp: count });
+const rangePage = z.object({
+  entries: z.array(entry),
+  more: z._default(z.boolean(), false),
+  ledgerRev: count,
+});
+const committed = z.object({ ledgerRev: count });
+const conflict = z.object({ failed: z.array(z.string()), ledgerRev: count });
+const granted = z.object({ hold: count });
+const follow = z.object({
+  ledgerRev: count,
+  news: z.array(
+    z.union([
+      z.object({ write: z.string(), value: z.unknown(), stamp: count }),
+      z.object({ delete: z.string(), stamp: z.optional(count) }),
+    ]),
+  ),
+});
+
+const toEntry = (e: z.infer<typeof entry>): Entry => ({
+  key: e.k,
+  value: e.value,
+  version: e.stamp,
+});
+
+export const parseEntry = (body: unknown): Entry => toEntry(z.parse(entry, body));
+
+export function parseRange(body: unknown): { items: Entry[]; more: boolean; revision: number } {
+  const page = z.parse(rangePage, body);
+  return { items: page.entries.map(toEntry), more: page.more, revision: page.ledgerRev };
+}
+
+export const parseCommitted = (body: unknown): number => z.parse(committed, body).ledgerRev;
+export const parseConflict = (body: unknown): string[] => z.parse(conflict, body).failed;
+export const parseGranted = (body: unknown): number => z.parse(granted, body).hold;
+
+export function parseFollow(body: unknown): { revision: number; events: StoreEvent[] } {
+  const page = z.parse(follow, body);
+  return {
+    revision: page.ledgerRev,
+    events: page.news.map((n) =>
+      'write' in n
+        ? { key: n.write, value: n.value, version: n.stamp }
+        : { key: n.delete, gone: true },
+    ),
+  };
+}
+
+export function txnBody(when: Condition[], then: Change[]): object {
+  return {
+    when: when.map((c) => ({ k: c.key, stamp: c.version })),
+    then: then.map((c) =>
+      'put' in c
+        ? { write: c.put, value: c.value, ...(c.lease === undefined ? {} : { hold: c.lease }) }
+        : { delete: c.delete },
+    ),
+  };
+}
+
+export const STORE_PATHS = {
+  key: (key: string): string => `/store/${key}`,
+  range: (prefix: string, after: string | null, limit: number): string =>
+    `/store?starts=${encodeURIComponent(prefix)}` +
+    (after === null ? '' : `&since=${encodeURIComponent(after)}`) +
+    `&page=${limit}`,
+  txn: '/txn',
+  leases: '/grants',
+  renew: (lease: number): string => `/grants/${lease}/extend`,
+  lease: (lease: number): string => `/grants/${lease}`,
+  watch: (prefix: string, after: number, waitMs: number): string =>
+    `/follow?starts=${encodeURIComponent(prefix)}&since=${after}&holdMs=${waitMs}`,
+};
+export const RANGE_PAGE = 1000;
+export const grantBody = (ttlMs: number): object => ({ lifeMs: ttlMs });
