--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,6 +9,5 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minifySyntax: true,
-  logLevel: 'warning',
+  minify: true, logLevel: 'warning',
 });
