--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { BehaviorSubject } from 'rxjs';
 import { z } from 'zod/mini';
 import { DRIFT } from '../runtime/clock.js';
@@ -129,6 +130,7 @@
     const { clock, random, log } = this.runtime;
     const everyMs = this.lifetimeMs / 5;
     const either = AbortSignal.any([signal, term.signal]);
+    setMaxListeners(0, either);
     try {
       while (!signal.aborted) {
         await clock.sleep(jitter(everyMs, random), either);
--- a/src/election/term.ts
+++ b/src/election/term.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 /**
  * One leader's time in office. Its token is the version at which the leader key was created, so
  * tokens only rise, and the key is not written again during the term.
@@ -13,6 +15,8 @@
     until: number,
   ) {
     this.until = until;
+    // Every request of the term listens to it.
+    setMaxListeners(0, this.over.signal);
   }
 
   /** True while no other node can have taken office. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { Controller } from './control/controller.js';
 import { httpTransport } from './http/client.js';
 import { listen } from './http/server.js';
@@ -23,6 +24,7 @@
   const log = createLogger(process.env.LOG_LEVEL, settings.member);
   const runtime = { clock: systemClock, random: systemRandom(), log };
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   for (const name of ['SIGINT', 'SIGTERM'] as const) {
     process.once(name, () => stop.abort(new Error(name)));
   }
