--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,5 +9,6 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minify: true, logLevel: 'warning',
+  minify: true,
+  logLevel: 'warning',
 });
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -73,31 +73,23 @@
       },
       settled: (job) => this.jobs.delete(job.id),
     });
-    this.rentals = new Rentals(
-      cloud,
-      store,
-      runtime,
-      settings,
-      term,
-      parts.cloudTimeoutMs,
-      {
-        rented: (ids, rent) => {
-          for (const id of ids) {
-            const m = this.fleet.machine(id, runtime.clock.now());
-            m.type ??= this.types.get(rent.type) ?? null;
-            m.zone = rent.zone;
-            m.spot = rent.spot;
-            m.listedState ??= 'booting';
-          }
-          this.touch();
-        },
-        listed: (machines) => this.onListed(machines),
-        returned: (ids) => {
-          for (const id of ids) this.fleet.gone(id);
-          this.touch();
-        },
+    this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
+      rented: (ids, rent) => {
+        for (const id of ids) {
+          const m = this.fleet.machine(id, runtime.clock.now());
+          m.type ??= this.types.get(rent.type) ?? null;
+          m.zone = rent.zone;
+          m.spot = rent.spot;
+          m.listedState ??= 'booting';
+        }
+        this.touch();
       },
-    );
+      listed: (machines) => this.onListed(machines),
+      returned: (ids) => {
+        for (const id of ids) this.fleet.gone(id);
+        this.touch();
+      },
+    });
     this.gate = new GateKeeper(parts.operator);
   }
 
@@ -319,7 +311,8 @@
       job.phase = 'done';
       job.phaseStored = false;
     }
-    if (job.gang && job.phase === 'open') this.gate.broken(job, (grace) => this.stopAll(job, grace));
+    if (job.gang && job.phase === 'open')
+      this.gate.broken(job, (grace) => this.stopAll(job, grace));
     this.ledger.flush(job);
     this.touch();
   }
@@ -371,6 +364,7 @@
       }
       m.type ??= this.types.get(l.type) ?? null;
       m.listedState = l.state;
+      if (l.state === 'running') m.runningAt ??= now;
       m.missedLists = 0;
       if (l.state === 'failed') {
         // The cloud says it has stopped: nothing is on it any more.
@@ -421,7 +415,7 @@
     const now = this.now;
     this.dirty = false;
     this.fleet.sweep(now);
-    this.drain();
+    this.drain(now);
     for (const job of this.jobs.values()) {
       if (job.gang) {
         checkTimeout(this, job, now);
@@ -436,8 +430,9 @@
   }
 
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
-  private drain(): void {
+  private drain(now: number): void {
     for (const m of this.fleet.machines.values()) {
+      if (m.stillborn(now)) this.returnMachine(m);
       if (m.noticeAt === null && !m.faulty) continue;
       for (const p of m.placements.values()) {
         if (p.stop || p.job.phase !== 'open') continue;
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -27,8 +27,7 @@
   for (const m of leader.fleet.machines.values()) {
     if (!m.type || m.returning || m.noticeAt !== null || m.faulty) continue;
     const up = m.usable(now, workers.leaseMs / 3);
-    // Not heard of yet and not known to run: it boots. What fell silent is no room at all.
-    const booting = m.heardAt === null && m.placements.size === 0 && m.listedState === 'booting';
+    const booting = m.coming(now, workers.leaseMs);
     if (!up && !booting) continue;
     views.push(machineView(m, up, now));
   }
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -11,8 +11,7 @@
 const leaderValue = z.object({ term: z.string(), member: z.string() });
 
 export type Role =
-  | { kind: 'leader'; term: Term }
-  | { kind: 'follower'; leader: string | null; token: number };
+  { kind: 'leader'; term: Term } | { kind: 'follower'; leader: string | null; token: number };
 
 /** Holds or contests the leader key for as long as it runs. */
 export class Election {
@@ -57,10 +56,7 @@
       } catch (error) {
         if (signal.aborted) throw error;
         if (!(error instanceof HistoryLost)) {
-          await this.runtime.clock.sleep(
-            jitter(this.lifetimeMs / 16, this.runtime.random),
-            signal,
-          );
+          await this.runtime.clock.sleep(jitter(this.lifetimeMs / 16, this.runtime.random), signal);
         }
         current = await this.store.get(KEYS.leader, 0, signal);
         if (current) revision = current.version;
@@ -79,10 +75,10 @@
   private async contest(signal: AbortSignal): Promise<{ term: Term; lease: number } | null> {
     const { clock, random } = this.runtime;
     const value = { term: random.unique(), member: this.member };
-    let sentAt = clock.now();
+    const sentAt = clock.now();
     const lease = await this.store.grant(this.lifetimeMs, signal);
     const change = { put: KEYS.leader, value, lease };
-    let doubtful = false;
+    let doubtful: boolean;
     try {
       const outcome = await this.store.commit(
         [{ key: KEYS.leader, version: 0 }],
@@ -104,7 +100,6 @@
         return { term: this.take(value.term, entry.version, sentAt), lease };
       }
     }
-    sentAt = clock.now();
     await this.store.revoke(lease).catch(() => undefined);
     return null;
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -50,6 +50,7 @@
   report(r: Report, type: MachineType | null, now: number, act: boolean): Order[] {
     const m = this.machine(r.machine, now);
     if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
+    m.firstHeardAt ??= now;
     m.heardAt = now;
     // Counted even for an old copy: taking a machine for gone later than needed is always safe.
     m.answeredAt = now;
@@ -74,10 +75,7 @@
         if (p.session < r.session) this.lose(m, p);
       }
     }
-    // An order of an earlier leader may still be on its way to a worker that has not seen our
-    // token; only from the next report on does absence prove anything.
-    if (r.token < this.token) return [];
-    m.confirmed = true;
+    if (r.token >= this.token) m.confirmed = true;
     return this.settle(m, r);
   }
 
@@ -108,7 +106,7 @@
     const starts: Order[] = [];
     for (const [key, p] of [...m.placements]) {
       if (p.session !== r.session) continue;
-      if (!seen.has(key) && p.stage !== 'recording') this.absent(m, p, starts);
+      if (!seen.has(key) && p.stage !== 'recording') this.absent(m, p, r, starts);
       else if (p.stop && p.stage === 'live') {
         stops.push({
           op: 'stop',
@@ -131,8 +129,13 @@
     }
   }
 
-  /** A recorded start that its worker, which knows our token, does not show. */
-  private absent(m: Machine, p: Placement, starts: Order[]): void {
+  /** A recorded start that its worker does not show. */
+  private absent(m: Machine, p: Placement, r: Report, starts: Order[]): void {
+    // A report from before our time may have been held up while an earlier leader had the start
+    // executed; only one that knows our token proves that it never will be. Of a start of our own
+    // term the next newer report proves it, whatever token it knows: the worker had then already
+    // taken or dropped the answer that carried the order.
+    if (p.stage === 'recovered' && r.token < this.token) return;
     if (p.stage === 'live' || p.stop) {
       // Seen before and now gone, or never executed and no longer wanted.
       this.lose(m, p);
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -6,6 +6,10 @@
 export const startKey = (job: string, task: number, attempt: number): string =>
   `${job}/${task}/${attempt}`;
 
+/** After how many boot times a machine is not waited for any more, and is given back. */
+const SLOW_BOOT = 1.8;
+const DEAD_BOOT = 3;
+
 /** What is known of one machine, and what may be on it. */
 export class Machine {
   type: MachineType | null = null;
@@ -14,14 +18,17 @@
   /** Session and sequence number of the newest report; -1: none yet. */
   session = -1;
   seq = -1;
-  /** Its worker has reported with our token, so no older leader's order can still run there. */
+  /** Its worker has reported with our token: our answers reach it. */
   confirmed = false;
+  firstHeardAt: number | null = null;
   /** When the last report came, and when one was last answered; null: not in this term. */
   heardAt: number | null = null;
   answeredAt: number | null = null;
   /** Since when its reports have come without a gap. */
   steadySince = 0;
   listedState: 'booting' | 'running' | 'failed' | null = null;
+  /** When the list first said that it runs. */
+  runningAt: number | null = null;
   rentedAt: number;
   missedLists = 0;
   noticeAt: number | null = null;
@@ -48,7 +55,7 @@
   usable(now: number, silentMs: number): boolean {
     return (
       this.type !== null &&
-      this.confirmed &&
+      this.reached(now, silentMs) &&
       !this.returning &&
       this.noticeAt === null &&
       this.listedState !== 'failed' &&
@@ -58,14 +65,37 @@
     );
   }
 
+  /** Our answers reach it, or it has only just begun to report. */
+  private reached(now: number, patienceMs: number): boolean {
+    return this.confirmed || (this.firstHeardAt !== null && now - this.firstHeardAt < patienceMs);
+  }
+
   get faulty(): boolean {
     return this.deafSessions > 0 || this.failedJobs.size >= 2;
   }
 
+  /**
+   * Not heard of yet, but expected: it boots, or is said to run and its worker should report soon.
+   * One that takes several times its boot time is not counted on any more.
+   */
+  coming(now: number, patienceMs: number): boolean {
+    if (this.heardAt !== null || this.placements.size > 0 || this.type === null) return false;
+    if (this.listedState === 'booting') return now - this.rentedAt < this.type.bootMs * SLOW_BOOT;
+    return this.runningAt !== null && now - this.runningAt < patienceMs;
+  }
+
+  /** It is paid for and will not come up. */
+  stillborn(now: number): boolean {
+    return (
+      this.heardAt === null &&
+      this.type !== null &&
+      this.listedState === 'booting' &&
+      now - this.rentedAt > this.type.bootMs * DEAD_BOOT
+    );
+  }
+
   free(): Need {
-    const room: Need = this.type
-      ? { ...this.type.room }
-      : { cpus: 0, gpus: 0, memoryGb: 0 };
+    const room: Need = this.type ? { ...this.type.room } : { cpus: 0, gpus: 0, memoryGb: 0 };
     for (const p of this.placements.values()) take(room, p.job.spec.need);
     return room;
   }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -35,10 +35,13 @@
 
 /** How many tasks of `need` go into `room`. */
 export function howMany(need: Need, room: Need): number {
-  const per = (n: number, r: number): number =>
-    n <= 0 ? Infinity : Math.floor((r + EPSILON) / n);
+  const per = (n: number, r: number): number => (n <= 0 ? Infinity : Math.floor((r + EPSILON) / n));
   return Math.max(
     0,
-    Math.min(per(need.cpus, room.cpus), per(need.gpus, room.gpus), per(need.memoryGb, room.memoryGb)),
+    Math.min(
+      per(need.cpus, room.cpus),
+      per(need.gpus, room.gpus),
+      per(need.memoryGb, room.memoryGb),
+    ),
   );
 }
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -47,13 +47,7 @@
           res.on('end', () => {
             clearTimeout(timer);
             const text = Buffer.concat(parts).toString('utf8');
-            let parsed: unknown = null;
-            try {
-              parsed = text === '' ? null : JSON.parse(text);
-            } catch {
-              parsed = null;
-            }
-            resolve({ status: res.statusCode ?? 0, body: parsed });
+            resolve({ status: res.statusCode ?? 0, body: parse(text) });
           });
         });
         if (payload) {
@@ -66,3 +60,12 @@
       }),
   };
 }
+
+/** A body that is not JSON carries nothing that could be believed. */
+function parse(text: string): unknown {
+  try {
+    return text === '' ? null : JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,11 +2,16 @@
 import express, { type ErrorRequestHandler, type Express, type Response } from 'express';
 import type { Answer, Desk } from '../jobs/desk.js';
 import type { Logger } from '../runtime/log.js';
-import { parseReport, redirectAnswer, reportAnswer, type Order, type Report } from '../wire/report.js';
+import {
+  parseReport,
+  redirectAnswer,
+  reportAnswer,
+  type Order,
+  type Report,
+} from '../wire/report.js';
 
 export type ReportOutcome =
-  | { kind: 'orders'; token: number; orders: Order[] }
-  | { kind: 'elsewhere'; leader: string | null };
+  { kind: 'orders'; token: number; orders: Order[] } | { kind: 'elsewhere'; leader: string | null };
 
 export interface Service {
   desk: Desk;
--- a/src/index.ts
+++ b/src/index.ts
@@ -7,4 +7,9 @@
 export { systemRandom, type Random } from './runtime/random.js';
 export { loadDeploy, parseDeploy, type Settings } from './settings/deploy.js';
 export { SettingsError } from './settings/error.js';
-export { loadOperator, OPERATOR_DEFAULTS, parseOperator, type Operator } from './settings/operator.js';
+export {
+  loadOperator,
+  OPERATOR_DEFAULTS,
+  parseOperator,
+  type Operator,
+} from './settings/operator.js';
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -154,7 +154,8 @@
         return await this.store.txn(when, then, 0, signal);
       } catch (error) {
         signal.throwIfAborted();
-        const again = error instanceof NoAnswer || (error instanceof Refused && error.status === 429);
+        const again =
+          error instanceof NoAnswer || (error instanceof Refused && error.status === 429);
         if (!again) throw error;
       }
       await clock.sleep(jitter(wait, random), signal);
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -160,7 +160,13 @@
   }
 
   /** Takes over what an earlier leader recorded; the caller adds the placements to their machines. */
-  restore(chunk: number, version: number, record: RunRecord, now: number, wall: number): Placement[] {
+  restore(
+    chunk: number,
+    version: number,
+    record: RunRecord,
+    now: number,
+    wall: number,
+  ): Placement[] {
     this.chunks[chunk]!.version = version;
     this.attempt = Math.max(this.attempt, record.attempt);
     for (const [from, to] of record.done) {
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -3,12 +3,7 @@
 import type { JobView, MachineView } from './model.js';
 
 /** May a task of this job be on a machine of this type, zone and kind at all? */
-export function allows(
-  spec: JobSpec,
-  type: string,
-  zone: string,
-  spot: boolean,
-): boolean {
+export function allows(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
   return (
     (spec.types === null || spec.types.includes(type)) &&
     (spec.zone === null || spec.zone === zone) &&
@@ -104,10 +99,7 @@
 }
 
 /** Places a gang whole or not at all. */
-export function placeGang(
-  job: JobView,
-  machines: MachineView[],
-): Placed[] | null {
+export function placeGang(job: JobView, machines: MachineView[]): Placed[] | null {
   const zones = job.spec.oneZone ? [...new Set(machines.map((m) => m.zone))] : [null];
   let best: { placed: Placed[]; cost: number } | null = null;
   for (const zone of zones) {
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -201,4 +201,6 @@
 const isRetryable = (status: number): boolean => status === 429 || status === 503;
 
 const isLeaseGone = (body: unknown): boolean =>
-  typeof body === 'object' && body !== null && (body as { error?: unknown }).error === 'no such lease';
+  typeof body === 'object' &&
+  body !== null &&
+  (body as { error?: unknown }).error === 'no such lease';
--- a/src/wire/report.ts
+++ b/src/wire/report.ts
@@ -5,14 +5,7 @@
 
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
 export type ExitWhy =
-  | 'done'
-  | 'stopped'
-  | 'peers'
-  | 'alone'
-  | 'error'
-  | 'no_room'
-  | 'busy'
-  | 'unknown';
+  'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
 
 export interface TaskReport {
   job: string;
@@ -57,7 +50,8 @@
 const isObject = (v: unknown): v is Record<string, unknown> =>
   typeof v === 'object' && v !== null && !Array.isArray(v);
 const isCount = (v: unknown): v is number => Number.isSafeInteger(v) && (v as number) >= 0;
-const isName = (v: unknown): v is string => typeof v === 'string' && v.length > 0 && v.length <= 200;
+const isName = (v: unknown): v is string =>
+  typeof v === 'string' && v.length > 0 && v.length <= 200;
 
 /** Null where any field is missing or invalid: such a report changes nothing. */
 export function parseReport(body: unknown): Report | null {
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -12,11 +12,10 @@
   version: number;
 }
 
-export type Change =
-  | { put: string; value: object; lease?: number }
-  | { delete: string };
+export type Change = { put: string; value: object; lease?: number } | { delete: string };
 
-export type StoreEvent = { key: string; value: unknown; version: number } | { key: string; gone: true };
+export type StoreEvent =
+  { key: string; value: unknown; version: number } | { key: string; gone: true };
 
 const count = z.int().check(z.nonnegative());
 const entry = z.object({ k: z.string(), value: z.unknown(), stamp: count });
--- /dev/null
+++ b/test/fakes/clock.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '../../src/runtime/clock.js';
+
+interface Timer {
+  at: number;
+  order: number;
+  fire(): void;
+}
+
+/** Time that only moves when a story says so. */
+export class FakeClock implements Clock {
+  private time = 0;
+  private order = 0;
+  private timers: Timer[] = [];
+
+  now(): number {
+    return this.time;
+  }
+
+  wall(): number {
+    return 1_800_000_000_000 + this.time;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) return resolve();
+      const done = (): void => {
+        this.timers = this.timers.filter((t) => t !== timer);
+        signal?.removeEventListener('abort', done);
+        resolve();
+      };
+      const timer = { at: this.time + Math.max(0, ms), order: this.order++, fire: done };
+      this.timers.push(timer);
+      signal?.addEventListener('abort', done);
+    });
+  }
+
+  /** Lets `ms` pass, with everything that is due on the way, in order. */
+  async advance(ms: number): Promise<void> {
+    const until = this.time + ms;
+    await settle();
+    for (;;) {
+      const next = this.timers
+        .filter((t) => t.at <= until)
+        .sort((a, b) => a.at - b.at || a.order - b.order)[0];
+      if (!next) break;
+      this.time = Math.max(this.time, next.at);
+      next.fire();
+      await settle();
+    }
+    this.time = until;
+  }
+}
+
+/** Runs all that is ready to run: promises do not take time, only timers do. */
+async function settle(): Promise<void> {
+  for (let i = 0; i < 3; i++) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/test/fakes/cloud.ts
@@ -0,0 +1,95 @@
+import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
+import type { FakeClock } from './clock.js';
+
+export interface Host {
+  ref: string;
+  hull: string;
+  yard: string;
+  driftwood: boolean;
+  rentedAt: number;
+  upAt: number;
+}
+
+const HULLS = [
+  {
+    sku: 'g8',
+    vcpus: 48,
+    gpus: 8,
+    memoryGb: 288,
+    cacheGb: 400,
+    fetchGbPerS: 2,
+    price: 20,
+    marketPrice: 7,
+    readyS: 40,
+    yards: ['a', 'b'],
+  },
+];
+
+/** A cloud that rents machines of one type in two zones. */
+export class FakeCloud {
+  readonly hosts = new Map<string, Host>();
+  readonly charters = new Map<string, string[]>();
+  down = false;
+  capacity = 40;
+  spotCapacity = 0;
+  private next = 1;
+
+  constructor(
+    private readonly clock: FakeClock,
+    private readonly onGone: (id: string) => void,
+  ) {}
+
+  add(yard: string, bootMs: number, driftwood = false): Host {
+    const ref = `host-${String(this.next++).padStart(6, '0')}`;
+    const now = this.clock.now();
+    const host = { ref, hull: 'g8', yard, driftwood, rentedAt: now, upAt: now + bootMs };
+    this.hosts.set(ref, host);
+    return host;
+  }
+
+  link(): Transport {
+    return {
+      request: async (method, path, body, timeoutMs, signal) => {
+        await this.clock.sleep(80, signal);
+        signal?.throwIfAborted();
+        if (timeoutMs < 80) throw new NoAnswer('too slow');
+        if (this.down) return { status: 503, body: { error: 'trouble' } };
+        return this.execute(method, path, body);
+      },
+    };
+  }
+
+  private execute(method: string, path: string, body: unknown): Reply {
+    if (path === '/flavors') return { status: 200, body: { hulls: HULLS } };
+    if (path === '/hosts/return') {
+      for (const id of (body as { rigs: string[] }).rigs) {
+        if (this.hosts.delete(id)) this.onGone(id);
+      }
+      return { status: 200, body: {} };
+    }
+    if (method === 'POST') return this.rent(body as Parameters<FakeCloud['rent']>[0]);
+    const now = this.clock.now();
+    const rigs = [...this.hosts.values()].map((h) => ({
+      ref: h.ref,
+      address: 'unused',
+      hull: h.hull,
+      yard: h.yard,
+      driftwood: h.driftwood,
+      phase: now >= h.upAt ? 'running' : 'starting',
+      ageS: (now - h.rentedAt) / 1000,
+    }));
+    return { status: 200, body: { rigs, more: false } };
+  }
+
+  private rent(r: { charter: string; yard: string; driftwood: boolean; number: number }): Reply {
+    const before = this.charters.get(r.charter);
+    if (before) return { status: 200, body: { rigs: before } };
+    const held = [...this.hosts.values()].filter((h) => h.driftwood === r.driftwood).length;
+    const most = r.driftwood ? this.spotCapacity : this.capacity;
+    const n = Math.min(r.number, most - held);
+    if (n <= 0) return { status: 503, body: { error: 'no capacity' } };
+    const rigs = Array.from({ length: n }, () => this.add(r.yard, 40_000, r.driftwood).ref);
+    this.charters.set(r.charter, rigs);
+    return { status: 200, body: { rigs } };
+  }
+}
--- /dev/null
+++ b/test/fakes/store.ts
@@ -0,0 +1,181 @@
+import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
+import type { FakeClock } from './clock.js';
+
+interface Stored {
+  value: unknown;
+  stamp: number;
+  hold: number | null;
+}
+
+interface Condition {
+  k: string;
+  stamp: number;
+}
+
+interface Change {
+  write?: string;
+  value?: unknown;
+  hold?: number;
+  delete?: string;
+}
+
+/** What happens to a request on its way: answered, refused, lost before or after it was executed. */
+export type Fate = 'serve' | 'refuse' | 'lose request' | 'lose answer' | 'apply late';
+
+/** A small state service, written from the protocol. */
+export class FakeStore {
+  readonly keys = new Map<string, Stored>();
+  down = false;
+  private revision = 0;
+  private nextLease = 1;
+  private readonly leases = new Map<number, { ttl: number; until: number }>();
+  private readonly history: { key: string; stamp: number; value?: unknown; gone?: true }[] = [];
+  /** Transactions that reach the store later, after their sender has given up. */
+  readonly late: (() => Reply)[] = [];
+
+  constructor(private readonly clock: FakeClock) {}
+
+  /** One controller's way to the store. */
+  link(fate: (method: string, path: string, body: unknown) => Fate): Transport {
+    return {
+      request: async (method, path, body, timeoutMs, signal) => {
+        const copy = body === null ? null : (JSON.parse(JSON.stringify(body)) as object);
+        await this.clock.sleep(4, signal);
+        signal?.throwIfAborted();
+        if (path.startsWith('/follow')) return this.follow(path, timeoutMs, signal, fate);
+        const what = this.down ? 'refuse' : fate(method, path, copy);
+        if (what === 'refuse') return { status: 503, body: { error: 'trouble' } };
+        if (what === 'lose request' || what === 'apply late') {
+          if (what === 'apply late') this.late.push(() => this.execute(method, path, copy));
+          await this.clock.sleep(timeoutMs, signal);
+          throw new NoAnswer('lost');
+        }
+        const reply = this.execute(method, path, copy);
+        if (what === 'lose answer') {
+          await this.clock.sleep(timeoutMs, signal);
+          throw new NoAnswer('lost');
+        }
+        return reply;
+      },
+    };
+  }
+
+  get(key: string): unknown {
+    this.expire();
+    return this.keys.get(key)?.value;
+  }
+
+  /** After an outage every lease has its full time again. */
+  restore(): void {
+    this.down = false;
+    for (const lease of this.leases.values()) lease.until = this.clock.now() + lease.ttl;
+  }
+
+  private expire(): void {
+    if (this.down) return;
+    for (const [id, lease] of this.leases) if (lease.until < this.clock.now()) this.endLease(id);
+  }
+
+  private endLease(id: number): void {
+    this.leases.delete(id);
+    const held = [...this.keys].filter(([, s]) => s.hold === id);
+    if (held.length === 0) return;
+    this.revision++;
+    for (const [key] of held) this.remove(key);
+  }
+
+  private remove(key: string): void {
+    this.keys.delete(key);
+    this.history.push({ key, stamp: this.revision, gone: true });
+  }
+
+  private execute(method: string, path: string, body: unknown): Reply {
+    this.expire();
+    const url = new URL(path, 'http://store');
+    if (url.pathname === '/txn') return this.txn(body as { when: Condition[]; then: Change[] });
+    if (url.pathname === '/grants') {
+      const ttl = (body as { lifeMs: number }).lifeMs;
+      const id = this.nextLease++;
+      this.leases.set(id, { ttl, until: this.clock.now() + ttl });
+      return { status: 200, body: { hold: id } };
+    }
+    const grant = /^\/grants\/(\d+)(\/extend)?$/.exec(url.pathname);
+    if (grant) {
+      const lease = this.leases.get(Number(grant[1]));
+      if (!lease) return { status: 404, body: {} };
+      if (method === 'DELETE') this.endLease(Number(grant[1]));
+      else lease.until = this.clock.now() + lease.ttl;
+      return { status: 200, body: {} };
+    }
+    if (url.pathname === '/store') return this.range(url);
+    const key = url.pathname.slice('/store/'.length);
+    const stored = this.keys.get(key);
+    if (!stored) return { status: 404, body: { ledgerRev: this.revision } };
+    return { status: 200, body: { k: key, value: stored.value, stamp: stored.stamp } };
+  }
+
+  private txn({ when, then }: { when: Condition[]; then: Change[] }): Reply {
+    const failed = when.filter((c) => (this.keys.get(c.k)?.stamp ?? 0) !== c.stamp).map((c) => c.k);
+    if (then.some((c) => c.hold !== undefined && !this.leases.has(c.hold))) {
+      return { status: 400, body: { error: 'no such lease' } };
+    }
+    if (failed.length > 0) return { status: 409, body: { failed, ledgerRev: this.revision } };
+    if (then.length > 0) this.revision++;
+    for (const c of then) {
+      if (c.write !== undefined) {
+        const stored = { value: c.value, stamp: this.revision, hold: c.hold ?? null };
+        this.keys.set(c.write, stored);
+        this.history.push({ key: c.write, stamp: this.revision, value: c.value });
+      } else if (c.delete !== undefined && this.keys.has(c.delete)) this.remove(c.delete);
+    }
+    return { status: 200, body: { ledgerRev: this.revision } };
+  }
+
+  private range(url: URL): Reply {
+    const prefix = url.searchParams.get('starts') ?? '';
+    const since = url.searchParams.get('since');
+    const page = Number(url.searchParams.get('page'));
+    const all = [...this.keys]
+      .filter(([key]) => key.startsWith(prefix) && (since === null || key > since))
+      .sort(([a], [b]) => (a < b ? -1 : 1));
+    const entries = all.slice(0, page).map(([k, s]) => ({ k, value: s.value, stamp: s.stamp }));
+    return {
+      status: 200,
+      body: { entries, more: all.length > entries.length, ledgerRev: this.revision },
+    };
+  }
+
+  private async follow(
+    path: string,
+    timeoutMs: number,
+    signal: AbortSignal | undefined,
+    fate: (method: string, path: string, body: unknown) => Fate,
+  ): Promise<Reply> {
+    const url = new URL(path, 'http://store');
+    const prefix = url.searchParams.get('starts') ?? '';
+    const since = Number(url.searchParams.get('since'));
+    const until = this.clock.now() + Number(url.searchParams.get('holdMs'));
+    const deadline = this.clock.now() + timeoutMs;
+    for (;;) {
+      signal?.throwIfAborted();
+      this.expire();
+      const reachable = !this.down && fate('GET', path, null) === 'serve';
+      const news = this.history.filter((h) => h.stamp > since && h.key.startsWith(prefix));
+      if (reachable && (news.length > 0 || this.clock.now() >= until)) {
+        return {
+          status: 200,
+          body: {
+            ledgerRev: this.revision,
+            news: news.map((h) =>
+              h.gone
+                ? { delete: h.key, stamp: h.stamp }
+                : { write: h.key, value: h.value, stamp: h.stamp },
+            ),
+          },
+        };
+      }
+      if (this.clock.now() >= deadline) throw new NoAnswer('no answer');
+      await this.clock.sleep(20, signal);
+    }
+  }
+}
--- /dev/null
+++ b/test/fakes/worker.ts
@@ -0,0 +1,179 @@
+import type { FakeClock } from './clock.js';
+
+export interface Piece {
+  job: string;
+  task: number;
+  attempt: number;
+  phase: 'fetching' | 'gathering' | 'running' | 'flushing' | 'ended';
+  cause: string | null;
+  since: number;
+}
+
+export interface JobFacts {
+  shape: string;
+  pieces: number;
+  runMs: number;
+  fetchMs: number;
+  saveMs: number;
+}
+
+export interface Desk {
+  /** How the worker learns what to run; null: no such job. */
+  facts(job: string): JobFacts | null;
+  /** Whether all tasks of this attempt have their image. */
+  assembled(job: string, attempt: number): boolean;
+  onMachine(worker: FakeWorker, piece: Piece): void;
+}
+
+export type Answered = { status: number; body: unknown };
+
+/** A worker, written from the protocol: one report in flight, a lease, sessions and tokens. */
+export class FakeWorker {
+  shift = 1;
+  tick = 0;
+  baton = 0;
+  pieces: Piece[] = [];
+  dead = false;
+  hung = false;
+  /** Reports arrive, answers do not. */
+  deaf = false;
+  warningS: number | null = null;
+  /** Every report as it was sent, for late copies. */
+  readonly sent: object[] = [];
+  private node = 0;
+  private leaseFrom: number;
+
+  constructor(
+    readonly id: string,
+    readonly yard: string,
+    readonly driftwood: boolean,
+    private readonly clock: FakeClock,
+    private readonly desk: Desk,
+    private readonly leaseMs: number,
+    private readonly call: (node: number, report: object) => Promise<Answered>,
+    private readonly nodes: string[],
+  ) {
+    this.leaseFrom = clock.now();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.dead) {
+      // The lease of a hanging machine runs out like any other's: it never resumes past it.
+      if (this.expired()) this.nextSession();
+      if (!this.hung) {
+        this.work();
+        await this.report();
+      }
+      await this.clock.sleep(this.hung ? 100 : 1000, signal);
+    }
+  }
+
+  body(): object {
+    return {
+      rig: this.id,
+      address: 'unused',
+      hull: 'g8',
+      yard: this.yard,
+      driftwood: this.driftwood,
+      shift: this.shift,
+      tick: ++this.tick,
+      baton: this.baton,
+      warningS: this.warningS,
+      pieces: this.pieces.map((p) => ({
+        piece: `${p.job}/${p.task}`,
+        try: p.attempt,
+        phase: p.phase,
+        ...(p.cause === null ? {} : { cause: p.cause }),
+      })),
+    };
+  }
+
+  private async report(): Promise<void> {
+    const body = this.body();
+    this.sent.push(body);
+    const { shift } = this;
+    const sentAt = this.clock.now();
+    const late = new AbortController();
+    const none = this.clock.sleep(4000, late.signal).then(() => null);
+    const answer = await Promise.race([this.call(this.node, body).catch(() => null), none]);
+    late.abort();
+    if (this.dead || this.hung) return;
+    if (answer && this.deaf) return;
+    if (!answer || (answer.status !== 200 && answer.status !== 421)) {
+      this.node = (this.node + 1) % this.nodes.length;
+      return;
+    }
+    if (answer.status === 421) {
+      const to = this.nodes.indexOf((answer.body as { foreman?: string }).foreman ?? '');
+      this.node = to >= 0 && to !== this.node ? to : (this.node + 1) % this.nodes.length;
+      return;
+    }
+    const { baton, orders } = answer.body as { baton: number; orders: Record<string, unknown>[] };
+    if (shift !== this.shift || baton < this.baton) return;
+    this.baton = baton;
+    this.leaseFrom = sentAt;
+    for (const order of orders) this.execute(order);
+    this.work();
+  }
+
+  private execute(order: Record<string, unknown>): void {
+    const [job, task] = String(order.piece).split('/') as [string, string];
+    const attempt = Number(order.try);
+    const same = (p: Piece): boolean => p.job === job && p.task === Number(task);
+    const here = this.pieces.find((p) => same(p) && p.attempt === attempt);
+    if (order.verb === 'forget') {
+      this.pieces = this.pieces.filter((p) => p !== here || p.phase !== 'ended');
+    } else if (order.verb === 'launch' && !here) {
+      const busy = this.pieces.some((p) => same(p) && p.phase !== 'ended');
+      this.pieces.push({
+        job,
+        task: Number(task),
+        attempt,
+        phase: busy ? 'ended' : 'fetching',
+        cause: busy ? 'in_use' : null,
+        since: this.clock.now(),
+      });
+    } else if (order.verb === 'halt' && here && here.phase !== 'ended') {
+      here.phase = 'ended';
+      here.cause = 'stopped';
+    }
+  }
+
+  private expired(): boolean {
+    return this.clock.now() - this.leaseFrom > this.leaseMs;
+  }
+
+  private nextSession(): void {
+    this.shift++;
+    this.pieces = [];
+    this.leaseFrom = this.clock.now();
+  }
+
+  /** Lets tasks go on as far as time allows. */
+  private work(): void {
+    const now = this.clock.now();
+    if (this.expired()) return this.nextSession();
+    for (const p of this.pieces) {
+      const facts = this.desk.facts(p.job);
+      if (p.phase === 'ended') continue;
+      if (!facts) {
+        p.phase = 'ended';
+        p.cause = 'unknown';
+        continue;
+      }
+      if (p.phase === 'fetching' && now - p.since >= facts.fetchMs) {
+        p.phase = facts.shape === 'gang' ? 'gathering' : 'running';
+        p.since = now;
+        this.desk.onMachine(this, p);
+      }
+      if (p.phase === 'gathering' && this.desk.assembled(p.job, p.attempt)) {
+        p.phase = 'running';
+        p.since = now;
+      }
+      if (p.phase === 'running' && facts.runMs > 0 && now - p.since >= facts.runMs) {
+        p.phase = 'ended';
+        p.cause = 'done';
+      }
+    }
+  }
+}
--- /dev/null
+++ b/test/fakes/world.ts
@@ -0,0 +1,347 @@
+import assert from 'node:assert/strict';
+import { Controller } from '../../src/control/controller.js';
+import type { Answer } from '../../src/jobs/desk.js';
+import type { Random } from '../../src/runtime/random.js';
+import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
+import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
+import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
+import { FakeClock } from './clock.js';
+import { FakeCloud } from './cloud.js';
+import { FakeStore, type Fate } from './store.js';
+import { FakeWorker, type Answered, type JobFacts, type Piece } from './worker.js';
+
+export const SETTINGS = `
+member = "berth-0"
+site = "a"
+public_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[external]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[facts]
+size = 2
+zones = ["a", "b"]
+clock_error_ms = 100.0
+[[facts.teams]]
+name = "vision"
+gpus = 16.0
+gpus_max = 32.0
+[[facts.teams]]
+name = "speech"
+gpus = 16.0
+gpus_max = 64.0
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[facts.state]
+rps = 200.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 20
+[facts.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[facts.resources]
+core_share = 0.136
+ram_mb = 114.0
+sockets = 500
+`;
+
+export function settings(member = 'berth-0'): Settings {
+  return parseDeploy(SETTINGS.replace('berth-0', member), 'settings');
+}
+
+export function fakeRandom(name: string): Random {
+  let n = 0;
+  return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
+}
+
+const silent = {
+  error: (): void => {},
+  warn: (): void => {},
+  info: (): void => {},
+  debug: (): void => {},
+};
+
+interface Node {
+  name: string;
+  controller: Controller | null;
+  stop: AbortController;
+  fate(method: string, path: string, body: unknown): Fate;
+  /** False while workers cannot reach it. */
+  open: boolean;
+}
+
+export interface JobWish {
+  shape?: 'array' | 'gang' | 'service';
+  pieces?: number;
+  gpus?: number;
+  crew?: string;
+  urgency?: string;
+  runMs?: number;
+  fetchMs?: number;
+  samePlace?: boolean;
+  apart?: boolean;
+  driftwood?: boolean;
+  yard?: string;
+}
+
+/** A small fleet with two controllers; it checks the rules at every step of every story. */
+export class World {
+  readonly clock = new FakeClock();
+  readonly store = new FakeStore(this.clock);
+  readonly cloud = new FakeCloud(this.clock, (id) => this.kill(id));
+  readonly workers = new Map<string, FakeWorker>();
+  readonly nodes: Node[] = [];
+  readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
+  readonly starts: string[] = [];
+  readonly broken: string[] = [];
+  private readonly end = new AbortController();
+  private lives = 0;
+  private nextId = 1;
+
+  constructor(machines: { yard: string; spot?: boolean }[]) {
+    for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false);
+    for (const name of ['berth-0', 'berth-1']) {
+      this.nodes.push({
+        name,
+        controller: null,
+        stop: new AbortController(),
+        fate: () => 'serve',
+        open: true,
+      });
+    }
+  }
+
+  async start(): Promise<void> {
+    for (let i = 0; i < this.nodes.length; i++) this.boot(i);
+    void this.hatch();
+    await this.pass(6);
+  }
+
+  async close(): Promise<void> {
+    for (const node of this.nodes) node.stop.abort();
+    this.end.abort();
+    await this.clock.advance(100);
+    assert.deepEqual(this.broken, []);
+  }
+
+  boot(i: number): void {
+    const node = this.nodes[i]!;
+    node.stop = new AbortController();
+    const controller = new Controller(
+      settings(node.name),
+      OPERATOR_DEFAULTS,
+      { clock: this.clock, random: fakeRandom(`${node.name}.${++this.lives}`), log: silent },
+      {
+        store: this.store.link((m, p, b) =>
+          node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b),
+        ),
+        cloud: this.cloud.link(),
+      },
+    );
+    node.controller = controller;
+    void controller.run(node.stop.signal);
+  }
+
+  /** Ends a controller as a kill would: nothing is handed over. */
+  crash(i: number): void {
+    const node = this.nodes[i]!;
+    node.fate = () => 'lose request';
+    node.controller = null;
+    node.stop.abort();
+  }
+
+  restart(i: number): void {
+    this.nodes[i]!.fate = () => 'serve';
+    this.boot(i);
+  }
+
+  get leader(): number {
+    const holder = this.store.get('leader') as { member: string } | undefined;
+    return this.nodes.findIndex((n) => n.name === holder?.member);
+  }
+
+  /** Lets seconds pass. */
+  async pass(seconds: number): Promise<void> {
+    for (let i = 0; i < seconds * 4; i++) {
+      await this.clock.advance(250);
+      this.check();
+    }
+  }
+
+  async until(what: () => boolean, seconds: number, name: string): Promise<void> {
+    for (let i = 0; i < seconds * 4; i++) {
+      if (what()) return;
+      await this.clock.advance(250);
+      this.check();
+    }
+    assert.ok(what(), `${name}: not within ${seconds} s`);
+  }
+
+  /** An answer of one node, with time passing until it comes. */
+  async ask(answer: Promise<Answer>): Promise<Answer> {
+    let got: Answer | null = null;
+    void answer.then((a) => (got = a));
+    await this.until(() => got !== null, 6, 'answer');
+    return got!;
+  }
+
+  wish(w: JobWish): { ref: string; body: object } {
+    const ref = `req-${String(this.nextId++).padStart(6, '0')}`;
+    this.facts.set(ref, {
+      shape: w.shape ?? 'array',
+      pieces: w.pieces ?? 1,
+      runMs: w.runMs ?? 20_000,
+      fetchMs: w.fetchMs ?? 2000,
+      saveMs: 1000,
+      gpus: w.gpus ?? 1,
+      crew: w.crew ?? 'vision',
+      samePlace: w.samePlace ?? false,
+    });
+    const body = {
+      ref,
+      lane: 'train',
+      crew: w.crew ?? 'vision',
+      shape: w.shape ?? 'array',
+      urgency: w.urgency ?? 'standard',
+      pieces: w.pieces ?? 1,
+      vcpus: 1,
+      gpus: w.gpus ?? 1,
+      memoryGb: 4,
+      crate: 'img-1',
+      sizeGb: 4,
+      yard: w.yard ?? null,
+      samePlace: w.samePlace ?? false,
+      apart: w.apart ?? false,
+      driftwood: w.driftwood ?? false,
+      guessS: (w.runMs ?? 20_000) / 1000,
+      snapshotEveryS: 10,
+      stowS: 1,
+    };
+    return { ref, body };
+  }
+
+  async submit(w: JobWish, node = 0): Promise<string> {
+    const { ref, body } = this.wish(w);
+    const answer = await this.ask(this.nodes[node]!.controller!.desk.submit(body));
+    assert.equal(answer.status, 201);
+    return ref;
+  }
+
+  async phase(ref: string, node = 0): Promise<string> {
+    const answer = await this.ask(this.nodes[node]!.controller!.desk.query(ref));
+    return answer.status === 200 ? (answer.body as { phase: string }).phase : String(answer.status);
+  }
+
+  /** The tasks of a job that are on machines now. */
+  on(ref: string): Piece[] {
+    return [...this.workers.values()]
+      .filter((w) => !w.dead)
+      .flatMap((w) => w.pieces)
+      .filter((p) => p.job === ref && p.phase !== 'ended');
+  }
+
+  running(ref: string): number {
+    return this.on(ref).filter((p) => p.phase === 'running').length;
+  }
+
+  kill(id: string): void {
+    const worker = this.workers.get(id);
+    if (worker) worker.dead = true;
+  }
+
+  /** Machines that are up get their workers. */
+  private async hatch(): Promise<void> {
+    while (!this.end.signal.aborted) {
+      for (const h of this.cloud.hosts.values()) {
+        if (this.workers.has(h.ref) || this.clock.now() < h.upAt) continue;
+        const worker = new FakeWorker(
+          h.ref,
+          h.yard,
+          h.driftwood,
+          this.clock,
+          {
+            facts: (job) => this.facts.get(job) ?? null,
+            assembled: (job, attempt) => this.assembled(job, attempt),
+            onMachine: (w, p) => this.onMachine(w, p),
+          },
+          10_000,
+          (node, report) => this.deliver(node, report),
+          this.nodes.map((n) => n.name),
+        );
+        this.workers.set(h.ref, worker);
+        void worker.run(this.end.signal);
+      }
+      await this.clock.sleep(500, this.end.signal);
+    }
+  }
+
+  /** A report's way to a controller; also for copies that come late. */
+  async deliver(node: number, report: object): Promise<Answered> {
+    const { controller, open } = this.nodes[node]!;
+    await this.clock.sleep(1);
+    if (!controller || !open) {
+      if (!open) await this.clock.sleep(5000);
+      throw new Error('no connection');
+    }
+    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
+    assert.ok(parsed);
+    const outcome = controller.report(parsed);
+    await this.clock.sleep(1);
+    return outcome.kind === 'orders'
+      ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
+      : { status: 421, body: redirectAnswer(outcome.leader) };
+  }
+
+  private assembled(job: string, attempt: number): boolean {
+    const here = this.on(job).filter((p) => p.attempt === attempt && p.phase !== 'fetching');
+    return here.length === this.facts.get(job)!.pieces;
+  }
+
+  private onMachine(worker: FakeWorker, piece: Piece): void {
+    const name = `${piece.job}/${piece.task}`;
+    this.starts.push(name);
+    for (const other of this.workers.values()) {
+      if (other === worker || other.dead) continue;
+      const twin = other.pieces.find(
+        (p) =>
+          p.job === piece.job &&
+          p.task === piece.task &&
+          p.phase !== 'ended' &&
+          p.phase !== 'fetching',
+      );
+      if (twin) this.broken.push(`ran_twice ${name} on ${worker.id} and ${other.id}`);
+      const elsewhere = other.pieces.some(
+        (p) => p.job === piece.job && p.phase !== 'ended' && p.phase !== 'fetching',
+      );
+      if (elsewhere && this.facts.get(piece.job)!.samePlace && other.yard !== worker.yard) {
+        this.broken.push(`wrong_place ${name} in ${worker.yard}`);
+      }
+    }
+  }
+
+  private check(): void {
+    const used = new Map<string, number>();
+    for (const worker of this.workers.values()) {
+      if (worker.dead) continue;
+      let gpus = 0;
+      for (const p of worker.pieces) {
+        const facts = this.facts.get(p.job);
+        if (!facts || p.phase === 'ended') continue;
+        gpus += facts.gpus;
+        if (p.phase !== 'fetching') used.set(facts.crew, (used.get(facts.crew) ?? 0) + facts.gpus);
+      }
+      if (gpus > 8) this.broken.push(`no room on ${worker.id}: ${gpus}`);
+    }
+    for (const [team, limit] of [
+      ['vision', 32],
+      ['speech', 64],
+    ] as const) {
+      if ((used.get(team) ?? 0) > limit) this.broken.push(`quota of ${team}: ${used.get(team)}`);
+    }
+  }
+}
