--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -3,7 +3,9 @@
 import type { Transport } from '../http/client.js';
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
-import { Desk } from '../jobs/desk.js';
+import { Desk, type Counts } from '../jobs/desk.js';
+import type { Message } from '../peer/frames.js';
+import type { Mesh } from '../peer/mesh.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -12,6 +14,7 @@
 import { Leader } from './leader.js';
 
 export interface Links {
+  mesh: Mesh;
   store: Transport;
   cloud: Transport;
 }
@@ -23,6 +26,7 @@
   private readonly election: Election;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
+  private counts: ReadonlyMap<string, Counts> = new Map();
 
   constructor(
     private readonly settings: Settings,
@@ -34,19 +38,52 @@
     const lifetimeMs = workers.leaseMs * operator.election.lifetime;
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
-    this.election = new Election(this.store, runtime, settings.member, lifetimeMs);
+    this.election = new Election(this.store, links.mesh, runtime, settings.member, lifetimeMs);
     this.desk = new Desk(
       this.store,
       this.catalogue,
       settings,
       runtime,
-      (id) => this.leader?.counts(id) ?? null,
-      (id) => this.leader?.hint(id),
+      (id) => (this.leader ? this.leader.counts(id) : (this.counts.get(id) ?? null)),
+      (id) => this.tellCancelled(id),
       // Users wait 5 s for a submission and 2 s for a poll.
       { submitMs: 4000, pollMs: 1600 },
     );
   }
 
+  /** The leader hears of a cancellation at once, by the shortest way. */
+  private tellCancelled(id: string): void {
+    if (this.leader) this.leader.hint(id);
+    else
+      for (const peer of this.links.mesh.peers) {
+        this.links.mesh.send(peer, { kind: 'cancelled', id });
+      }
+  }
+
+  private onPeer(message: Message): void {
+    if (message.kind === 'cancelled') this.leader?.hint(message.id);
+    else if (message.kind === 'beat') {
+      this.counts = new Map(message.counts.map((c) => [c.id, c]));
+    }
+  }
+
+  /** The leader tells the others how far jobs are, for display. */
+  private async beat(signal: AbortSignal): Promise<void> {
+    const { clock } = this.runtime;
+    while (!signal.aborted) {
+      const role = this.election.role.value;
+      if (this.leader && role.kind === 'leader') {
+        const message: Message = {
+          kind: 'beat',
+          token: role.term.token,
+          counts: this.leader.allCounts(),
+        };
+        for (const peer of this.links.mesh.peers) this.links.mesh.send(peer, message);
+      }
+      await clock.sleep(this.settings.workers.reportMs, signal);
+    }
+  }
+
   private get cloudTimeoutMs(): number {
     return this.settings.workers.leaseMs * 0.4;
   }
@@ -66,6 +103,7 @@
           cloudTimeoutMs: this.cloudTimeoutMs,
         },
         role.term,
+        () => this.election.resign(role.term),
       );
       this.leader = leader;
       void leader
@@ -80,8 +118,10 @@
           if (this.leader === leader) this.leader = null;
         });
     });
+    const peers = this.links.mesh.heard.subscribe(({ message }) => this.onPeer(message));
     try {
       await Promise.all([
+        duty(this.runtime, 'beat', signal, restartMs, (s) => this.beat(s)),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
@@ -90,6 +130,7 @@
       ]);
     } finally {
       subscription.unsubscribe();
+      peers.unsubscribe();
     }
   }
 
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -43,10 +43,12 @@
   private ready = false;
   private listedOnce = false;
   private dirty = true;
+  private heardAt: number | null = null;
 
   constructor(
     readonly parts: LeaderParts,
     readonly term: Term,
+    private readonly resign: () => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
     this.fleet = new Fleet(
@@ -231,6 +233,15 @@
     return job ? { done: job.doneCount, running: job.running } : null;
   }
 
+  allCounts(): (Counts & { id: string })[] {
+    const list: (Counts & { id: string })[] = [];
+    for (const job of this.jobs.values()) {
+      if (job.phase === 'open')
+        list.push({ id: job.id, done: job.doneCount, running: job.running });
+    }
+    return list;
+  }
+
   // ---- reports
 
   report(r: Report): Order[] {
@@ -238,9 +249,11 @@
     const m = this.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
     const orders = this.fleet.report(r, type, this.now, this.ready);
+    this.heardAt = this.now;
     const after = this.fleet.machines.get(r.machine)!;
     if (Number(after.confirmed) + (after.noticeAt === null ? 0 : 2) !== before) this.touch();
-    return orders;
+    // On others' pledges alone running work is kept, but nothing is begun.
+    return this.term.leased(this.now) ? orders : orders.filter((o) => o.op !== 'start');
   }
 
   private onRunning(p: Placement): void {
@@ -415,6 +428,12 @@
     const now = this.now;
     this.dirty = false;
     this.fleet.sweep(now);
+    if (!this.term.leased(now)) return;
+    if (this.deserted(now)) {
+      this.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
+      this.resign();
+      return;
+    }
     this.drain(now);
     for (const job of this.jobs.values()) {
       if (job.gang) {
@@ -429,6 +448,17 @@
     this.carryOut(result, now, settled && this.listedOnce);
   }
 
+  /** Workers that reported to us have all stopped: they may reach another controller instead. */
+  private deserted(now: number): boolean {
+    const { workers } = this.parts.settings;
+    if (this.parts.settings.size === 1 || this.heardAt === null) return false;
+    if (now - this.heardAt < workers.reportMs * 3) return false;
+    for (const m of this.fleet.machines.values()) {
+      if (m.heardAt !== null && !m.returning && m.listedState === 'running') return true;
+    }
+    return false;
+  }
+
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
   private drain(now: number): void {
     for (const m of this.fleet.machines.values()) {
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -1,6 +1,9 @@
 import { setMaxListeners } from 'node:events';
 import { BehaviorSubject } from 'rxjs';
 import { z } from 'zod/mini';
+import { NoAnswer } from '../http/client.js';
+import type { Mesh } from '../peer/mesh.js';
+import { Pledges } from '../peer/pledges.js';
 import { DRIFT } from '../runtime/clock.js';
 import type { Runtime } from '../runtime/duty.js';
 import { jitter } from '../runtime/random.js';
@@ -17,19 +20,35 @@
 export class Election {
   readonly role = new BehaviorSubject<Role>({ kind: 'follower', leader: null, token: 0 });
 
+  private readonly pledges: Pledges;
+  private readonly bootedAt: number;
+  /** An attempt to take office is under way, or may still be carried out by the store. */
+  private contesting = false;
+  private contestFrom = 0;
+
   constructor(
     private readonly store: Store,
+    mesh: Mesh,
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
-  ) {}
+  ) {
+    this.bootedAt = runtime.clock.now();
+    this.pledges = new Pledges(mesh, runtime, {
+      mayLead: () => this.role.value.kind === 'leader' || this.contesting,
+      storeServes: () => this.storeServes(),
+    });
+  }
 
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random, log } = this.runtime;
+    const subscription = this.pledges.listen();
+    signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true });
     while (!signal.aborted) {
       try {
         const entry = await this.store.get(KEYS.leader, 0, signal);
         if (entry) await this.follow(entry, signal);
+        await this.untilFree(signal);
         const term = await this.contest(signal);
         if (term) await this.hold(term.term, term.lease, signal);
       } catch (error) {
@@ -72,38 +91,89 @@
     this.role.next({ kind: 'follower', leader: value.member, token: entry.version });
   }
 
+  /**
+   * Waits while this controller has pledged not to contest. One that has just started may have
+   * pledged before its end: it waits as long as any pledge lasts, or until all others say that
+   * there is nothing to wait for.
+   */
+  private async untilFree(signal: AbortSignal): Promise<void> {
+    const { clock } = this.runtime;
+    const forgotten = this.bootedAt + this.lifetimeMs * (1 + DRIFT);
+    while (!signal.aborted && clock.now() < forgotten) {
+      if (await this.pledges.allFree(this.lifetimeMs / 20)) break;
+      await clock.sleep(this.lifetimeMs / 20, signal);
+    }
+    for (;;) {
+      const wait = Math.max(this.pledges.heldForMs, this.contestFrom - clock.now());
+      if (wait <= 0 || signal.aborted) return;
+      await clock.sleep(Math.min(wait, this.lifetimeMs / 10), signal);
+    }
+  }
+
   private async contest(signal: AbortSignal): Promise<{ term: Term; lease: number } | null> {
     const { clock, random } = this.runtime;
     const value = { term: random.unique(), member: this.member };
     const sentAt = clock.now();
     const lease = await this.store.grant(this.lifetimeMs, signal);
-    const change = { put: KEYS.leader, value, lease };
-    let doubtful: boolean;
+    // From here on until the store's definite answer nothing may be pledged, and nothing is.
+    if (this.pledges.heldForMs > 0) return null;
+    this.contesting = true;
     try {
-      const outcome = await this.store.commit(
-        [{ key: KEYS.leader, version: 0 }],
-        [change],
-        0,
-        signal,
-      );
-      if (outcome.ok) {
-        return { term: this.take(value.term, outcome.revision, sentAt), lease };
-      }
-      doubtful = outcome.doubtful;
-    } catch (error) {
-      if (!(error instanceof LeaseGone)) throw error;
-      return null;
-    }
-    if (doubtful) {
-      const entry = await this.store.get(KEYS.leader, 0, signal);
-      if (entry && z.parse(leaderValue, entry.value).term === value.term) {
-        return { term: this.take(value.term, entry.version, sentAt), lease };
-      }
+      const token = await this.create(value, lease, signal);
+      if (token !== null) return { term: this.take(value.term, token, sentAt), lease };
+    } finally {
+      this.contesting = false;
     }
     await this.store.revoke(lease).catch(() => undefined);
     return null;
   }
 
+  /** The leader key's version if it is now ours; null if it certainly is not. */
+  private async create(
+    value: { term: string; member: string },
+    lease: number,
+    signal: AbortSignal,
+  ): Promise<number | null> {
+    let doubtful = false;
+    for (;;) {
+      signal.throwIfAborted();
+      try {
+        const outcome = await this.store.txn(
+          [{ key: KEYS.leader, version: 0 }],
+          [{ put: KEYS.leader, value, lease }],
+          0,
+          signal,
+        );
+        if (outcome.ok) return outcome.revision;
+        if (!doubtful) return null;
+        const entry = await this.store.read(KEYS.leader, signal);
+        if (!entry) continue;
+        return z.parse(leaderValue, entry.value).term === value.term ? entry.version : null;
+      } catch (error) {
+        if (error instanceof LeaseGone) return null;
+        if (error instanceof NoAnswer) doubtful = true;
+        // A refusal was not carried out; a copy without an answer still may be.
+        else if (!doubtful) return null;
+      }
+      await this.runtime.clock.sleep(jitter(this.lifetimeMs / 20, this.runtime.random), signal);
+    }
+  }
+
+  private async storeServes(): Promise<boolean> {
+    try {
+      await this.store.get(KEYS.leader, 0);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Gives up office because others can serve better, and lets them go first. */
+  resign(term: Term): void {
+    this.contestFrom = this.runtime.clock.now() + this.lifetimeMs * 3;
+    term.end();
+  }
+
   private take(id: string, token: number, sentAt: number): Term {
     const { clock, log } = this.runtime;
     const term = new Term(id, token, clock.now(), this.bound(sentAt));
@@ -117,6 +187,14 @@
     return sentAt + this.lifetimeMs * (1 - DRIFT) - TICK_MS;
   }
 
+  private async askPledges(term: Term): Promise<void> {
+    const { clock, log } = this.runtime;
+    const sentAt = clock.now();
+    const granted = await this.pledges.collect(term.token, this.lifetimeMs, this.lifetimeMs / 4);
+    log.debug({ granted }, 'asked for pledges');
+    if (granted) term.pledged(clock.now(), this.bound(sentAt));
+  }
+
   /**
    * Renews until the lease has ended. Past its bound the term is not active, but if the store then
    * renews the lease after all, the key was ours all the time and the term goes on.
@@ -141,6 +219,7 @@
             return;
           }
           log.debug({ error: String(error) }, 'renewal failed');
+          void this.askPledges(term);
         }
       }
       await this.store.revoke(lease).catch(() => undefined);
--- a/src/election/term.ts
+++ b/src/election/term.ts
@@ -7,6 +7,7 @@
 export class Term {
   private readonly over = new AbortController();
   private until: number;
+  private pledgedUntil = -Infinity;
 
   constructor(
     readonly id: string,
@@ -19,8 +20,13 @@
     setMaxListeners(0, this.over.signal);
   }
 
-  /** True while no other node can have taken office. */
+  /** True while no other node can have taken office: by the store's lease or by others' pledges. */
   active(now: number): boolean {
+    return !this.over.signal.aborted && now < Math.max(this.until, this.pledgedUntil);
+  }
+
+  /** True while the store's lease alone is enough; only then may anything new be started. */
+  leased(now: number): boolean {
     return !this.over.signal.aborted && now < this.until;
   }
 
@@ -28,8 +34,9 @@
     this.until = Math.max(this.until, until);
   }
 
-  get validUntil(): number {
-    return this.until;
+  /** Pledges only prolong a right that has not lapsed: in a gap another may have come and gone. */
+  pledged(now: number, until: number): void {
+    if (this.active(now)) this.pledgedUntil = Math.max(this.pledgedUntil, until);
   }
 
   end(): void {
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import { httpTransport } from './http/client.js';
 import { listen } from './http/server.js';
 import { systemClock } from './runtime/clock.js';
+import { TcpMesh } from './peer/mesh.js';
 import { createLogger } from './runtime/log.js';
 import { systemRandom } from './runtime/random.js';
 import { parseArguments } from './settings/cli.js';
@@ -29,13 +30,15 @@
     process.once(name, () => stop.abort(new Error(name)));
   }
   const sockets = Math.max(4, Math.floor(settings.machine.sockets / 20));
+  const mesh = new TcpMesh(settings, runtime, settings.workers.reportMs / 4);
   const controller = new Controller(settings, operator, runtime, {
+    mesh,
     store: httpTransport(settings.stateAddress, sockets),
     cloud: httpTransport(settings.cloudAddress, Math.max(2, Math.ceil(settings.cloud.rps / 2))),
   });
   await listen(controller, log, settings.publicAddress, stop.signal);
   log.info({ address: settings.publicAddress }, 'listening');
-  await controller.run(stop.signal);
+  await Promise.all([controller.run(stop.signal), mesh.run(stop.signal)]);
   process.exit(0);
 }
 
--- /dev/null
+++ b/src/peer/frames.ts
@@ -0,0 +1,180 @@
+import { crc32 } from 'node:zlib';
+
+/**
+ * What controllers say to each other. A frame is a header of 12 bytes (magic, version, kind, length
+ * of the payload, its CRC-32) and a payload, all numbers big-endian.
+ */
+export type Message =
+  /** The first frame of a connection: who speaks. */
+  | { kind: 'hello'; member: string }
+  /** The leader lives, and how far each open job is, for display. */
+  | { kind: 'beat'; token: number; counts: { id: string; done: number; running: number }[] }
+  /** A user has cancelled a job; the store's own news of it may take longer. */
+  | { kind: 'cancelled'; id: string }
+  /** The leader asks not to be contested while the store serves nobody. */
+  | { kind: 'askPledge'; ask: number; token: number; forMs: number }
+  | { kind: 'pledge'; ask: number; granted: boolean }
+  /** A controller that has just started asks whether anybody leads or has pledged. */
+  | { kind: 'askFree'; ask: number }
+  | { kind: 'free'; ask: number; free: boolean };
+
+const KINDS = ['hello', 'beat', 'cancelled', 'askPledge', 'pledge', 'askFree', 'free'] as const;
+const MAGIC = 0x4c48;
+const VERSION = 1;
+const HEADER = 12;
+export const MAX_PAYLOAD = 256 * 1024;
+
+class Writer {
+  private readonly parts: Buffer[] = [];
+
+  u8(n: number): this {
+    this.parts.push(Buffer.from([n]));
+    return this;
+  }
+
+  u32(n: number): this {
+    const b = Buffer.allocUnsafe(4);
+    b.writeUInt32BE(n);
+    this.parts.push(b);
+    return this;
+  }
+
+  u64(n: number): this {
+    const b = Buffer.allocUnsafe(8);
+    b.writeBigUInt64BE(BigInt(n));
+    this.parts.push(b);
+    return this;
+  }
+
+  text(s: string): this {
+    const b = Buffer.from(s, 'utf8');
+    this.u8(b.length);
+    this.parts.push(b);
+    return this;
+  }
+
+  done(): Buffer {
+    return Buffer.concat(this.parts);
+  }
+}
+
+class Reader {
+  private at = 0;
+
+  constructor(private readonly buffer: Buffer) {}
+
+  u8(): number {
+    return this.buffer.readUInt8(this.step(1));
+  }
+
+  u32(): number {
+    return this.buffer.readUInt32BE(this.step(4));
+  }
+
+  u64(): number {
+    return Number(this.buffer.readBigUInt64BE(this.step(8)));
+  }
+
+  text(): string {
+    const length = this.u8();
+    const from = this.step(length);
+    return this.buffer.toString('utf8', from, from + length);
+  }
+
+  end(): void {
+    if (this.at !== this.buffer.length) throw new FrameError('payload too long');
+  }
+
+  private step(n: number): number {
+    const from = this.at;
+    if (from + n > this.buffer.length) throw new FrameError('payload too short');
+    this.at += n;
+    return from;
+  }
+}
+
+/** The connection that carried it is closed; nothing else is touched. */
+export class FrameError extends Error {}
+
+export function encode(m: Message): Buffer {
+  const payload = writePayload(m, new Writer()).done();
+  const header = Buffer.allocUnsafe(HEADER);
+  header.writeUInt16BE(MAGIC, 0);
+  header.writeUInt8(VERSION, 2);
+  header.writeUInt8(KINDS.indexOf(m.kind), 3);
+  header.writeUInt32BE(payload.length, 4);
+  header.writeUInt32BE(crc32(payload), 8);
+  return Buffer.concat([header, payload]);
+}
+
+function writePayload(m: Message, w: Writer): Writer {
+  switch (m.kind) {
+    case 'hello':
+      return w.text(m.member);
+    case 'beat':
+      w.u64(m.token).u32(m.counts.length);
+      for (const c of m.counts) w.text(c.id).u32(c.done).u32(c.running);
+      return w;
+    case 'cancelled':
+      return w.text(m.id);
+    case 'askPledge':
+      return w.u32(m.ask).u64(m.token).u32(m.forMs);
+    case 'pledge':
+      return w.u32(m.ask).u8(m.granted ? 1 : 0);
+    case 'askFree':
+      return w.u32(m.ask);
+    case 'free':
+      return w.u32(m.ask).u8(m.free ? 1 : 0);
+  }
+}
+
+function readPayload(kind: (typeof KINDS)[number], r: Reader): Message {
+  switch (kind) {
+    case 'hello':
+      return { kind, member: r.text() };
+    case 'beat': {
+      const token = r.u64();
+      const counts: { id: string; done: number; running: number }[] = [];
+      for (let n = r.u32(); n > 0; n--) {
+        counts.push({ id: r.text(), done: r.u32(), running: r.u32() });
+      }
+      return { kind, token, counts };
+    }
+    case 'cancelled':
+      return { kind, id: r.text() };
+    case 'askPledge':
+      return { kind, ask: r.u32(), token: r.u64(), forMs: r.u32() };
+    case 'pledge':
+      return { kind, ask: r.u32(), granted: r.u8() === 1 };
+    case 'askFree':
+      return { kind, ask: r.u32() };
+    case 'free':
+      return { kind, ask: r.u32(), free: r.u8() === 1 };
+  }
+}
+
+/** Cuts a stream of bytes into messages. */
+export class Decoder {
+  private rest: Buffer = Buffer.alloc(0);
+
+  push(chunk: Buffer): Message[] {
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const messages: Message[] = [];
+    while (this.rest.length >= HEADER) {
+      const kind = KINDS[this.rest.readUInt8(3)];
+      const length = this.rest.readUInt32BE(4);
+      if (this.rest.readUInt16BE(0) !== MAGIC) throw new FrameError('bad magic');
+      if (this.rest.readUInt8(2) !== VERSION) throw new FrameError('unknown version');
+      if (!kind) throw new FrameError('unknown kind');
+      if (length > MAX_PAYLOAD) throw new FrameError('frame too large');
+      if (this.rest.length < HEADER + length) break;
+      const payload = this.rest.subarray(HEADER, HEADER + length);
+      if (crc32(payload) !== this.rest.readUInt32BE(8)) throw new FrameError('bad checksum');
+      const reader = new Reader(payload);
+      messages.push(readPayload(kind, reader));
+      reader.end();
+      this.rest = this.rest.subarray(HEADER + length);
+    }
+    return messages;
+  }
+}
--- /dev/null
+++ b/src/peer/mesh.ts
@@ -0,0 +1,113 @@
+import { connect, createServer, type Socket } from 'node:net';
+import { Subject, type Observable } from 'rxjs';
+import { duty, type Runtime } from '../runtime/duty.js';
+import type { Settings } from '../settings/deploy.js';
+import { Decoder, encode, type Message } from './frames.js';
+
+export interface Mesh {
+  /** What other controllers say, with the speaker's name. */
+  readonly heard: Observable<{ from: string; message: Message }>;
+  /** Sends to one controller if it is connected; nothing is kept for later. */
+  send(to: string, message: Message): void;
+  readonly peers: string[];
+}
+
+/** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
+const MOST_BUFFERED = 512 * 1024;
+
+/**
+ * One connection to each other controller, for what we say; what they say comes on theirs. All of
+ * it is advice or is asked for again, so a lost connection costs a retry and nothing else.
+ */
+export class TcpMesh implements Mesh {
+  readonly heard = new Subject<{ from: string; message: Message }>();
+  readonly peers: string[];
+  private readonly out = new Map<string, Socket>();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly runtime: Runtime,
+    private readonly retryMs: number,
+  ) {
+    this.peers = settings.peers.map((p) => p.member);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      duty(this.runtime, 'peer listener', signal, this.retryMs, (s) => this.accept(s)),
+      ...this.settings.peers.map((p) =>
+        duty(this.runtime, `peer ${p.member}`, signal, this.retryMs, (s) =>
+          this.speakTo(p.member, p.address, s),
+        ),
+      ),
+    ]);
+  }
+
+  send(to: string, message: Message): void {
+    const socket = this.out.get(to);
+    if (!socket) return;
+    if (socket.writableLength > MOST_BUFFERED) {
+      socket.destroy();
+      return;
+    }
+    socket.write(encode(message));
+  }
+
+  private accept(signal: AbortSignal): Promise<void> {
+    const [host, port] = split(this.settings.peerAddress);
+    const server = createServer((socket) => this.listenTo(socket, signal));
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.once('close', resolve);
+      signal.addEventListener('abort', () => server.close(), { once: true });
+      server.listen(port, host);
+    });
+  }
+
+  private listenTo(socket: Socket, signal: AbortSignal): void {
+    const decoder = new Decoder();
+    let from: string | null = null;
+    const end = (): void => void socket.destroy();
+    signal.addEventListener('abort', end, { once: true });
+    socket.on('close', () => signal.removeEventListener('abort', end));
+    socket.on('error', end);
+    socket.on('data', (chunk: Buffer) => {
+      try {
+        for (const message of decoder.push(chunk)) {
+          if (message.kind === 'hello') from = message.member;
+          else if (from !== null && this.peers.includes(from)) this.heard.next({ from, message });
+        }
+      } catch (error) {
+        this.runtime.log.warn({ from, error: String(error) }, 'broken frame, connection closed');
+        end();
+      }
+    });
+  }
+
+  private speakTo(member: string, address: string, signal: AbortSignal): Promise<void> {
+    const [host, port] = split(address);
+    return new Promise((resolve) => {
+      const socket = connect({ host, port, noDelay: true });
+      const end = (): void => void socket.destroy();
+      signal.addEventListener('abort', end, { once: true });
+      socket.setTimeout(this.retryMs * 4, end);
+      socket.on('connect', () => {
+        socket.setTimeout(0);
+        socket.write(encode({ kind: 'hello', member: this.settings.member }));
+        this.out.set(member, socket);
+      });
+      socket.on('error', end);
+      socket.on('data', () => undefined);
+      socket.on('close', () => {
+        signal.removeEventListener('abort', end);
+        if (this.out.get(member) === socket) this.out.delete(member);
+        resolve();
+      });
+    });
+  }
+}
+
+function split(address: string): [string, number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/src/peer/pledges.ts
@@ -0,0 +1,95 @@
+import { Subscription } from 'rxjs';
+import { DRIFT } from '../runtime/clock.js';
+import type { Runtime } from '../runtime/duty.js';
+import type { Message } from './frames.js';
+import type { Mesh } from './mesh.js';
+
+export interface PledgeFacts {
+  /** This controller leads, or an attempt of its own to lead may still be under way. */
+  mayLead(): boolean;
+  /** Asks the store something now; true if it served. */
+  storeServes(): Promise<boolean>;
+}
+
+/**
+ * Promises not to contest the leader's office for a while. The leader of a term that the store can
+ * not renew goes on answering workers only while every other controller has given one. A
+ * controller that reaches the store gives none, so a leader that is refused alone loses office.
+ */
+export class Pledges {
+  private pledgedUntil = -Infinity;
+  private asks = 0;
+  private readonly waiting = new Map<number, { yes: Set<string>; no: boolean; done(): void }>();
+
+  constructor(
+    private readonly mesh: Mesh,
+    private readonly runtime: Runtime,
+    private readonly facts: PledgeFacts,
+  ) {}
+
+  listen(): Subscription {
+    return this.mesh.heard.subscribe(({ from, message }) => void this.on(from, message));
+  }
+
+  /** How long this controller must not contest. */
+  get heldForMs(): number {
+    return Math.max(0, this.pledgedUntil - this.runtime.clock.now());
+  }
+
+  /** True if every other controller has promised, within `withinMs`, not to contest for `forMs`. */
+  async collect(token: number, forMs: number, withinMs: number): Promise<boolean> {
+    return this.askAll(withinMs, (ask) => ({ kind: 'askPledge', ask, token, forMs }));
+  }
+
+  /** True if every other controller says that it neither leads nor has pledged. */
+  async allFree(withinMs: number): Promise<boolean> {
+    return this.askAll(withinMs, (ask) => ({ kind: 'askFree', ask }));
+  }
+
+  private async askAll(withinMs: number, message: (ask: number) => Message): Promise<boolean> {
+    const { peers } = this.mesh;
+    if (peers.length === 0) return true;
+    const ask = ++this.asks;
+    const enough = new AbortController();
+    const state = { yes: new Set<string>(), no: false, done: () => enough.abort() };
+    this.waiting.set(ask, state);
+    for (const peer of peers) this.mesh.send(peer, message(ask));
+    await this.runtime.clock.sleep(withinMs, enough.signal);
+    this.waiting.delete(ask);
+    return !state.no && peers.every((p) => state.yes.has(p));
+  }
+
+  private async on(from: string, m: Message): Promise<void> {
+    if (m.kind === 'pledge') this.count(m.ask, from, m.granted);
+    else if (m.kind === 'free') this.count(m.ask, from, m.free);
+    else if (m.kind === 'askFree') {
+      const free = !this.facts.mayLead() && this.heldForMs === 0;
+      this.mesh.send(from, { kind: 'free', ask: m.ask, free });
+    } else if (m.kind === 'askPledge') {
+      const granted = await this.grant(m.forMs);
+      this.mesh.send(from, { kind: 'pledge', ask: m.ask, granted });
+    }
+  }
+
+  private async grant(forMs: number): Promise<boolean> {
+    if (this.facts.mayLead()) return false;
+    // Promised before the store is asked, so that no attempt to lead can begin in between.
+    const before = this.pledgedUntil;
+    const until = this.runtime.clock.now() + forMs * (1 + DRIFT);
+    this.pledgedUntil = Math.max(before, until);
+    if (await this.facts.storeServes()) {
+      // Never told, so never relied upon.
+      if (this.pledgedUntil === until) this.pledgedUntil = before;
+      return false;
+    }
+    return !this.facts.mayLead();
+  }
+
+  private count(ask: number, from: string, yes: boolean): void {
+    const state = this.waiting.get(ask);
+    if (!state) return;
+    if (yes) state.yes.add(from);
+    else state.no = true;
+    if (state.no || this.mesh.peers.every((p) => state.yes.has(p))) state.done();
+  }
+}
--- /dev/null
+++ b/test/fakes/mesh.ts
@@ -0,0 +1,36 @@
+import { Subject } from 'rxjs';
+import { Decoder, encode, type Message } from '../../src/peer/frames.js';
+import type { Mesh } from '../../src/peer/mesh.js';
+import type { FakeClock } from './clock.js';
+
+/** The wire between controllers: real frames, with a delay, and cuts. */
+export class FakeWire {
+  private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
+  readonly cut = new Set<string>();
+
+  constructor(private readonly clock: FakeClock) {}
+
+  attach(name: string, all: string[]): Mesh {
+    const heard = new Subject<{ from: string; message: Message }>();
+    this.ends.set(name, heard);
+    return {
+      heard,
+      peers: all.filter((n) => n !== name),
+      send: (to, message) => {
+        const bytes = encode(message);
+        const from = this.ends.get(name);
+        void this.clock.sleep(2).then(() => {
+          // A message from an earlier life of the process does not come from this one.
+          if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
+          for (const m of new Decoder().push(bytes)) {
+            this.ends.get(to)?.next({ from: name, message: m });
+          }
+        });
+      },
+    };
+  }
+
+  detach(name: string): void {
+    this.ends.delete(name);
+  }
+}
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -7,6 +7,7 @@
 import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
 import { FakeClock } from './clock.js';
 import { FakeCloud } from './cloud.js';
+import { FakeWire } from './mesh.js';
 import { FakeStore, type Fate } from './store.js';
 import { FakeWorker, type Answered, type JobFacts, type Piece } from './worker.js';
 
@@ -94,6 +95,7 @@
   readonly clock = new FakeClock();
   readonly store = new FakeStore(this.clock);
   readonly cloud = new FakeCloud(this.clock, (id) => this.kill(id));
+  readonly wire = new FakeWire(this.clock);
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
@@ -137,6 +139,10 @@
       OPERATOR_DEFAULTS,
       { clock: this.clock, random: fakeRandom(`${node.name}.${++this.lives}`), log: silent },
       {
+        mesh: this.wire.attach(
+          node.name,
+          this.nodes.map((n) => n.name),
+        ),
         store: this.store.link((m, p, b) =>
           node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b),
         ),
@@ -152,6 +158,7 @@
     const node = this.nodes[i]!;
     node.fate = () => 'lose request';
     node.controller = null;
+    this.wire.detach(node.name);
     node.stop.abort();
   }
 
--- /dev/null
+++ b/test/peer.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Decoder, encode, FrameError, type Message } from '../src/peer/frames.js';
+import { World } from './fakes/world.js';
+
+const TWO = [{ yard: 'a' }, { yard: 'b' }];
+
+test('frames come out as they went in, however the stream is cut', () => {
+  const sent: Message[] = [
+    { kind: 'hello', member: 'berth-1' },
+    { kind: 'beat', token: 2 ** 40, counts: [{ id: 'req-1', done: 3, running: 70_000 }] },
+    { kind: 'askPledge', ask: 7, token: 9, forMs: 4000 },
+    { kind: 'pledge', ask: 7, granted: true },
+  ];
+  const bytes = Buffer.concat(sent.map(encode));
+  const decoder = new Decoder();
+  const got: Message[] = [];
+  for (const byte of bytes) got.push(...decoder.push(Buffer.from([byte])));
+  assert.deepEqual(got, sent);
+});
+
+test('a broken frame is told apart', () => {
+  const good = encode({ kind: 'cancelled', id: 'req-5' });
+  const spoil = (at: number): Buffer => {
+    const b = Buffer.from(good);
+    b.writeUInt8(b.readUInt8(at) ^ 0xff, at);
+    return b;
+  };
+  for (const at of [0, 2, 3, 4, 9, good.length - 1]) {
+    assert.throws(() => new Decoder().push(spoil(at)), FrameError, `byte ${at}`);
+  }
+});
+
+test('running work survives an outage of the store longer than any lease', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, runMs: 0, urgency: 'production' });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  w.store.down = true;
+  await w.pass(25);
+  assert.equal(w.running(job), 4);
+  w.store.restore();
+  await w.pass(5);
+  const more = await w.submit({ pieces: 2 });
+  await w.until(() => w.running(more) === 2, 10, 'new work runs');
+  assert.equal(w.running(job), 4);
+  assert.equal(w.starts.length, 6);
+  await w.close();
+});
+
+test('in an outage a leader without the pledge of every other loses its workers, not its safety', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const job = await w.submit({ pieces: 2, runMs: 60_000 });
+  await w.until(() => w.running(job) === 2, 10, 'runs');
+  const old = w.leader;
+  w.store.down = true;
+  w.crash(1 - old);
+  await w.pass(16);
+  assert.equal(w.on(job).length, 0);
+  w.restart(1 - old);
+  w.store.restore();
+  await w.until(() => w.running(job) === 2, 25, 'runs again');
+  await w.close();
+});
+
+test('nothing is started on pledges alone', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const old = w.leader;
+  const job = await w.submit({ pieces: 16, runMs: 15_000 });
+  await w.until(() => w.running(job) === 16, 10, 'runs');
+  await w.pass(10);
+  w.store.down = true;
+  await w.pass(15);
+  assert.equal(w.starts.length, 16);
+  w.store.restore();
+  await w.pass(8);
+  assert.equal(await w.phase(job, old), 'done');
+  await w.close();
+});
+
+test('a controller that started during an outage pledges and does not contest', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const job = await w.submit({ pieces: 4, runMs: 60_000 });
+  await w.until(() => w.running(job) === 4, 10, 'runs');
+  const old = w.leader;
+  w.store.down = true;
+  await w.pass(2);
+  w.crash(1 - old);
+  await w.pass(1);
+  w.restart(1 - old);
+  await w.pass(15);
+  assert.equal(w.running(job), 4);
+  w.store.restore();
+  await w.pass(10);
+  assert.equal(w.leader, old);
+  assert.equal(w.running(job), 4);
+  await w.close();
+});
+
+test('a leader that no worker reaches hands over to one that they do', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const job = await w.submit({ pieces: 4, runMs: 60_000 });
+  await w.until(() => w.running(job) === 4, 10, 'runs');
+  const old = w.leader;
+  w.nodes[old]!.open = false;
+  await w.until(() => w.leader === 1 - old, 8, 'handed over');
+  await w.pass(12);
+  assert.equal(w.running(job), 4);
+  assert.equal(w.starts.length, 4);
+  w.nodes[old]!.open = true;
+  await w.close();
+});
+
+test('a follower shows how far a job is', async () => {
+  const w = new World(TWO);
+  await w.start();
+  const job = await w.submit({ pieces: 3, runMs: 60_000 });
+  await w.until(() => w.running(job) === 3, 10, 'runs');
+  await w.pass(3);
+  const follower = 1 - w.leader;
+  const answer = await w.ask(w.nodes[follower]!.controller!.desk.query(job));
+  assert.deepEqual(answer.body, { ref: job, phase: 'running', done: 0, running: 3 });
+  await w.close();
+});
