--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,4 +1,5 @@
 import { Election } from '../election/election.js';
+import { Keeper, keeperRightMs } from '../election/keeper.js';
 import { Catalogue } from '../fleet/catalogue.js';
 import type { Transport } from '../http/client.js';
 import type { Service } from '../http/server.js';
@@ -10,7 +11,7 @@
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import { Store } from '../state/store.js';
-import type { Report } from '../wire/report.js';
+import type { Order, Report } from '../wire/report.js';
 import { Leader } from './leader.js';
 
 export interface Links {
@@ -26,6 +27,11 @@
   private readonly election: Election;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
+  private readonly keeper: Keeper;
+  /** When the leader was last heard. */
+  private beatAt: number;
+  private readonly strayAsked = new Map<string, number>();
+  private readonly strayCancelled = new Set<string>();
   private counts: ReadonlyMap<string, Counts> = new Map();
 
   constructor(
@@ -39,6 +45,14 @@
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
     this.election = new Election(this.store, links.mesh, runtime, settings.member, lifetimeMs);
+    this.beatAt = runtime.clock.now();
+    this.keeper = new Keeper(
+      this.store,
+      runtime,
+      settings.member,
+      settings.zone,
+      keeperRightMs(lifetimeMs),
+    );
     this.desk = new Desk(
       this.store,
       this.catalogue,
@@ -63,6 +77,10 @@
   private onPeer(message: Message): void {
     if (message.kind === 'cancelled') this.leader?.hint(message.id);
     else if (message.kind === 'beat') {
+      this.beatAt = this.runtime.clock.now();
+      // The leader is within reach again: the strays go back to it.
+      this.strayAsked.clear();
+      this.strayCancelled.clear();
       this.counts = new Map(message.counts.map((c) => [c.id, c]));
     }
   }
@@ -134,19 +152,55 @@
     }
   }
 
-  report(report: Report): ReportOutcome {
+  report(report: Report): ReportOutcome | Promise<ReportOutcome> {
     const role = this.election.role.value;
-    const elsewhere = (leader: string | null): ReportOutcome => ({ kind: 'elsewhere', leader });
+    const now = this.runtime.clock.now();
     if (role.kind === 'follower') {
-      return elsewhere(role.leader === this.settings.member ? null : role.leader);
+      const leader = role.leader === this.settings.member ? null : role.leader;
+      if (this.isStray(report, role.token, now)) return this.keep(report, leader);
+      return { kind: 'elsewhere', leader };
     }
     const { term } = role;
     // A worker that has seen a higher token would drop our answer, and wait for another in vain.
-    const now = this.runtime.clock.now();
-    if (!this.leader || !term.active(now) || report.token > term.token) return elsewhere(null);
+    if (!this.leader || !term.active(now) || report.token > term.token) {
+      return { kind: 'elsewhere', leader: null };
+    }
     return { kind: 'orders', token: term.token, orders: this.leader.report(report) };
   }
 
+  /** A worker of our zone that the leader served until lately, and that comes while we are cut off. */
+  private isStray(report: Report, token: number, now: number): boolean {
+    return (
+      token > 0 &&
+      report.token === token &&
+      report.zone === this.settings.zone &&
+      now - this.beatAt > this.settings.workers.reportMs * 2.5
+    );
+  }
+
+  /** Keeps a stray's lease alive, with no orders but to stop what its user has cancelled. */
+  private async keep(report: Report, leader: string | null): Promise<ReportOutcome> {
+    if (!(await this.keeper.holds(report.token))) return { kind: 'elsewhere', leader };
+    void this.learnCancelled(report);
+    const orders: Order[] = report.tasks
+      .filter((t) => t.state !== 'exited' && this.strayCancelled.has(t.job))
+      .map((t) => ({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceMs: 0 }));
+    return { kind: 'orders', token: report.token, orders };
+  }
+
+  private async learnCancelled(report: Report): Promise<void> {
+    const now = this.runtime.clock.now();
+    const everyMs = this.settings.workers.cancelMs / 8;
+    const ids = new Set<string>();
+    for (const t of report.tasks) {
+      if (t.state === 'exited' || now - (this.strayAsked.get(t.job) ?? -Infinity) < everyMs)
+        continue;
+      this.strayAsked.set(t.job, now);
+      ids.add(t.job);
+    }
+    for (const id of await this.desk.cancelledAmong(ids)) this.strayCancelled.add(id);
+  }
+
   ready(): boolean {
     return this.catalogue.types.value !== null;
   }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -1,4 +1,5 @@
 import { Subject } from 'rxjs';
+import { KeeperWatch, keeperRightMs } from '../election/keeper.js';
 import type { Term } from '../election/term.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
@@ -39,6 +40,7 @@
   readonly rentals: Rentals;
   readonly gate: GateKeeper;
   private readonly ledger: Ledger;
+  private readonly keepers: KeeperWatch;
   private readonly wake = new Subject<void>();
   private ready = false;
   private listedOnce = false;
@@ -51,6 +53,11 @@
     private readonly resign: () => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
+    this.keepers = new KeeperWatch(
+      store,
+      runtime,
+      keeperRightMs(settings.workers.leaseMs * parts.operator.election.lifetime),
+    );
     this.fleet = new Fleet(
       {
         running: (p) => this.onRunning(p),
@@ -60,6 +67,7 @@
       term.token,
       term.startedAt,
       settings.workers.leaseMs,
+      this.keepers,
     );
     this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
@@ -132,6 +140,7 @@
         const jobs = await store.range(KEYS.jobs, signal);
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
+        await this.keepers.look(signal);
         this.jobs.clear();
         for (const e of jobs.items) this.onJobEntry(e);
         for (const e of runs.items) this.restoreRun(e);
@@ -427,7 +436,7 @@
   private round(): void {
     const now = this.now;
     this.dirty = false;
-    this.fleet.sweep(now);
+    if (this.fleet.sweep(now)) void this.lookForKeepers();
     if (!this.term.leased(now)) return;
     if (this.deserted(now)) {
       this.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
@@ -448,6 +457,15 @@
     this.carryOut(result, now, settled && this.listedOnce);
   }
 
+  private async lookForKeepers(): Promise<void> {
+    try {
+      await this.keepers.look(this.term.signal);
+      this.touch();
+    } catch {
+      // The next round asks again.
+    }
+  }
+
   /** Workers that reported to us have all stopped: they may reach another controller instead. */
   private deserted(now: number): boolean {
     const { workers } = this.parts.settings;
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -21,7 +21,6 @@
   readonly role = new BehaviorSubject<Role>({ kind: 'follower', leader: null, token: 0 });
 
   private readonly pledges: Pledges;
-  private readonly bootedAt: number;
   /** An attempt to take office is under way, or may still be carried out by the store. */
   private contesting = false;
   private contestFrom = 0;
@@ -33,7 +32,6 @@
     private readonly member: string,
     private readonly lifetimeMs: number,
   ) {
-    this.bootedAt = runtime.clock.now();
     this.pledges = new Pledges(mesh, runtime, {
       mayLead: () => this.role.value.kind === 'leader' || this.contesting,
       storeServes: () => this.storeServes(),
@@ -98,7 +96,7 @@
    */
   private async untilFree(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
-    const forgotten = this.bootedAt + this.lifetimeMs * (1 + DRIFT);
+    const forgotten = this.runtime.startedAt + this.pledgeMs * (1 + DRIFT);
     while (!signal.aborted && clock.now() < forgotten) {
       if (await this.pledges.allFree(this.lifetimeMs / 20)) break;
       await clock.sleep(this.lifetimeMs / 20, signal);
@@ -187,12 +185,17 @@
     return sentAt + this.lifetimeMs * (1 - DRIFT) - TICK_MS;
   }
 
+  /** Shorter than the lease, since a controller that has just started must wait it out. */
+  private get pledgeMs(): number {
+    return this.lifetimeMs * PLEDGE_SHARE;
+  }
+
   private async askPledges(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
-    const granted = await this.pledges.collect(term.token, this.lifetimeMs, this.lifetimeMs / 4);
+    const granted = await this.pledges.collect(term.token, this.pledgeMs, this.lifetimeMs / 4);
     log.debug({ granted }, 'asked for pledges');
-    if (granted) term.pledged(clock.now(), this.bound(sentAt));
+    if (granted) term.pledged(clock.now(), sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS);
   }
 
   /**
@@ -204,14 +207,18 @@
     const everyMs = this.lifetimeMs / 5;
     const either = AbortSignal.any([signal, term.signal]);
     setMaxListeners(0, either);
+    let failing = false;
     try {
       while (!signal.aborted) {
         await clock.sleep(jitter(everyMs, random), either);
+        // A silent store must not hold up the asking.
+        if (failing) void this.askPledges(term);
         // The leader gives up by itself when the store contradicts its records.
         if (either.aborted) break;
         const sentAt = clock.now();
         try {
-          await this.store.renew(lease, everyMs * 2, signal);
+          await this.store.renew(lease, everyMs, signal);
+          failing = false;
           term.extend(this.bound(sentAt));
         } catch (error) {
           if (error instanceof LeaseGone) {
@@ -219,7 +226,8 @@
             return;
           }
           log.debug({ error: String(error) }, 'renewal failed');
-          void this.askPledges(term);
+          if (!failing) void this.askPledges(term);
+          failing = true;
         }
       }
       await this.store.revoke(lease).catch(() => undefined);
@@ -230,5 +238,6 @@
   }
 }
 
+const PLEDGE_SHARE = 0.6;
 /** Timers fire in steps of one or a few milliseconds. */
 const TICK_MS = 10;
--- /dev/null
+++ b/src/election/keeper.ts
@@ -0,0 +1,118 @@
+import { z } from 'zod/mini';
+import { DRIFT } from '../runtime/clock.js';
+import type { Runtime } from '../runtime/duty.js';
+import { KEYS } from '../state/keys.js';
+import type { Store } from '../state/store.js';
+
+const keeperValue = z.object({ member: z.string(), token: z.number() });
+
+/** How long one write of the keeper key is good for, as a share of the leader lease. */
+const RIGHT_SHARE = 0.5;
+
+export const keeperRightMs = (lifetimeMs: number): number => lifetimeMs * RIGHT_SHARE;
+
+/**
+ * A follower's right to keep alive the workers of its own zone that cannot reach the leader. It
+ * rests on a key of that zone, written anew for every stretch of time and only while the leader
+ * key is the one whose token the workers know. The leader reads these keys before it takes a
+ * silent machine for gone.
+ */
+export class Keeper {
+  private until = -Infinity;
+  private token = 0;
+  private version: number | null = null;
+  private writing: Promise<void> | null = null;
+
+  constructor(
+    private readonly store: Store,
+    private readonly runtime: Runtime,
+    private readonly member: string,
+    private readonly zone: string,
+    private readonly rightMs: number,
+  ) {}
+
+  /** Resolves to true if workers that know `token` may be answered now. */
+  async holds(token: number): Promise<boolean> {
+    const now = this.runtime.clock.now();
+    const left = this.token === token ? this.until - now : 0;
+    if (left < this.rightMs / 2) {
+      this.writing ??= this.write(token).finally(() => (this.writing = null));
+      // A right that still holds is prolonged in the background.
+      if (left <= 0) await this.writing;
+    }
+    return this.token === token && this.runtime.clock.now() < this.until;
+  }
+
+  private async write(token: number): Promise<void> {
+    const { clock, log, random } = this.runtime;
+    const key = KEYS.keeper(this.zone);
+    try {
+      this.version ??= (await this.store.get(key, 0))?.version ?? 0;
+      const sentAt = clock.now();
+      const value = { w: random.unique(), member: this.member, token };
+      const outcome = await this.store.txn(
+        [
+          { key: KEYS.leader, version: token },
+          { key, version: this.version },
+        ],
+        [{ put: key, value }],
+        0,
+      );
+      if (!outcome.ok) {
+        this.version = null;
+        return;
+      }
+      this.version = outcome.revision;
+      this.token = token;
+      this.until = sentAt + this.rightMs * (1 - DRIFT);
+    } catch (error) {
+      // Whether it was written is read again before the next try; nothing is answered on a guess.
+      this.version = null;
+      log.debug({ error: String(error) }, 'keeper key not written');
+    }
+  }
+}
+
+/** The leader's view of the keepers: until when one may have answered a zone's workers. */
+export class KeeperWatch {
+  private readonly versions = new Map<string, number>();
+  private readonly bounds = new Map<string, number>();
+  /** When the last complete look began. */
+  confirmedFrom = -Infinity;
+  private looking = false;
+
+  constructor(
+    private readonly store: Store,
+    private readonly runtime: Runtime,
+    private readonly rightMs: number,
+  ) {}
+
+  /** Until when a keeper may have answered; for an unknown zone the latest of all. */
+  boundOf(zone: string): number {
+    if (zone !== '') return this.bounds.get(zone) ?? -Infinity;
+    return Math.max(-Infinity, ...this.bounds.values());
+  }
+
+  async look(signal: AbortSignal): Promise<void> {
+    if (this.looking) return;
+    this.looking = true;
+    try {
+      const sentAt = this.runtime.clock.now();
+      const { items } = await this.store.range(KEYS.keepers, signal);
+      const now = this.runtime.clock.now();
+      for (const item of items) {
+        const zone = decodeURIComponent(item.key.slice(KEYS.keepers.length));
+        if (
+          !z.safeParse(keeperValue, item.value).success ||
+          this.versions.get(zone) !== item.version
+        ) {
+          this.bounds.set(zone, now + this.rightMs * (1 + DRIFT));
+        }
+        this.versions.set(zone, item.version);
+      }
+      this.confirmedFrom = sentAt;
+    } finally {
+      this.looking = false;
+    }
+  }
+}
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -12,6 +12,12 @@
   lost(placement: Placement): void;
 }
 
+/** Who else may have answered a zone's workers, and when that was last looked up. */
+export interface KeeperBounds {
+  boundOf(zone: string): number;
+  readonly confirmedFrom: number;
+}
+
 /**
  * Belief about machines, built from reports. A recorded start stays on its machine until one of
  * the proofs below: a newer report of the same session that knows our token and does not show it,
@@ -26,6 +32,7 @@
     /** From when on no other controller could answer a worker. */
     private readonly soleSince: number,
     private readonly leaseMs: number,
+    private readonly keepers: KeeperBounds,
   ) {}
 
   machine(id: string, now: number): Machine {
@@ -172,13 +179,29 @@
 
   /** From when on the silence of a machine proves that its worker's lease has run out. */
   silentFrom(m: Machine): number {
-    return Math.max(m.answeredAt ?? -Infinity, this.soleSince) + this.leaseMs * (1 + DRIFT) + 50;
+    const answered = Math.max(
+      m.answeredAt ?? -Infinity,
+      this.soleSince,
+      this.keepers.boundOf(m.zone),
+    );
+    return answered + this.leaseMs * (1 + DRIFT) + 50;
   }
 
-  sweep(now: number): void {
+  /**
+   * Gives up what is on machines whose leases have run out. Answers true if the keepers have to be
+   * looked up first: one that came after the last look may have kept a lease alive.
+   */
+  sweep(now: number): boolean {
+    let unsure = false;
     for (const m of this.machines.values()) {
-      if (m.placements.size === 0 || now <= this.silentFrom(m)) continue;
+      const from = this.silentFrom(m);
+      if (m.placements.size === 0 || now <= from) continue;
+      if (this.keepers.confirmedFrom < from) {
+        unsure = true;
+        continue;
+      }
       for (const p of [...m.placements.values()]) this.lose(m, p);
     }
+    return unsure;
   }
 }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -7,7 +7,7 @@
 
 export interface Service {
   desk: Desk;
-  report(report: Report): ReportOutcome;
+  report(report: Report): ReportOutcome | Promise<ReportOutcome>;
   ready(): boolean;
 }
 
@@ -76,7 +76,7 @@
 ): Promise<Server> {
   const colon = address.lastIndexOf(':');
   const app = createApp(service, log);
-  const report = (r: Report): ReportOutcome => service.report(r);
+  const report: Service['report'] = (r) => service.report(r);
   const server = createServer((req, res) => {
     if (req.url === REPORT_PATH) handleReport(req, res, report, MAX_BODY);
     else app(req, res);
--- a/src/http/workers.ts
+++ b/src/http/workers.ts
@@ -20,7 +20,7 @@
 export function handleReport(
   req: IncomingMessage,
   res: ServerResponse,
-  report: (report: Report) => ReportOutcome,
+  report: (report: Report) => ReportOutcome | Promise<ReportOutcome>,
   maxBody: number,
 ): void {
   if (req.method !== 'POST') return sendJson(res, 405, { error: 'wrong method' });
@@ -36,11 +36,16 @@
     const parsed = parseReport(parseJson(parts));
     if (!parsed) return sendJson(res, 400, { error: 'malformed report' });
     const outcome = report(parsed);
-    if (outcome.kind === 'elsewhere') sendJson(res, 421, redirectAnswer(outcome.leader));
-    else sendJson(res, 200, reportAnswer(outcome.token, outcome.orders));
+    if (outcome instanceof Promise) void outcome.then((o) => answer(res, o));
+    else answer(res, outcome);
   });
 }
 
+function answer(res: ServerResponse, outcome: ReportOutcome): void {
+  if (outcome.kind === 'elsewhere') sendJson(res, 421, redirectAnswer(outcome.leader));
+  else sendJson(res, 200, reportAnswer(outcome.token, outcome.orders));
+}
+
 function parseJson(parts: Buffer[]): unknown {
   try {
     return JSON.parse(parts.length === 1 ? parts[0]!.toString() : Buffer.concat(parts).toString());
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -68,6 +68,17 @@
     return this.within(this.limits.submitMs, (signal) => this.cancel(id, signal));
   }
 
+  /** Asks the store which of these jobs are cancelled. */
+  async cancelledAmong(ids: Iterable<string>): Promise<Set<string>> {
+    const found = new Set<string>();
+    await Promise.all(
+      [...ids].map(async (id) => {
+        if ((await this.fresh(id))?.phase === 'cancelled') found.add(id);
+      }),
+    );
+    return found;
+  }
+
   private async accept(body: unknown, signal: AbortSignal): Promise<Answer> {
     const parsed = wire.parseSubmission(body);
     if (!parsed.ok) {
--- a/src/main.ts
+++ b/src/main.ts
@@ -23,7 +23,7 @@
   if (args.check) return;
 
   const log = createLogger(process.env.LOG_LEVEL, settings.member);
-  const runtime = { clock: systemClock, random: systemRandom(), log };
+  const runtime = { clock: systemClock, random: systemRandom(), log, startedAt: 0 };
   const stop = new AbortController();
   setMaxListeners(0, stop.signal);
   for (const name of ['SIGINT', 'SIGTERM'] as const) {
--- a/src/runtime/duty.ts
+++ b/src/runtime/duty.ts
@@ -6,6 +6,8 @@
   clock: Clock;
   random: Random;
   log: Logger;
+  /** When this process began, on `clock`; what an earlier one promised is counted from here. */
+  startedAt: number;
 }
 
 /**
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -51,8 +51,13 @@
 sockets = 500
 `;
 
+/** The first controller is in zone a, the second in zone b. */
 export function settings(member = 'berth-0'): Settings {
-  return parseDeploy(SETTINGS.replace('berth-0', member), 'settings');
+  const text = SETTINGS.replace('berth-0', member);
+  return parseDeploy(
+    member === 'berth-1' ? text.replace('site = "a"', 'site = "b"') : text,
+    'settings',
+  );
 }
 
 export function fakeRandom(name: string): Random {
@@ -101,6 +106,8 @@
   readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
   readonly starts: string[] = [];
   readonly broken: string[] = [];
+  /** The zones cannot reach each other; both reach the store. */
+  private apart = false;
   private readonly end = new AbortController();
   private lives = 0;
   private nextId = 1;
@@ -137,7 +144,12 @@
     const controller = new Controller(
       settings(node.name),
       OPERATOR_DEFAULTS,
-      { clock: this.clock, random: fakeRandom(`${node.name}.${++this.lives}`), log: silent },
+      {
+        clock: this.clock,
+        random: fakeRandom(`${node.name}.${++this.lives}`),
+        log: silent,
+        startedAt: this.clock.now(),
+      },
       {
         mesh: this.wire.attach(
           node.name,
@@ -167,6 +179,14 @@
     this.boot(i);
   }
 
+  split(apart: boolean): void {
+    this.apart = apart;
+    for (const node of this.nodes) {
+      if (apart) this.wire.cut.add(node.name);
+      else this.wire.cut.delete(node.name);
+    }
+  }
+
   get leader(): number {
     const holder = this.store.get('leader') as { member: string } | undefined;
     return this.nodes.findIndex((n) => n.name === holder?.member);
@@ -289,7 +309,9 @@
 
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
-    const { controller, open } = this.nodes[node]!;
+    const { controller } = this.nodes[node]!;
+    const { yard } = report as { yard: string };
+    const open = this.nodes[node]!.open && !(this.apart && yard !== (node === 0 ? 'a' : 'b'));
     await this.clock.sleep(1);
     if (!controller || !open) {
       if (!open) await this.clock.sleep(5000);
@@ -297,7 +319,7 @@
     }
     const parsed = parseReport(JSON.parse(JSON.stringify(report)));
     assert.ok(parsed);
-    const outcome = controller.report(parsed);
+    const outcome = await controller.report(parsed);
     await this.clock.sleep(1);
     return outcome.kind === 'orders'
       ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
--- /dev/null
+++ b/test/keeper.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './fakes/world.js';
+
+const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
+const far = (w: World): string => (w.leader === 0 ? 'b' : 'a');
+
+test('work in a zone that the leader cannot reach goes on, and the leader knows', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, gpus: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  w.split(true);
+  await w.pass(30);
+  assert.equal(w.running(job), 4);
+  assert.equal(w.starts.length, 4);
+  w.split(false);
+  await w.pass(10);
+  assert.equal(w.running(job), 4);
+  assert.equal(w.starts.length, 4);
+  // The leader commands the zone again.
+  await w.ask(w.nodes[w.leader]!.controller!.desk.abort(job));
+  await w.until(() => w.on(job).length === 0, 5, 'gone');
+  await w.close();
+});
+
+test('a job that is cancelled leaves the cut-off zone too', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, gpus: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  w.split(true);
+  await w.pass(12);
+  await w.ask(w.nodes[w.leader]!.controller!.desk.abort(job));
+  await w.until(() => w.on(job).length === 0, 25, 'gone in both zones');
+  await w.close();
+});
+
+test('a machine that dies behind the cut is given up only when no keeper can have answered it', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ pieces: 4, gpus: 8, runMs: 100_000 });
+  await w.until(() => w.running(job) === 4, 10, 'all run');
+  const zone = far(w);
+  w.split(true);
+  await w.pass(12);
+  const lost = [...w.workers.values()].find((x) => x.yard === zone)!;
+  lost.dead = true;
+  w.cloud.hosts.delete(lost.id);
+  await w.pass(10);
+  // Both the kept machine and the dead one are silent to the leader: neither is taken for gone.
+  assert.equal(w.starts.length, 4);
+  w.split(false);
+  await w.until(() => w.starts.length === 5, 70, 'the lost task starts again');
+  assert.equal(w.running(job), 4);
+  await w.close();
+});
