--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -193,7 +193,7 @@
   private async askPledges(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
-    const granted = await this.pledges.collect(term.token, this.pledgeMs, this.lifetimeMs / 4);
+    const granted = await this.pledges.collect(term.token, this.pledgeMs, this.pledgeMs / 2);
     log.debug({ granted }, 'asked for pledges');
     if (granted) term.pledged(clock.now(), sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS);
   }
@@ -210,7 +210,7 @@
     let failing = false;
     try {
       while (!signal.aborted) {
-        await clock.sleep(jitter(everyMs, random), either);
+        await clock.sleep(jitter(failing ? this.pledgeMs / 4 : everyMs, random), either);
         // A silent store must not hold up the asking.
         if (failing) void this.askPledges(term);
         // The leader gives up by itself when the store contradicts its records.
@@ -238,6 +238,6 @@
   }
 }
 
-const PLEDGE_SHARE = 0.6;
+const PLEDGE_SHARE = 0.45;
 /** Timers fire in steps of one or a few milliseconds. */
 const TICK_MS = 10;
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -13,7 +13,7 @@
 }
 
 export const OPERATOR_DEFAULTS: Operator = {
-  election: { lifetime: 0.4 },
+  election: { lifetime: 0.3 },
   gate: { slackSeconds: 30, returnSeconds: 30 },
   fleet: { idleBoots: 1 },
 };
