--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -42,8 +42,8 @@
         spot: r.spot,
         free: { ...type.room },
         up: false,
-        images: new Map(),
-        services: 0,
+        images: new Set(),
+        incomingGb: 0,
         tasksOf: new Map(),
         idleMs: 0,
       });
@@ -54,10 +54,10 @@
 
 function machineView(m: Machine, up: boolean, now: number): MachineView {
   const tasksOf = new Map<string, number>();
-  let services = 0;
+  let incomingGb = 0;
+  for (const image of m.images.values()) if (!image.here) incomingGb += image.gb;
   for (const p of m.placements.values()) {
     tasksOf.set(p.job.id, (tasksOf.get(p.job.id) ?? 0) + 1);
-    if (p.job.spec.kind === 'service') services++;
   }
   return {
     id: m.id,
@@ -66,8 +66,8 @@
     spot: m.spot,
     free: m.free(),
     up,
-    images: m.images,
-    services,
+    images: new Set(m.images.keys()),
+    incomingGb,
     tasksOf,
     idleMs: now - m.idleSince,
   };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -101,13 +101,14 @@
       if (t.state === 'exited') {
         m.placements.delete(key);
         m.unrecorded.add(startKey(t.job, t.task, t.attempt));
+        m.dropFetch(p.job.spec.image);
         this.events.exited(p, t.why ?? 'error', t.saved);
         continue;
       }
       p.stage = 'live';
       const before = p.state;
       p.state = t.state;
-      m.useImage(p.job.spec.image, p.job.spec.imageGb);
+      m.useImage(p.job.spec.image, p.job.spec.imageGb, t.state !== 'fetching');
       if (t.state === 'running' && before !== 'running') this.events.running(p);
     }
     const starts: Order[] = [];
@@ -149,12 +150,13 @@
       return;
     }
     p.stage = 'offered';
-    m.useImage(p.job.spec.image, p.job.spec.imageGb);
+    m.useImage(p.job.spec.image, p.job.spec.imageGb, false);
     starts.push({ op: 'start', job: p.job.id, task: p.task, attempt: p.attempt });
   }
 
   private lose(m: Machine, p: Placement): void {
     m.placements.delete(taskKey(p.job.id, p.task));
+    m.dropFetch(p.job.spec.image);
     this.events.lost(p);
   }
 
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -39,8 +39,8 @@
   readonly placements = new Map<string, Placement>();
   /** Exited starts that must not be forgotten yet, since their end is not in the store. */
   readonly unrecorded = new Set<string>();
-  /** Images on the machine or on their way, least recently used first, with their sizes. */
-  readonly images = new Map<string, number>();
+  /** Images on the machine or on their way, least recently used first. */
+  readonly images = new Map<string, { gb: number; here: boolean }>();
   idleSince: number;
 
   constructor(
@@ -100,18 +100,27 @@
     return room;
   }
 
-  useImage(image: string, gb: number): void {
+  /** Notes that a task needs the image; `here` once one has begun to run with it. */
+  useImage(image: string, gb: number, here: boolean): void {
+    const known = this.images.get(image);
     this.images.delete(image);
-    this.images.set(image, gb);
+    this.images.set(image, { gb, here: here || (known?.here ?? false) });
     let sum = 0;
-    for (const size of this.images.values()) sum += size;
-    for (const [name, size] of this.images) {
+    for (const entry of this.images.values()) sum += entry.gb;
+    for (const [name, entry] of this.images) {
       if (sum <= (this.type?.cacheGb ?? Infinity) || name === image) break;
       this.images.delete(name);
-      sum -= size;
+      sum -= entry.gb;
     }
   }
 
+  /** A fetch is given up when no task waits for it any more. */
+  dropFetch(image: string): void {
+    if (this.images.get(image)?.here) return;
+    for (const p of this.placements.values()) if (p.job.spec.image === image) return;
+    this.images.delete(image);
+  }
+
   newer(session: number, seq: number): boolean {
     return session > this.session || (session === this.session && seq > this.seq);
   }
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -10,9 +10,10 @@
   free: Need;
   /** False while it boots. */
   up: boolean;
-  images: ReadonlyMap<string, number>;
-  /** How many services' tasks it holds, and of which jobs it holds how many tasks. */
-  services: number;
+  /** Images that are there or on their way, and how much is still to be fetched. */
+  images: Set<string>;
+  incomingGb: number;
+  /** Of which jobs it holds how many tasks. */
   tasksOf: ReadonlyMap<string, number>;
   idleMs: number;
 }
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -39,22 +39,38 @@
 /** The first zone named may be unknown after a takeover; then nothing may be said of others. */
 export const UNKNOWN_ZONE = '';
 
+/** Seconds until a task of this image could begin there: fetches on one machine share its rate. */
+export function fetchSeconds(spec: JobSpec, m: MachineView): number {
+  const missing = m.images.has(spec.image) ? 0 : spec.imageGb;
+  if (missing === 0 && m.incomingGb === 0) return 0;
+  // An image on its way is counted by half: it has been fetched for some time already.
+  return missing > 0
+    ? (missing + m.incomingGb) / m.type.fetchGbPerS
+    : m.incomingGb / 2 / m.type.fetchGbPerS;
+}
+
 /**
  * What it costs to put a task there, in seconds of waiting or their like: the image's fetch first;
- * then services keep apart and other work fills up the fullest machines, so that whole machines
- * stay free for gangs and can be given back.
+ * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
+ * replicas of one service keep apart, so that one loss takes little.
  */
 export function placementCost(job: JobView, m: MachineView): number {
   const { spec } = job;
-  const fetch = m.images.has(spec.image) ? 0 : spec.imageGb / m.type.fetchGbPerS;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
-  let cost = fetch * 4 + leftover * 8;
-  if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20 + m.services;
+  let cost = fetchSeconds(spec, m) * 4 + leftover * 8;
+  if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20;
   // A cheap machine is for those who may use it; the others leave it free.
   if (spec.spot && m.spot) cost -= 4;
   return cost;
 }
 
+/** The image will be fetched there, which slows other fetches down. */
+export function expectImage(spec: JobSpec, m: MachineView): void {
+  if (m.images.has(spec.image)) return;
+  m.images.add(spec.image);
+  m.incomingGb += spec.imageGb;
+}
+
 export interface Placed {
   machine: MachineView;
   count: number;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -2,7 +2,7 @@
 import type { JobSpec } from '../jobs/job.js';
 import { inOrder, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Offer, Plan, Rent, Snapshot, TeamView } from './model.js';
-import { allows, place, placeGang, ZoneRules } from './placement.js';
+import { allows, expectImage, place, placeGang, ZoneRules } from './placement.js';
 import { Preemption } from './preemption.js';
 
 /** How many more tasks of `spec` a team's limit allows. */
@@ -80,7 +80,10 @@
   }
 
   private record(job: JobView, placed: { machine: MachineView; count: number }[]): void {
-    for (const { machine } of placed) this.needed.add(machine.id);
+    for (const { machine } of placed) {
+      this.needed.add(machine.id);
+      expectImage(job.spec, machine);
+    }
     this.result.starts.push({
       job: job.id,
       on: placed.map((p) => ({ machine: p.machine.id, count: p.count })),
@@ -166,8 +169,8 @@
         spot: offer.spot,
         free: { ...offer.type.room },
         up: false,
-        images: new Map(),
-        services: 0,
+        images: new Set(),
+        incomingGb: 0,
         tasksOf: new Map(),
         idleMs: 0,
       };
