--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -410,7 +410,7 @@
   private async rounds(signal: AbortSignal): Promise<void> {
     const { runtime, settings } = this.parts;
     const { clock } = runtime;
-    const base = settings.workers.reportMs / 5;
+    const base = settings.workers.reportMs / 10;
     let wakeUp: (() => void) | null = null;
     const subscription = this.wake.subscribe(() => wakeUp?.());
     try {
@@ -555,6 +555,19 @@
     if (job.gang) this.gate.placed(job, now);
   }
 
+  /**
+   * How much longer than a boot a machine is worth keeping: the shorter the aims to begin are
+   * against the time it takes to get another machine, the more an idle one is worth.
+   */
+  private tightness(type: MachineType): number {
+    let ratio = 1;
+    for (const o of this.parts.settings.objectives) {
+      if (o.kind !== 'wait' || o.withinMs === null) continue;
+      ratio = Math.max(ratio, type.bootMs / o.withinMs / 2);
+    }
+    return ratio * ratio;
+  }
+
   private returnIdle(spare: string[], now: number): void {
     const idle = new Set(spare);
     for (const m of this.fleet.machines.values()) {
@@ -562,7 +575,7 @@
         m.idleSince = now;
         continue;
       }
-      const keepMs = m.type.bootMs * this.parts.operator.fleet.idleBoots;
+      const keepMs = m.type.bootMs * this.parts.operator.fleet.idleBoots * this.tightness(m.type);
       if (now - m.idleSince > keepMs) this.returnMachine(m);
     }
   }
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -15,6 +15,7 @@
     machines: machineViews(leader, now),
     jobs: jobViews(leader, now),
     teams: teamViews(leader),
+    types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
     victims: victims(leader, now),
     gateShut: [...leader.jobs.values()].some((j) => j.gang?.holdsGate && j.phase === 'open'),
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -70,6 +70,7 @@
   machines: MachineView[];
   jobs: JobView[];
   teams: ReadonlyMap<string, TeamView>;
+  types: MachineType[];
   /** What the cloud may rent out: offers refused lately are left out. */
   offers: Offer[];
   victims: VictimView[];
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -1,5 +1,5 @@
-import { fits, howMany, take, type Need } from '../fleet/types.js';
-import { spreadLimit, type JobSpec } from '../jobs/job.js';
+import { fits, howMany, take, type MachineType, type Need } from '../fleet/types.js';
+import { Priority, spreadLimit, type JobSpec } from '../jobs/job.js';
 import type { JobView, MachineView } from './model.js';
 
 /** May a task of this job be on a machine of this type, zone and kind at all? */
@@ -54,16 +54,47 @@
  * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
  * replicas of one service keep apart, so that one loss takes little.
  */
-export function placementCost(job: JobView, m: MachineView): number {
+export function placementCost(job: JobView, m: MachineView, scarce: ScarceTypes): number {
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
   let cost = fetchSeconds(spec, m) * 4 + leftover * 8;
   if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20;
+  if (scarce.avoidedBy(spec, m.type)) {
+    cost += spec.priority === Priority.Low ? SCARCE_SECONDS * 4 : SCARCE_SECONDS;
+  }
   // A cheap machine is for those who may use it; the others leave it free.
   if (spec.spot && m.spot) cost -= 4;
   return cost;
 }
 
+/** What it is worth, in seconds of waiting, to leave a type to those who can use no other. */
+const SCARCE_SECONDS = 12;
+
+/** Types that some open jobs depend on: jobs that fit elsewhere too leave them alone if they can. */
+export class ScarceTypes {
+  private readonly dependedOn = new Set<string>();
+
+  constructor(
+    jobs: JobView[],
+    private readonly types: MachineType[],
+  ) {
+    for (const { spec } of jobs) {
+      const fitting = this.fitting(spec);
+      if (fitting.length === 1 && types.length > 1) this.dependedOn.add(fitting[0]!.name);
+    }
+  }
+
+  avoidedBy(spec: JobSpec, type: MachineType): boolean {
+    return this.dependedOn.has(type.name) && this.fitting(spec).length > 1;
+  }
+
+  private fitting(spec: JobSpec): MachineType[] {
+    return this.types.filter(
+      (t) => (spec.types === null || spec.types.includes(t.name)) && fits(spec.need, t.room),
+    );
+  }
+}
+
 /** The image will be fetched there, which slows other fetches down. */
 export function expectImage(spec: JobSpec, m: MachineView): void {
   if (m.images.has(spec.image)) return;
@@ -82,6 +113,7 @@
   count: number,
   machines: MachineView[],
   rules: ZoneRules,
+  scarce: ScarceTypes,
 ): Placed[] {
   const { spec } = job;
   const candidates = machines
@@ -91,7 +123,7 @@
         fits(spec.need, m.free) &&
         !job.avoid.has(m.id),
     )
-    .map((machine) => ({ machine, cost: placementCost(job, machine) }))
+    .map((machine) => ({ machine, cost: placementCost(job, machine, scarce) }))
     .sort((a, b) => a.cost - b.cost);
   const placed = new Map<MachineView, number>();
   let left = count;
@@ -115,16 +147,20 @@
 }
 
 /** Places a gang whole or not at all. */
-export function placeGang(job: JobView, machines: MachineView[]): Placed[] | null {
+export function placeGang(
+  job: JobView,
+  machines: MachineView[],
+  scarce: ScarceTypes,
+): Placed[] | null {
   const zones = job.spec.oneZone ? [...new Set(machines.map((m) => m.zone))] : [null];
   let best: { placed: Placed[]; cost: number } | null = null;
   for (const zone of zones) {
     const inZone = zone === null ? machines : machines.filter((m) => m.zone === zone);
-    const placed = place(job, job.spec.tasks, inZone, new ZoneRules(job.spec, job.zones));
+    const placed = place(job, job.spec.tasks, inZone, new ZoneRules(job.spec, job.zones), scarce);
     const size = placed.reduce((n, p) => n + p.count, 0);
     unplace(job.spec.need, placed);
     if (size < job.spec.tasks) continue;
-    const cost = Math.max(...placed.map((p) => placementCost(job, p.machine)));
+    const cost = Math.max(...placed.map((p) => placementCost(job, p.machine, scarce)));
     if (!best || cost < best.cost) best = { placed, cost };
   }
   if (best) for (const { machine, count } of best.placed) take(machine.free, job.spec.need, count);
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -1,8 +1,16 @@
 import { fits, howMany, take } from '../fleet/types.js';
-import type { JobSpec } from '../jobs/job.js';
+import { Priority, type JobSpec } from '../jobs/job.js';
 import { inOrder, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Offer, Plan, Rent, Snapshot, TeamView } from './model.js';
-import { allows, expectImage, place, placeGang, ZoneRules } from './placement.js';
+import {
+  allows,
+  expectImage,
+  fetchSeconds,
+  place,
+  placeGang,
+  ScarceTypes,
+  ZoneRules,
+} from './placement.js';
 import { Preemption } from './preemption.js';
 
 /** How many more tasks of `spec` a team's limit allows. */
@@ -18,6 +26,9 @@
   );
 }
 
+/** A wait that is not worth stopping others for. */
+const QUICK_S = 3;
+
 /** One round of decisions. It changes nothing but its own snapshot. */
 export function plan(snapshot: Snapshot): Plan {
   return new Round(snapshot).run();
@@ -31,10 +42,12 @@
   private readonly rented: { offer: Offer; view: MachineView }[] = [];
   private readonly guaranteed: Set<string>;
   private readonly preemption: Preemption;
+  private readonly scarce: ScarceTypes;
 
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
     this.booting = s.machines.filter((m) => !m.up);
+    this.scarce = new ScarceTypes(s.jobs, s.types);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams);
   }
@@ -49,10 +62,11 @@
         const count = Math.min(job.waiting, limitRoom(team, job.spec));
         if (count <= 0) continue;
         const rules = new ZoneRules(job.spec, job.zones);
-        const missing = count - this.start(job, count, rules, team);
+        let missing = count - this.startHot(job, count, rules, team);
+        if (missing > 0) missing -= this.start(job, missing, rules, team, this.up);
         if (missing > 0) {
           this.charge(team, job.spec, missing);
-          const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id));
+          const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id), this.up);
           this.reserve(job, missing - freed, rules);
         }
       }
@@ -70,8 +84,31 @@
     team.used.gpus += spec.need.gpus * count;
   }
 
-  private start(job: JobView, count: number, rules: ZoneRules, team: TeamView): number {
-    const placed = place(job, count, this.up, rules);
+  /**
+   * Services of high priority go where their image is, if need be in place of lesser work: a
+   * replica that waits for a long fetch serves nobody.
+   */
+  private startHot(job: JobView, count: number, rules: ZoneRules, team: TeamView): number {
+    const { spec } = job;
+    if (spec.kind !== 'service' || spec.priority > Priority.High) return 0;
+    const hot = this.up.filter((m) => m.images.has(spec.image) && fetchSeconds(spec, m) < QUICK_S);
+    if (hot.length === 0) return 0;
+    const started = this.start(job, count, rules, team, hot);
+    const missing = count - started;
+    if (missing === 0) return started;
+    const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id), hot);
+    this.charge(team, spec, freed);
+    return started + freed;
+  }
+
+  private start(
+    job: JobView,
+    count: number,
+    rules: ZoneRules,
+    team: TeamView,
+    machines: MachineView[],
+  ): number {
+    const placed = place(job, count, machines, rules, this.scarce);
     if (placed.length === 0) return 0;
     const size = placed.reduce((n, p) => n + p.count, 0);
     this.charge(team, job.spec, size);
@@ -93,7 +130,7 @@
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
     if (limitRoom(team, job.spec) < job.spec.tasks) return;
-    const placed = placeGang(job, this.up);
+    const placed = placeGang(job, this.up, this.scarce);
     if (placed) {
       this.charge(team, job.spec, job.spec.tasks);
       this.record(job, placed);
@@ -128,9 +165,12 @@
     if (!best) return false;
     const rules = new ZoneRules(spec, job.zones);
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
-    const placed = place(job, spec.tasks, machines.filter(inBest), rules);
+    const placed = place(job, spec.tasks, machines.filter(inBest), rules, this.scarce);
     for (const { machine } of placed) this.needed.add(machine.id);
-    const left = spec.tasks - placed.reduce((n, p) => n + p.count, 0);
+    let left = spec.tasks - placed.reduce((n, p) => n + p.count, 0);
+    // Lesser work makes room sooner than a machine boots; it costs the least where it can be saved.
+    const here = this.up.filter(inBest);
+    if (left > 0) left -= this.preemption.free(job, left, this.guaranteed.has(job.id), here);
     return this.rent(job, left, rules, best.zone) === 0;
   }
 
@@ -138,7 +178,7 @@
   private reserve(job: JobView, count: number, rules: ZoneRules): void {
     if (count <= 0) return;
     const coming = [...this.booting, ...this.rented.map((r) => r.view)];
-    const placed = place(job, count, coming, rules);
+    const placed = place(job, count, coming, rules, this.scarce);
     const left = count - placed.reduce((n, p) => n + p.count, 0);
     this.rent(job, left, rules, null);
   }
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -12,12 +12,12 @@
   readonly stops: { job: string; task: number }[] = [];
   private readonly byMachine = new Map<string, VictimView[]>();
   private readonly chosen = new Set<VictimView>();
-  /** Room that a machine will have once what is being stopped there has left. */
-  private readonly coming = new Map<string, Need>();
+  /** Room that what is being stopped on a machine will leave, beyond what is free there. */
+  private readonly leaving = new Map<string, Need>();
 
   constructor(
     victims: VictimView[],
-    private readonly up: MachineView[],
+    up: MachineView[],
     private readonly teams: ReadonlyMap<string, TeamView>,
   ) {
     for (const v of victims) {
@@ -26,25 +26,30 @@
       else this.byMachine.set(v.machine, [v]);
     }
     for (const m of up) {
-      const room = { ...m.free };
+      const room = { cpus: 0, gpus: 0, memoryGb: 0 };
       for (const v of this.byMachine.get(m.id) ?? []) {
         if (v.stopping) take(room, v.spec.need, -1);
       }
-      this.coming.set(m.id, room);
+      this.leaving.set(m.id, room);
     }
   }
 
+  private coming(m: MachineView): Need {
+    const room = { ...m.free };
+    take(room, this.leaving.get(m.id)!, -1);
+    return room;
+  }
+
   /** How many of `count` tasks will find room by stopping others. */
-  free(job: JobView, count: number, guaranteed: boolean): number {
+  free(job: JobView, count: number, guaranteed: boolean, among: MachineView[]): number {
     let found = 0;
-    const suitable = this.up.filter(
+    const suitable = among.filter(
       (m) => allows(job.spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
     );
     for (const m of suitable) {
-      const room = this.coming.get(m.id)!;
-      const n = Math.min(count - found, howMany(job.spec.need, room));
+      const n = Math.min(count - found, howMany(job.spec.need, this.coming(m)));
       if (n > 0) {
-        this.claim(m, job, n);
+        take(m.free, job.spec.need, n);
         found += n;
       }
     }
@@ -55,29 +60,24 @@
         if (choice && (!best || choice.loss < best.loss)) best = { machine: m, ...choice };
       }
       if (!best) break;
-      const room = this.coming.get(best.machine.id)!;
+      const leaving = this.leaving.get(best.machine.id)!;
       for (const v of best.victims) {
         this.chosen.add(v);
         this.stops.push({ job: v.job, task: v.task });
-        take(room, v.spec.need, -1);
+        take(leaving, v.spec.need, -1);
         const team = this.teams.get(v.spec.team);
         if (team) {
           team.used.cpus -= v.spec.need.cpus;
           team.used.gpus -= v.spec.need.gpus;
         }
       }
-      this.claim(best.machine, job, 1);
+      // Claimed now, also where some is free already: smaller work must not slip into it.
+      take(best.machine.free, job.spec.need, 1);
       found++;
     }
     return found;
   }
 
-  /** Sets room aside, also what is free already: smaller work must not slip into it meanwhile. */
-  private claim(m: MachineView, job: JobView, count: number): void {
-    take(this.coming.get(m.id)!, job.spec.need, count);
-    take(m.free, job.spec.need, count);
-  }
-
   private overGuarantee(name: string): boolean {
     const team = this.teams.get(name);
     return (
@@ -92,7 +92,7 @@
     m: MachineView,
     guaranteed: boolean,
   ): { victims: VictimView[]; loss: number } | null {
-    const room = { ...this.coming.get(m.id)! };
+    const room = this.coming(m);
     const may = (this.byMachine.get(m.id) ?? [])
       .filter(
         (v) =>
