--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -167,7 +167,7 @@
     if (!job || !record || !job.chunks[chunk]) {
       // What cannot be read may still run: the job is left alone rather than started again.
       this.parts.runtime.log.error({ key: e.key }, 'unreadable run record, left as occupied');
-      if (job) job.retryAt = Infinity;
+      if (job) job.blind = true;
       return;
     }
     const { clock } = this.parts.runtime;
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -92,7 +92,7 @@
       zones,
       avoid: job.failedOn,
       gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
-      admissible: gangMay && job.retryAt <= now,
+      admissible: gangMay && !job.blind && job.retryAt <= now,
     });
   }
   return views;
@@ -107,8 +107,9 @@
   for (const job of leader.jobs.values()) {
     const team = teams.get(job.spec.team);
     if (!team) continue;
-    team.used.cpus += job.spec.need.cpus * job.live.size;
-    team.used.gpus += job.spec.need.gpus * job.live.size;
+    const tasks = job.blind ? job.spec.tasks : job.live.size;
+    team.used.cpus += job.spec.need.cpus * tasks;
+    team.used.gpus += job.spec.need.gpus * tasks;
   }
   return teams;
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -46,7 +46,7 @@
 
   add(p: Placement, now: number): void {
     const m = this.machine(p.machine, now);
-    if (p.zone === '') p.zone = m.zone;
+    if (m.zone === '') m.zone = p.zone;
     m.placements.set(taskKey(p.job.id, p.task), p);
   }
 
@@ -69,7 +69,6 @@
     m.zone = r.zone;
     m.spot = r.spot;
     m.noticeAt = r.noticeMs === null ? null : now + r.noticeMs;
-    for (const p of m.placements.values()) p.zone = r.zone;
     if (!act) return [];
 
     if (r.session > before) {
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -55,6 +55,8 @@
   usable(now: number, silentMs: number): boolean {
     return (
       this.type !== null &&
+      // Heard while the records were being read only: its session is not known yet.
+      this.session >= 0 &&
       this.reached(now, silentMs) &&
       !this.returning &&
       this.noticeAt === null &&
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -35,7 +35,7 @@
   ) {}
 
   flush(job: Job): void {
-    if (job.writing || this.term.signal.aborted || !this.needsWrite(job)) return;
+    if (job.writing || job.blind || this.term.signal.aborted || !this.needsWrite(job)) return;
     job.writing = true;
     void this.write(job)
       .catch((error: unknown) => {
@@ -54,7 +54,7 @@
 
   /** A job that is over and of which nothing can run any more keeps only its final state. */
   private canClose(job: Job): boolean {
-    return job.phase !== 'open' && job.live.size === 0 && !job.closed;
+    return job.phase !== 'open' && job.live.size === 0 && !job.closed && !job.blind;
   }
 
   private tag(): string {
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -57,6 +57,8 @@
   writing = false;
   /** True once the job's own record says what `phase` says. */
   phaseStored = true;
+  /** A record of it cannot be read: all of its tasks count as running, and none is started. */
+  blind = false;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
@@ -149,7 +151,8 @@
     }
     const placed: RunRecord['placed'] = [];
     for (const p of this.live.values()) {
-      if (p.task >= from && p.task < to) placed.push([p.task, p.attempt, p.machine, p.session]);
+      if (p.task >= from && p.task < to)
+        placed.push([p.task, p.attempt, p.machine, p.session, p.zone]);
     }
     const record: RunRecord = { w, attempt: this.attempt, done, placed };
     if (this.gang && this.gang.phase !== 'queued') {
@@ -183,14 +186,14 @@
       this.gang.chargedAt = now;
     }
     const placements: Placement[] = [];
-    for (const [task, attempt, machine, session] of record.placed) {
+    for (const [task, attempt, machine, session, zone] of record.placed) {
       const p: Placement = {
         job: this,
         task,
         attempt,
         machine,
         session,
-        zone: '',
+        zone,
         stage: 'recovered',
         state: null,
         placedAt: now,
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -62,7 +62,7 @@
     }),
   ),
   done: z.array(z.tuple([count, count])),
-  placed: z.array(z.tuple([count, count, z.string(), count])),
+  placed: z.array(z.tuple([count, count, z.string(), count, z.string()])),
 });
 
 export interface GangRecord {
@@ -79,8 +79,11 @@
   gang?: GangRecord;
   /** Completed tasks as ranges, both ends included. */
   done: [number, number][];
-  /** Task, attempt, machine and session of each start that is not proven gone. */
-  placed: [number, number, string, number][];
+  /**
+   * Task, attempt, machine, session and zone of each start that is not proven gone. The zone is kept
+   * since a new leader may place other tasks of the job before that machine reports to it.
+   */
+  placed: [number, number, string, number, string][];
 }
 
 export function parseRun(value: unknown): RunRecord | null {
@@ -89,7 +92,7 @@
 }
 
 /** Bytes that one task may take in a record: its place, or its share of the ranges. */
-const BYTES_PER_TASK = 64;
+const BYTES_PER_TASK = 80;
 
 /** How many tasks share one run record, so that it stays below the limit for a value. */
 export function tasksPerRecord(valueBytes: number): number {
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -36,9 +36,6 @@
   }
 }
 
-/** The first zone named may be unknown after a takeover; then nothing may be said of others. */
-export const UNKNOWN_ZONE = '';
-
 /** Seconds until a task of this image could begin there: fetches on one machine share its rate. */
 export function fetchSeconds(spec: JobSpec, m: MachineView): number {
   const missing = m.images.has(spec.image) ? 0 : spec.imageGb;
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Fleet } from '../src/fleet/fleet.js';
+import type { MachineType } from '../src/fleet/types.js';
+import { parseReport } from '../src/wire/report.js';
 import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
@@ -252,3 +255,47 @@
   assert.equal(await w.phase(ref), 'withdrawn');
   await w.close();
 });
+
+test('a spread service stays spread when its leader changes while a machine is silent', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 2, gpus: 8, runMs: 0, apart: true });
+  await w.until(() => w.running(job) === 2, 10, 'replicas run');
+  const [silent, lost] = [...w.workers.values()].filter((x) => x.pieces.length > 0);
+  const old = w.leader;
+  w.crash(old);
+  // The next leader hears nothing of the one replica when it has to place the other anew.
+  silent!.hung = true;
+  w.kill(lost!.id);
+  w.cloud.hosts.delete(lost!.id);
+  await w.pass(12);
+  await w.until(() => w.running(job) === 2, 30, 'both run again');
+  const yards = [...w.workers.values()].filter((x) => !x.dead && x.pieces.length > 0);
+  assert.equal(new Set(yards.map((x) => x.yard)).size, 2);
+  await w.close();
+});
+
+test('a machine heard only while the records were read gets no work before it is known', () => {
+  const fleet = new Fleet({ running: () => {}, exited: () => {}, lost: () => {} }, 7, 0, 10_000, {
+    boundOf: () => -Infinity,
+    confirmedFrom: 0,
+  });
+  const report = parseReport({
+    rig: 'host-1',
+    address: 'x',
+    hull: 'g8',
+    yard: 'a',
+    driftwood: false,
+    shift: 3,
+    tick: 9,
+    baton: 7,
+    warningS: null,
+    pieces: [],
+  })!;
+  const type = { name: 'g8' } as MachineType;
+  fleet.report(report, type, 100, false);
+  // Its session would be recorded as unknown, and such a record cannot be read by the next leader.
+  assert.equal(fleet.machines.get('host-1')!.usable(100, 3000), false);
+  fleet.report({ ...report, seq: 10 }, type, 200, true);
+  assert.equal(fleet.machines.get('host-1')!.usable(200, 3000), true);
+});
