--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -552,6 +552,7 @@
         job.touch(task);
       }
     }
+    this.parts.runtime.log.debug({ job: job.id, attempt: job.attempt, on }, 'placed');
     if (job.gang) this.gate.placed(job, now);
   }
 
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -12,6 +12,7 @@
   readonly stops: { job: string; task: number }[] = [];
   private readonly byMachine = new Map<string, VictimView[]>();
   private readonly chosen = new Set<VictimView>();
+  private readonly leavingOf = new Map<string, { cpus: number; gpus: number }>();
   /** Room that what is being stopped on a machine will leave, beyond what is free there. */
   private readonly leaving = new Map<string, Need>();
 
@@ -65,11 +66,9 @@
         this.chosen.add(v);
         this.stops.push({ job: v.job, task: v.task });
         take(leaving, v.spec.need, -1);
-        const team = this.teams.get(v.spec.team);
-        if (team) {
-          team.used.cpus -= v.spec.need.cpus;
-          team.used.gpus -= v.spec.need.gpus;
-        }
+        const leavingTeam = this.leavingTeam(v.spec.team);
+        leavingTeam.cpus += v.spec.need.cpus;
+        leavingTeam.gpus += v.spec.need.gpus;
       }
       // Claimed now, also where some is free already: smaller work must not slip into it.
       take(best.machine.free, job.spec.need, 1);
@@ -80,13 +79,27 @@
 
   private overGuarantee(name: string): boolean {
     const team = this.teams.get(name);
+    const leaving = this.leavingTeam(name);
     return (
       team !== undefined &&
-      (team.used.gpus > team.guarantee.gpus + 1e-6 ||
-        (team.guarantee.cpus > 0 && team.used.cpus > team.guarantee.cpus + 1e-6))
+      (team.used.gpus - leaving.gpus > team.guarantee.gpus + 1e-6 ||
+        (team.guarantee.cpus > 0 && team.used.cpus - leaving.cpus > team.guarantee.cpus + 1e-6))
     );
   }
 
+  /**
+   * What is being stopped of a team. It is kept apart from what the team uses: until it is proven
+   * gone it counts against the team's limit, and no other task may take its share.
+   */
+  private leavingTeam(name: string): { cpus: number; gpus: number } {
+    let sum = this.leavingOf.get(name);
+    if (!sum) {
+      sum = { cpus: 0, gpus: 0 };
+      this.leavingOf.set(name, sum);
+    }
+    return sum;
+  }
+
   private cheapest(
     job: JobView,
     m: MachineView,
--- /dev/null
+++ b/test/plan.test.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/fleet/types.js';
+import { Priority, type JobSpec } from '../src/jobs/job.js';
+import type { JobView, MachineView, Snapshot, TeamView } from '../src/scheduler/model.js';
+import { plan } from '../src/scheduler/plan.js';
+
+const TYPE: MachineType = {
+  name: 'g8',
+  room: { cpus: 48, gpus: 8, memoryGb: 288 },
+  cacheGb: 400,
+  fetchGbPerS: 2,
+  price: 20,
+  spotPrice: 7,
+  bootMs: 40_000,
+  zones: ['a', 'b'],
+};
+
+const SPEC: JobSpec = {
+  jobClass: 'c',
+  team: 'vision',
+  kind: 'array',
+  priority: Priority.Normal,
+  tasks: 4,
+  need: { cpus: 1, gpus: 1, memoryGb: 4 },
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: 'img-1',
+  imageGb: 4,
+  estimateMs: 20_000,
+  checkpointMs: 10_000,
+  saveMs: 1000,
+  deadlineMs: null,
+};
+
+let n = 0;
+function job(spec: Partial<JobSpec>, view: Partial<JobView> = {}): JobView {
+  const full = { ...SPEC, ...spec };
+  return {
+    id: `req-${++n}`,
+    spec: full,
+    submittedAt: n,
+    waiting: full.tasks,
+    unfinished: full.tasks,
+    zones: new Map(),
+    avoid: new Set(),
+    gang: full.kind === 'gang' ? { holdsGate: false, suspensions: 0 } : null,
+    admissible: true,
+    ...view,
+  };
+}
+
+function machine(id: string, view: Partial<MachineView> = {}): MachineView {
+  return {
+    id,
+    type: TYPE,
+    zone: 'a',
+    spot: false,
+    free: { ...TYPE.room },
+    up: true,
+    images: new Set(),
+    incomingGb: 0,
+    tasksOf: new Map(),
+    idleMs: 0,
+    ...view,
+  };
+}
+
+const team = (used: number, guarantee = 8, limit = 16): TeamView => ({
+  guarantee: { cpus: 0, gpus: guarantee },
+  limit: { cpus: Infinity, gpus: limit },
+  used: { cpus: used, gpus: used },
+});
+
+function snapshot(s: Partial<Snapshot>): Snapshot {
+  return {
+    machines: [],
+    jobs: [],
+    teams: new Map([
+      ['vision', team(0)],
+      ['speech', team(0)],
+    ]),
+    types: [TYPE],
+    offers: [],
+    victims: [],
+    gateShut: false,
+    ...s,
+  };
+}
+
+const started = (p: ReturnType<typeof plan>, id: string): number =>
+  p.starts
+    .filter((s) => s.job === id)
+    .reduce((sum, s) => sum + s.on.reduce((k, o) => k + o.count, 0), 0);
+
+test('what is told to stop counts against its team until it is gone', () => {
+  // The team is at its limit; one of its tasks makes way for a replica of another team. Its share
+  // of the limit must not be given out again in the same round.
+  const running = job({ tasks: 20 }, { waiting: 4 });
+  const replica = job({
+    team: 'speech',
+    kind: 'service',
+    priority: Priority.Production,
+    tasks: 1,
+    need: { cpus: 8, gpus: 8, memoryGb: 40 },
+  });
+  const victims = Array.from({ length: 8 }, (_, task) => ({
+    job: running.id,
+    task,
+    machine: 'm1',
+    spec: running.spec,
+    lossMs: 0,
+    wholeGang: false,
+    stopping: false,
+  }));
+  const result = plan(
+    snapshot({
+      machines: [
+        machine('m1', { free: { cpus: 40, gpus: 0, memoryGb: 256 }, images: new Set(['img-1']) }),
+        machine('m2', { free: { cpus: 48, gpus: 7, memoryGb: 288 } }),
+      ],
+      jobs: [running, replica],
+      teams: new Map([
+        ['vision', team(16)],
+        ['speech', team(0)],
+      ]),
+      victims,
+    }),
+  );
+  assert.equal(result.stops.length, 8);
+  assert.equal(started(result, running.id), 0);
+});
+
+test('a spread job leaves half of its tasks to another zone', () => {
+  const spread = job({ kind: 'service', tasks: 2, spread: true });
+  const result = plan(snapshot({ machines: [machine('m1'), machine('m2')], jobs: [spread] }));
+  assert.equal(started(result, spread.id), 1);
+  const both = plan(
+    snapshot({ machines: [machine('m1'), machine('m2', { zone: 'b' })], jobs: [spread] }),
+  );
+  assert.equal(started(both, spread.id), 2);
+});
+
+test('a job stays in the zone where some of it may still be', () => {
+  const held = job({ oneZone: true, tasks: 3 }, { waiting: 2, zones: new Map([['b', 1]]) });
+  const only = plan(snapshot({ machines: [machine('m1')], jobs: [held] }));
+  assert.equal(started(only, held.id), 0);
+});
+
+test('nobody who may not use cheap machines gets one, and nothing is rented in vain', () => {
+  const plain = job({ tasks: 8 });
+  const offers = [true, false].map((spot) => ({
+    type: TYPE,
+    zone: 'a',
+    spot,
+    price: spot ? 7 : 20,
+  }));
+  const result = plan(
+    snapshot({ machines: [machine('m1', { spot: true })], jobs: [plain], offers }),
+  );
+  assert.equal(started(result, plain.id), 0);
+  assert.deepEqual(result.rents, [{ type: 'g8', zone: 'a', spot: false, count: 1 }]);
+  const booting = plan(
+    snapshot({ machines: [machine('m1', { up: false })], jobs: [plain], offers }),
+  );
+  assert.deepEqual(booting.rents, []);
+});
+
+test('equal work does not displace equal work, except to give a team its guarantee', () => {
+  const holder = job({ team: 'speech', tasks: 8 }, { waiting: 0 });
+  const victims = Array.from({ length: 8 }, (_, task) => ({
+    job: holder.id,
+    task,
+    machine: 'm1',
+    spec: holder.spec,
+    lossMs: 0,
+    wholeGang: false,
+    stopping: false,
+  }));
+  const full = (): MachineView => machine('m1', { free: { cpus: 40, gpus: 0, memoryGb: 256 } });
+  const wish = job({ tasks: 2 });
+  const within = (guarantee: number): ReturnType<typeof plan> =>
+    plan(
+      snapshot({
+        machines: [full()],
+        jobs: [holder, wish],
+        teams: new Map([
+          ['vision', team(0, guarantee)],
+          ['speech', team(8, 4)],
+        ]),
+        victims,
+      }),
+    );
+  assert.equal(within(0).stops.length, 0);
+  assert.equal(within(8).stops.length, 2);
+});
+
+test('of two gangs that wait for room one is admitted, and one whose room is free passes', () => {
+  const big = (): JobView =>
+    job({ kind: 'gang', tasks: 2, need: { cpus: 40, gpus: 8, memoryGb: 200 } });
+  const [first, second] = [big(), big()];
+  const small = job({ kind: 'gang', tasks: 2, need: { cpus: 4, gpus: 1, memoryGb: 8 } });
+  const offers = [{ type: TYPE, zone: 'a', spot: false, price: 20 }];
+  const teams = new Map([['vision', team(0, 8, 64)]]);
+  const result = plan(
+    snapshot({ machines: [machine('m1')], jobs: [first, second, small], offers, teams }),
+  );
+  assert.equal(result.admit, first.id);
+  assert.equal(started(result, second.id), 0);
+  // The one machine is set aside for the gang that was admitted.
+  assert.equal(started(result, small.id), 0);
+  const more = plan(
+    snapshot({
+      machines: [machine('m1'), machine('m2', { free: { cpus: 8, gpus: 2, memoryGb: 20 } })],
+      jobs: [first, second, small],
+      offers,
+      teams: new Map([['vision', team(0, 8, 64)]]),
+    }),
+  );
+  assert.equal(started(more, small.id), 2);
+});
