Nothing is written of a closed job; gangs displace lesser work before they wait for a boot

A cancelled job whose first record was refused stayed marked as changed, so that its run record was written after its final state: the next leader met a record without a job.

--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -49,7 +49,8 @@
   }
 
   private needsWrite(job: Job): boolean {
-    return job.dirty || !job.phaseStored || this.canClose(job);
+    // Of a closed job nothing is written again: its records would come back without their job.
+    return !job.closed && (job.dirty || !job.phaseStored || this.canClose(job));
   }
 
   /** A job that is over and of which nothing can run any more keeps only its final state. */
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -143,21 +143,27 @@
     if (!holds) this.result.admit = job.id;
   }
 
-  /** Sets aside free, booting and rentable room for a whole gang. */
+  /**
+   * Sets aside room for a whole gang: what is free, what lesser work makes when it is stopped (sooner
+   * than a machine boots, and it loses little where it can be saved), what boots, what can be rented.
+   */
   private reserveGang(job: JobView): boolean {
     const { spec } = job;
-    const machines = [...this.up, ...this.booting, ...this.rented.map((r) => r.view)];
+    const coming = [...this.booting, ...this.rented.map((r) => r.view)];
     const zones = spec.oneZone
-      ? [...new Set([...machines, ...this.s.offers].map((m) => m.zone))]
+      ? [...new Set([...this.s.machines, ...this.s.offers].map((m) => m.zone))]
       : [null];
+    const suits = (m: MachineView): boolean =>
+      allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id);
     let best: { zone: string | null; missing: number } | null = null;
     for (const zone of zones) {
       const inZone = (m: { zone: string }): boolean => zone === null || m.zone === zone;
-      const here = machines.filter(
-        (m) => inZone(m) && allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
-      );
       let missing = spec.tasks;
-      for (const m of here) missing -= howMany(spec.need, m.free);
+      // Room that is being made counts, so that the choice of the zone stands until it is there.
+      for (const m of this.up) {
+        if (inZone(m) && suits(m)) missing -= howMany(spec.need, this.preemption.coming(m));
+      }
+      for (const m of coming) if (inZone(m) && suits(m)) missing -= howMany(spec.need, m.free);
       missing = Math.max(0, missing);
       if (missing > 0 && !this.s.offers.some((o) => inZone(o) && this.suits(spec, o))) continue;
       if (!best || missing < best.missing) best = { zone, missing };
@@ -165,22 +171,24 @@
     if (!best) return false;
     const rules = new ZoneRules(spec, job.zones);
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
-    const placed = place(job, spec.tasks, machines.filter(inBest), rules, this.scarce);
-    for (const { machine } of placed) this.needed.add(machine.id);
-    let left = spec.tasks - placed.reduce((n, p) => n + p.count, 0);
-    // Lesser work makes room sooner than a machine boots; it costs the least where it can be saved.
     const here = this.up.filter(inBest);
+    let left = spec.tasks - this.setAside(job, spec.tasks, here, rules);
     if (left > 0) left -= this.preemption.free(job, left, this.guaranteed.has(job.id), here);
+    left -= this.setAside(job, left, coming.filter(inBest), rules);
     return this.rent(job, left, rules, best.zone) === 0;
   }
 
+  private setAside(job: JobView, count: number, machines: MachineView[], rules: ZoneRules): number {
+    const placed = place(job, count, machines, rules, this.scarce);
+    for (const { machine } of placed) this.needed.add(machine.id);
+    return placed.reduce((n, p) => n + p.count, 0);
+  }
+
   /** Room on machines that boot or will be rented, for tasks that found none. */
   private reserve(job: JobView, count: number, rules: ZoneRules): void {
     if (count <= 0) return;
     const coming = [...this.booting, ...this.rented.map((r) => r.view)];
-    const placed = place(job, count, coming, rules, this.scarce);
-    const left = count - placed.reduce((n, p) => n + p.count, 0);
-    this.rent(job, left, rules, null);
+    this.rent(job, count - this.setAside(job, count, coming, rules), rules, null);
   }
 
   private suits(spec: JobSpec, o: Offer): boolean {
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -35,7 +35,8 @@
     }
   }
 
-  private coming(m: MachineView): Need {
+  /** What is free there, or will be once all that is told to stop has left. */
+  coming(m: MachineView): Need {
     const room = { ...m.free };
     take(room, this.leaving.get(m.id)!, -1);
     return room;
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -299,3 +299,29 @@
   fleet.report({ ...report, seq: 10 }, type, 200, true);
   assert.equal(fleet.machines.get('host-1')!.usable(200, 3000), true);
 });
+
+test('a job that is cancelled while its first start is being recorded leaves no record behind', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const { ref, body } = w.wish({ pieces: 3 });
+  const { desk } = w.nodes[1 - w.leader]!.controller!;
+  // The news of the cancellation reaches the leader only through the refusal of its record.
+  w.nodes[w.leader]!.fate = (_m, path) =>
+    path.startsWith('/follow?starts=jobs') ? 'refuse' : 'serve';
+  await w.pass(11);
+  await w.ask(desk.submit(body));
+  w.nodes[w.leader]!.fate = (_m, path, b) =>
+    path === '/txn' && JSON.stringify(b).includes('"write":"runs/') ? 'refuse' : 'serve';
+  await w.pass(1);
+  assert.equal((await w.ask(desk.abort(ref))).status, 200);
+  w.nodes[w.leader]!.fate = () => 'serve';
+  await w.pass(8);
+  assert.equal(w.starts.length, 0);
+  assert.equal(w.store.get(`runs/${ref}/0`), undefined);
+  assert.deepEqual(Object.keys(w.store.get(`jobs/${ref}`) as object).sort(), [
+    'phase',
+    'tasks',
+    'w',
+  ]);
+  await w.close();
+});
