--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -28,8 +28,8 @@
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
   private readonly keeper: Keeper;
-  /** When the leader was last heard. */
-  private beatAt: number;
+  /** When the leader was last heard; a controller that has just started may find none alive. */
+  private beatAt = -Infinity;
   private readonly strayAsked = new Map<string, number>();
   private readonly strayCancelled = new Set<string>();
   private counts: ReadonlyMap<string, Counts> = new Map();
@@ -45,7 +45,6 @@
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
     this.election = new Election(this.store, links.mesh, runtime, settings.member, lifetimeMs);
-    this.beatAt = runtime.clock.now();
     this.keeper = new Keeper(
       this.store,
       runtime,
