A new leader reads the run records before it closes cancelled jobs

At a takeover a cancelled job was closed before its run records were read, so what of it still ran no longer counted for quota and room.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -148,6 +148,7 @@
           this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
         this.ready = true;
+        for (const job of this.jobs.values()) this.ledger.flush(job);
         runtime.log.info({ jobs: this.jobs.size, runs: runs.items.length }, 'recovered');
         return jobs.revision;
       } catch (error) {
@@ -218,7 +219,8 @@
       );
       job.phase = record.phase;
       this.jobs.set(id, job);
-      this.ledger.flush(job);
+      // Before the run records are read a cancelled job looks as if nothing of it could run.
+      if (this.ready) this.ledger.flush(job);
       this.touch();
       return;
     }
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -325,3 +325,22 @@
   ]);
   await w.close();
 });
+
+test('a new leader keeps what is left of a cancelled job until it is proven gone', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ pieces: 2, gpus: 8, runMs: 90_000 });
+  await w.until(() => w.running(job) === 2, 10, 'both run');
+  [...w.workers.values()].find((x) => x.pieces.length > 0)!.hung = true;
+  const old = w.leader;
+  await w.ask(w.nodes[1 - old]!.controller!.desk.abort(job));
+  await w.pass(1);
+  w.crash(old);
+  await w.until(() => w.leader === 1 - old, 6, 'takeover');
+  await w.pass(2);
+  const run = w.store.get(`runs/${job}/0`) as { placed: unknown[] } | undefined;
+  assert.equal(run?.placed.length, 1);
+  await w.until(() => w.store.get(`runs/${job}/0`) === undefined, 15, 'gone with the lease');
+  assert.equal(await w.phase(job, 1 - old), 'withdrawn');
+  await w.close();
+});
