--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,7 +1,8 @@
 import { Election } from '../election/election.js';
 import { Catalogue } from '../fleet/catalogue.js';
 import type { Transport } from '../http/client.js';
-import { createApp, type ReportOutcome, type Service } from '../http/server.js';
+import type { Service } from '../http/server.js';
+import type { ReportOutcome } from '../http/workers.js';
 import { Desk } from '../jobs/desk.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
@@ -50,10 +51,6 @@
     return this.settings.workers.leaseMs * 0.4;
   }
 
-  app(): ReturnType<typeof createApp> {
-    return createApp(this, this.runtime.log);
-  }
-
   async run(signal: AbortSignal): Promise<void> {
     const restartMs = this.settings.workers.reportMs;
     const subscription = this.election.role.subscribe((role) => {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,16 +2,8 @@
 import express, { type ErrorRequestHandler, type Express, type Response } from 'express';
 import type { Answer, Desk } from '../jobs/desk.js';
 import type { Logger } from '../runtime/log.js';
-import {
-  parseReport,
-  redirectAnswer,
-  reportAnswer,
-  type Order,
-  type Report,
-} from '../wire/report.js';
-
-export type ReportOutcome =
-  { kind: 'orders'; token: number; orders: Order[] } | { kind: 'elsewhere'; leader: string | null };
+import type { Report } from '../wire/report.js';
+import { handleReport, REPORT_PATH, sendJson, type ReportOutcome } from './workers.js';
 
 export interface Service {
   desk: Desk;
@@ -28,22 +20,11 @@
   app.disable('etag');
   const json = express.json({ limit: MAX_BODY, strict: false, type: () => true });
 
-  // Reports are by far the most frequent request, so their route is looked at first.
-  app
-    .route('/v1/report')
-    .post(json, (req, res) => {
-      const report = parseReport(req.body);
-      if (!report) return void send(res, 400, { error: 'malformed report' });
-      const outcome = service.report(report);
-      if (outcome.kind === 'elsewhere') send(res, 421, redirectAnswer(outcome.leader));
-      else send(res, 200, reportAnswer(outcome.token, outcome.orders));
-    })
-    .all(wrongMethod);
   app
     .route('/ready')
     .get((_req, res) => {
       const ready = service.ready();
-      send(res, ready ? 200 : 503, { ready });
+      sendJson(res, ready ? 200 : 503, { ready });
     })
     .all(wrongMethod);
   app
@@ -58,46 +39,48 @@
     .route('/work/:id/abort')
     .post(async (req, res) => answer(res, await service.desk.abort(req.params.id)))
     .all(wrongMethod);
-  app.use((_req, res) => void send(res, 404, { error: 'no such path' }));
+  app.use((_req, res) => void sendJson(res, 404, { error: 'no such path' }));
   app.use(onError(log));
   return app;
 }
 
-function send(res: Response, status: number, body: object): void {
-  const payload = Buffer.from(JSON.stringify(body));
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': payload.length,
-  });
-  res.end(payload);
-}
-
 function answer(res: Response, a: Answer): void {
   if (a.retryAfter !== undefined) res.setHeader('retry-after', String(a.retryAfter));
-  send(res, a.status, a.body);
+  sendJson(res, a.status, a.body);
 }
 
 function wrongMethod(_req: unknown, res: Response): void {
-  send(res, 405, { error: 'wrong method' });
+  sendJson(res, 405, { error: 'wrong method' });
 }
 
 function onError(log: Logger): ErrorRequestHandler {
   return (error: { status?: unknown; message?: unknown }, _req, res, next) => {
     if (res.headersSent) return next(error);
     const status = typeof error.status === 'number' ? error.status : 500;
-    if (status === 413) return void send(res, 413, { error: 'body too large' });
-    if (status >= 400 && status < 500) return void send(res, 400, { error: 'malformed request' });
+    if (status === 413) return void sendJson(res, 413, { error: 'body too large' });
+    if (status >= 400 && status < 500)
+      return void sendJson(res, 400, { error: 'malformed request' });
     log.error({ error: String(error.message ?? error) }, 'request failed');
-    send(res, 500, { error: 'internal error' });
+    sendJson(res, 500, { error: 'internal error' });
   };
 }
 
 /** Connections stay open until a side says otherwise; users come back about every 5 s. */
 const KEEP_ALIVE_MS = 75_000;
 
-export function listen(app: Express, address: string, signal: AbortSignal): Promise<Server> {
+export function listen(
+  service: Service,
+  log: Logger,
+  address: string,
+  signal: AbortSignal,
+): Promise<Server> {
   const colon = address.lastIndexOf(':');
-  const server = createServer(app);
+  const app = createApp(service, log);
+  const report = (r: Report): ReportOutcome => service.report(r);
+  const server = createServer((req, res) => {
+    if (req.url === REPORT_PATH) handleReport(req, res, report, MAX_BODY);
+    else app(req, res);
+  });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
   signal.addEventListener('abort', () => {
     server.close();
--- a/src/main.ts
+++ b/src/main.ts
@@ -33,7 +33,7 @@
     store: httpTransport(settings.stateAddress, sockets),
     cloud: httpTransport(settings.cloudAddress, Math.max(2, Math.ceil(settings.cloud.rps / 2))),
   });
-  await listen(controller.app(), settings.publicAddress, stop.signal);
+  await listen(controller, log, settings.publicAddress, stop.signal);
   log.info({ address: settings.publicAddress }, 'listening');
   await controller.run(stop.signal);
   process.exit(0);
