--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -12,7 +12,7 @@
 import { Job, type Placement } from '../jobs/live.js';
 import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { duty, type Runtime } from '../runtime/duty.js';
-import type { Plan } from '../scheduler/model.js';
+import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -455,8 +455,33 @@
     if (this.types.size === 0) return;
     // Before the first reports and the list are in, free machines look missing.
     const settled = now - this.term.startedAt > this.parts.settings.workers.reportMs * 3;
-    const result = plan(takeSnapshot(this, now));
+    const snapshot = takeSnapshot(this, now);
+    const result = plan(snapshot);
     this.carryOut(result, now, settled && this.listedOnce);
+    this.logRound(snapshot, result, this.now - now);
+  }
+
+  /** What the round saw and did: where a fleet stalls can be read from these lines. */
+  private logRound(snapshot: Snapshot, result: Plan, tookMs: number): void {
+    const waiting: Record<string, number> = {};
+    for (const { spec, waiting: tasks } of snapshot.jobs) {
+      if (tasks > 0) waiting[spec.jobClass] = (waiting[spec.jobClass] ?? 0) + tasks;
+    }
+    const up = snapshot.machines.filter((m) => m.up).length;
+    this.parts.runtime.log.debug(
+      {
+        up,
+        coming: snapshot.machines.length - up,
+        waiting,
+        started: result.starts.reduce((n, s) => n + s.on.reduce((k, o) => k + o.count, 0), 0),
+        stops: result.stops.length,
+        rents: result.rents,
+        spare: result.spare.length,
+        gate: snapshot.gateShut,
+        tookMs,
+      },
+      'round',
+    );
   }
 
   private async lookForKeepers(): Promise<void> {
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -11,6 +11,19 @@
   );
 }
 
+const shapes = new WeakMap<JobSpec, string>();
+
+/** What decides on which machines a task fits, as one word: jobs of one shape fit the same ones. */
+export function shapeOf(spec: JobSpec): string {
+  let shape = shapes.get(spec);
+  if (shape === undefined) {
+    const { cpus, gpus, memoryGb } = spec.need;
+    shape = `${cpus}/${gpus}/${memoryGb}/${spec.types?.join(',') ?? '*'}/${spec.zone ?? '*'}/${spec.spot}`;
+    shapes.set(spec, shape);
+  }
+  return shape;
+}
+
 /** Where the tasks of one job may still go while a round places them one by one. */
 export class ZoneRules {
   private readonly counts: Map<string, number>;
@@ -70,6 +83,7 @@
 /** Types that some open jobs depend on: jobs that fit elsewhere too leave them alone if they can. */
 export class ScarceTypes {
   private readonly dependedOn = new Set<string>();
+  private readonly byShape = new Map<string, MachineType[]>();
 
   constructor(
     jobs: JobView[],
@@ -86,9 +100,15 @@
   }
 
   private fitting(spec: JobSpec): MachineType[] {
-    return this.types.filter(
-      (t) => (spec.types === null || spec.types.includes(t.name)) && fits(spec.need, t.room),
-    );
+    const shape = shapeOf(spec);
+    let types = this.byShape.get(shape);
+    if (!types) {
+      types = this.types.filter(
+        (t) => (spec.types === null || spec.types.includes(t.name)) && fits(spec.need, t.room),
+      );
+      this.byShape.set(shape, types);
+    }
+    return types;
   }
 }
 
@@ -116,8 +136,8 @@
   const candidates = machines
     .filter(
       (m) =>
-        allows(spec, m.type.name, m.zone, m.spot) &&
         fits(spec.need, m.free) &&
+        allows(spec, m.type.name, m.zone, m.spot) &&
         !job.avoid.has(m.id),
     )
     .map((machine) => ({ machine, cost: placementCost(job, machine, scarce) }))
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -9,7 +9,9 @@
   place,
   placeGang,
   ScarceTypes,
+  shapeOf,
   ZoneRules,
+  type Placed,
 } from './placement.js';
 import { Preemption } from './preemption.js';
 
@@ -43,6 +45,9 @@
   private readonly guaranteed: Set<string>;
   private readonly preemption: Preemption;
   private readonly scarce: ScarceTypes;
+  /** For lists of machines: shapes of which no task fits there any more. */
+  private readonly full = new Map<MachineView[], Set<string>>();
+  private readonly crowds = new Map<string, number>();
 
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
@@ -50,6 +55,7 @@
     this.scarce = new ScarceTypes(s.jobs, s.types);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams);
+    for (const m of s.machines) this.addToCrowd(m.zone);
   }
 
   run(): Plan {
@@ -108,7 +114,7 @@
     team: TeamView,
     machines: MachineView[],
   ): number {
-    const placed = place(job, count, machines, rules, this.scarce);
+    const placed = this.find(job, count, rules, machines);
     if (placed.length === 0) return 0;
     const size = placed.reduce((n, p) => n + p.count, 0);
     this.charge(team, job.spec, size);
@@ -178,8 +184,23 @@
     return this.rent(job, left, rules, best.zone) === 0;
   }
 
-  private setAside(job: JobView, count: number, machines: MachineView[], rules: ZoneRules): number {
+  /**
+   * Room for tasks of a job. Free room only shrinks while a round goes on, so once machines have
+   * none for a shape, no other job of that shape looks there again: with hundreds of jobs waiting,
+   * a round would else cost more than all reports.
+   */
+  private find(job: JobView, count: number, rules: ZoneRules, machines: MachineView[]): Placed[] {
+    let full = this.full.get(machines);
+    if (!full) this.full.set(machines, (full = new Set()));
+    const shape = shapeOf(job.spec);
+    if (full.has(shape)) return [];
     const placed = place(job, count, machines, rules, this.scarce);
+    if (placed.length === 0 && !machines.some((m) => fits(job.spec.need, m.free))) full.add(shape);
+    return placed;
+  }
+
+  private setAside(job: JobView, count: number, machines: MachineView[], rules: ZoneRules): number {
+    const placed = this.find(job, count, rules, machines);
     for (const { machine } of placed) this.needed.add(machine.id);
     return placed.reduce((n, p) => n + p.count, 0);
   }
@@ -226,6 +247,7 @@
       take(view.free, spec.need, n);
       rules.add(offer.zone, n);
       this.rented.push({ offer, view });
+      this.addToCrowd(offer.zone);
       left -= n;
     }
     return left;
@@ -233,10 +255,11 @@
 
   /** Between offers of one price the emptier zone is taken. */
   private crowd(offer: Offer): number {
-    let n = 0;
-    for (const m of this.s.machines) if (m.zone === offer.zone) n++;
-    for (const r of this.rented) if (r.offer.zone === offer.zone) n++;
-    return n;
+    return this.crowds.get(offer.zone) ?? 0;
+  }
+
+  private addToCrowd(zone: string): void {
+    this.crowds.set(zone, (this.crowds.get(zone) ?? 0) + 1);
   }
 
   private rents(): Rent[] {
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,7 +1,7 @@
 import { fits, howMany, take, type Need } from '../fleet/types.js';
 import { outranks } from './order.js';
 import type { JobView, MachineView, TeamView, VictimView } from './model.js';
-import { allows } from './placement.js';
+import { allows, shapeOf } from './placement.js';
 
 /**
  * Stops work to make room: of lower priority, or, for a job within its team's guarantee, what
@@ -16,9 +16,12 @@
   /** Room that what is being stopped on a machine will leave, beyond what is free there. */
   private readonly leaving = new Map<string, Need>();
 
+  /** Shapes for which nothing was found, and after how many stops. */
+  private readonly inVain = new Map<string, number>();
+
   constructor(
     victims: VictimView[],
-    up: MachineView[],
+    private readonly up: MachineView[],
     private readonly teams: ReadonlyMap<string, TeamView>,
   ) {
     for (const v of victims) {
@@ -26,6 +29,10 @@
       if (list) list.push(v);
       else this.byMachine.set(v.machine, [v]);
     }
+    // The least important first, and of these the cheapest loss.
+    for (const list of this.byMachine.values()) {
+      list.sort((a, b) => b.spec.priority - a.spec.priority || a.lossMs - b.lossMs);
+    }
     for (const m of up) {
       const room = { cpus: 0, gpus: 0, memoryGb: 0 };
       for (const v of this.byMachine.get(m.id) ?? []) {
@@ -44,6 +51,10 @@
 
   /** How many of `count` tasks will find room by stopping others. */
   free(job: JobView, count: number, guaranteed: boolean, among: MachineView[]): number {
+    // Room only shrinks within a round, but for what stops make: what was in vain once stays so.
+    const key = `${shapeOf(job.spec)}|${job.spec.priority}|${guaranteed ? job.spec.team : ''}`;
+    const whole = among === this.up && job.avoid.size === 0;
+    if (whole && this.inVain.get(key) === this.stops.length) return 0;
     let found = 0;
     const suitable = among.filter(
       (m) => allows(job.spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
@@ -55,29 +66,52 @@
         found += n;
       }
     }
-    while (found < count) {
-      let best: { machine: MachineView; victims: VictimView[]; loss: number } | null = null;
-      for (const m of suitable) {
-        const choice = this.cheapest(job, m, guaranteed);
-        if (choice && (!best || choice.loss < best.loss)) best = { machine: m, ...choice };
-      }
-      if (!best) break;
-      const leaving = this.leaving.get(best.machine.id)!;
-      for (const v of best.victims) {
-        this.chosen.add(v);
-        this.stops.push({ job: v.job, task: v.task });
-        take(leaving, v.spec.need, -1);
-        const leavingTeam = this.leavingTeam(v.spec.team);
-        leavingTeam.cpus += v.spec.need.cpus;
-        leavingTeam.gpus += v.spec.need.gpus;
+    if (found < count) found += this.displace(job, count - found, guaranteed, suitable);
+    if (whole && found === 0) this.inVain.set(key, this.stops.length);
+    return found;
+  }
+
+  private displace(
+    job: JobView,
+    count: number,
+    guaranteed: boolean,
+    suitable: MachineView[],
+  ): number {
+    let choices: Choice[] = [];
+    for (const machine of suitable) {
+      const choice = this.cheapest(job, machine, guaranteed);
+      if (choice) choices.push(choice);
+    }
+    let found = 0;
+    while (found < count && choices.length > 0) {
+      const best = choices.reduce((a, b) => (b.loss < a.loss ? b : a));
+      // An earlier stop may have brought a team down to its guarantee: the choice is made anew.
+      const now = this.cheapest(job, best.machine, guaranteed);
+      if (now && now.loss <= best.loss) {
+        this.stopFor(job, now);
+        found++;
       }
-      // Claimed now, also where some is free already: smaller work must not slip into it.
-      take(best.machine.free, job.spec.need, 1);
-      found++;
+      const next = this.cheapest(job, best.machine, guaranteed);
+      choices = choices.filter((c) => c !== best);
+      if (next) choices.push(next);
     }
     return found;
   }
 
+  private stopFor(job: JobView, choice: Choice): void {
+    const leaving = this.leaving.get(choice.machine.id)!;
+    for (const v of choice.victims) {
+      this.chosen.add(v);
+      this.stops.push({ job: v.job, task: v.task });
+      take(leaving, v.spec.need, -1);
+      const leavingTeam = this.leavingTeam(v.spec.team);
+      leavingTeam.cpus += v.spec.need.cpus;
+      leavingTeam.gpus += v.spec.need.gpus;
+    }
+    // Claimed now, also where some is free already: smaller work must not slip into it.
+    take(choice.machine.free, job.spec.need, 1);
+  }
+
   private overGuarantee(name: string): boolean {
     const team = this.teams.get(name);
     const leaving = this.leavingTeam(name);
@@ -101,30 +135,29 @@
     return sum;
   }
 
-  private cheapest(
-    job: JobView,
-    m: MachineView,
-    guaranteed: boolean,
-  ): { victims: VictimView[]; loss: number } | null {
-    const room = this.coming(m);
-    const may = (this.byMachine.get(m.id) ?? [])
-      .filter(
-        (v) =>
-          !v.stopping &&
-          !this.chosen.has(v) &&
-          !v.wholeGang &&
-          (outranks(job.spec.priority, v.spec.priority) ||
-            (guaranteed && this.overGuarantee(v.spec.team) && v.spec.team !== job.spec.team)),
-      )
-      .sort((a, b) => b.spec.priority - a.spec.priority || a.lossMs - b.lossMs);
+  private cheapest(job: JobView, machine: MachineView, guaranteed: boolean): Choice | null {
     const victims: VictimView[] = [];
+    const room = this.coming(machine);
+    const { need } = job.spec;
     let loss = 0;
-    for (const v of may) {
-      if (fits(job.spec.need, room)) break;
+    for (const v of this.byMachine.get(machine.id) ?? []) {
+      if (victims.length > 0 && fits(need, room)) break;
+      if (v.stopping || v.wholeGang || this.chosen.has(v)) continue;
+      const may =
+        outranks(job.spec.priority, v.spec.priority) ||
+        (guaranteed && v.spec.team !== job.spec.team && this.overGuarantee(v.spec.team));
+      if (!may) continue;
       victims.push(v);
       loss += v.lossMs + 1;
       take(room, v.spec.need, -1);
     }
-    return victims.length > 0 && fits(job.spec.need, room) ? { victims, loss } : null;
+    return victims.length > 0 && fits(need, room) ? { machine, victims, loss } : null;
   }
 }
+
+/** What is stopped on a machine to make room for one task. */
+interface Choice {
+  machine: MachineView;
+  victims: VictimView[];
+  loss: number;
+}
