What comes first in the order is not displaced by what comes after it; rentals are recorded first

Cause: a gang without a guarantee displaced batches within theirs, which took the room back in the next round since they come first in the order, and were stopped again: 40 to 70 starts and stops a round, and rentals waited 50 s for their record. Also: a gang is admitted where room can be made by stopping lesser work though nothing can be rented.

--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -106,7 +106,8 @@
     const written = await this.store.commit(
       [fence, { key: KEYS.rental(request), version: 0 }],
       [{ put: KEYS.rental(request), value: record }],
-      2,
+      // A machine takes longest of all to come: its record never waits behind those of starts.
+      0,
       signal,
     );
     // An unanswered copy that was applied makes the repeat fail on its own key alone.
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -1,4 +1,4 @@
-import { Priority } from '../jobs/job.js';
+import type { JobSpec, Priority } from '../jobs/job.js';
 import type { JobView, TeamView } from './model.js';
 
 /**
@@ -33,8 +33,8 @@
  * Smaller goes first. A guarantee is worth one and a half steps of priority, so that production
  * work beyond its guarantee still goes before batches within theirs.
  */
-export function rank(job: JobView, guaranteed: boolean): number {
-  return job.spec.priority * 2 - (guaranteed ? 3 : 0);
+export function rank(spec: JobSpec, guaranteed: boolean): number {
+  return spec.priority * 2 - (guaranteed ? 3 : 0);
 }
 
 export function inOrder(jobs: JobView[], guaranteed: ReadonlySet<string>): JobView[] {
@@ -44,7 +44,7 @@
     a.spec.priority === b.spec.priority && a.spec.kind === b.spec.kind;
   return [...jobs].sort((a, b) => {
     // The gang that holds the gate goes before other standard work: all other gangs wait for it.
-    const byRank = rank(a, guaranteed.has(a.id)) - rank(b, guaranteed.has(b.id));
+    const byRank = rank(a.spec, guaranteed.has(a.id)) - rank(b.spec, guaranteed.has(b.id));
     if (byRank !== 0) return byRank;
     const gate = Number(b.gang?.holdsGate ?? false) - Number(a.gang?.holdsGate ?? false);
     if (gate !== 0) return gate;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -54,7 +54,7 @@
     this.booting = s.machines.filter((m) => !m.up);
     this.scarce = new ScarceTypes(s.jobs, s.types);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
-    this.preemption = new Preemption(s.victims, this.up, s.teams);
+    this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
     for (const m of s.machines) this.addToCrowd(m.zone);
   }
 
@@ -161,13 +161,17 @@
       : [null];
     const suits = (m: MachineView): boolean =>
       allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id);
+    const guaranteed = this.guaranteed.has(job.id);
     let best: { zone: string | null; missing: number } | null = null;
     for (const zone of zones) {
       const inZone = (m: { zone: string }): boolean => zone === null || m.zone === zone;
       let missing = spec.tasks;
-      // Room that is being made counts, so that the choice of the zone stands until it is there.
+      // Room that is being made or can be made counts, so that the choice of the zone stands until
+      // it is there, and so that a gang is admitted also where nothing can be rented.
       for (const m of this.up) {
-        if (inZone(m) && suits(m)) missing -= howMany(spec.need, this.preemption.coming(m));
+        if (inZone(m) && suits(m)) {
+          missing -= howMany(spec.need, this.preemption.potential(job, m, guaranteed));
+        }
       }
       for (const m of coming) if (inZone(m) && suits(m)) missing -= howMany(spec.need, m.free);
       missing = Math.max(0, missing);
@@ -179,7 +183,7 @@
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
     const here = this.up.filter(inBest);
     let left = spec.tasks - this.setAside(job, spec.tasks, here, rules);
-    if (left > 0) left -= this.preemption.free(job, left, this.guaranteed.has(job.id), here);
+    if (left > 0) left -= this.preemption.free(job, left, guaranteed, here);
     left -= this.setAside(job, left, coming.filter(inBest), rules);
     return this.rent(job, left, rules, best.zone) === 0;
   }
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,5 +1,5 @@
 import { fits, howMany, take, type Need } from '../fleet/types.js';
-import { outranks } from './order.js';
+import { outranks, rank } from './order.js';
 import type { JobView, MachineView, TeamView, VictimView } from './model.js';
 import { allows, shapeOf } from './placement.js';
 
@@ -23,6 +23,7 @@
     victims: VictimView[],
     private readonly up: MachineView[],
     private readonly teams: ReadonlyMap<string, TeamView>,
+    private readonly guaranteed: ReadonlySet<string>,
   ) {
     for (const v of victims) {
       const list = this.byMachine.get(v.machine);
@@ -49,6 +50,18 @@
     return room;
   }
 
+  /** What there would be if all work of lower priority that comes after this job had left. */
+  potential(job: JobView, m: MachineView, guaranteed: boolean): Need {
+    const room = this.coming(m);
+    const own = rank(job.spec, guaranteed);
+    for (const v of this.byMachine.get(m.id) ?? []) {
+      if (v.stopping || v.wholeGang || this.chosen.has(v)) continue;
+      if (!outranks(job.spec.priority, v.spec.priority)) continue;
+      if (rank(v.spec, this.guaranteed.has(v.job)) > own) take(room, v.spec.need, -1);
+    }
+    return room;
+  }
+
   /** How many of `count` tasks will find room by stopping others. */
   free(job: JobView, count: number, guaranteed: boolean, among: MachineView[]): number {
     // Room only shrinks within a round, but for what stops make: what was in vain once stays so.
@@ -139,10 +152,14 @@
     const victims: VictimView[] = [];
     const room = this.coming(machine);
     const { need } = job.spec;
+    const own = rank(job.spec, guaranteed);
     let loss = 0;
     for (const v of this.byMachine.get(machine.id) ?? []) {
       if (victims.length > 0 && fits(need, room)) break;
       if (v.stopping || v.wholeGang || this.chosen.has(v)) continue;
+      // What goes before this job in the order would take the room back in the next round, and be
+      // stopped again in the one after.
+      if (rank(v.spec, this.guaranteed.has(v.job)) <= own) continue;
       const may =
         outranks(job.spec.priority, v.spec.priority) ||
         (guaranteed && v.spec.team !== job.spec.team && this.overGuarantee(v.spec.team));
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -222,3 +222,31 @@
   );
   assert.equal(started(more, small.id), 2);
 });
+
+test('work is not displaced for what comes after it in the order: it would take the room back', () => {
+  const batch = job({ priority: Priority.Low, tasks: 8 }, { waiting: 0 });
+  const victims = Array.from({ length: 8 }, (_, task) => ({
+    job: batch.id,
+    task,
+    machine: 'm1',
+    spec: batch.spec,
+    lossMs: 0,
+    wholeGang: false,
+    stopping: false,
+  }));
+  const gang = job({ kind: 'gang', team: 'speech', tasks: 1, need: TYPE.room });
+  const stops = (guarantee: number): number =>
+    plan(
+      snapshot({
+        machines: [machine('m1', { free: { cpus: 40, gpus: 0, memoryGb: 256 } })],
+        jobs: [batch, gang],
+        teams: new Map([
+          ['vision', team(8, guarantee)],
+          ['speech', team(0, 4)],
+        ]),
+        victims,
+      }),
+    ).stops.length;
+  assert.equal(stops(8), 0);
+  assert.equal(stops(4), 8);
+});
