A scarce type is kept harder where little is left for those who depend on it

Where free room for the dependents is below half of what they have open, the price of such a machine for others is five times as high; cheap machines that the dependents may not use are not kept at all.

--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -59,19 +59,19 @@
     : m.incomingGb / 2 / m.type.fetchGbPerS;
 }
 
+/** What a second of fetching weighs against the other costs of a place. */
+export const FETCH_WEIGHT = 4;
+
 /**
  * What it costs to put a task there, in seconds of waiting or their like: the image's fetch first;
  * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
  * replicas of one service keep apart, so that one loss takes little.
  */
-export function placementCost(job: JobView, m: MachineView, scarce: ScarceTypes): number {
+export function placementCost(job: JobView, m: MachineView, scarcity: number): number {
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
-  let cost = fetchSeconds(spec, m) * 4 + leftover * 8;
+  let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + scarcity;
   if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20;
-  if (scarce.avoidedBy(spec, m.type)) {
-    cost += spec.priority === Priority.Low ? SCARCE_SECONDS * 4 : SCARCE_SECONDS;
-  }
   // A cheap machine is for those who may use it; the others leave it free.
   if (spec.spot && m.spot) cost -= 4;
   return cost;
@@ -79,24 +79,69 @@
 
 /** What it is worth, in seconds of waiting, to leave a type to those who can use no other. */
 const SCARCE_SECONDS = 12;
+/** The same where there is little of it left for them. */
+const SHORT_SECONDS = 60;
+/** Room for this share of what the dependents have open is kept for those that come next. */
+const KEPT_SHARE = 0.5;
+
+/** Who can use one type only, and how many tasks of theirs are open. */
+interface Dependents {
+  spec: JobSpec;
+  tasks: number;
+  /** Some of them may use cheap machines. */
+  spot: boolean;
+}
 
 /** Types that some open jobs depend on: jobs that fit elsewhere too leave them alone if they can. */
 export class ScarceTypes {
-  private readonly dependedOn = new Set<string>();
+  private readonly dependents = new Map<string, Dependents>();
   private readonly byShape = new Map<string, MachineType[]>();
 
   constructor(
     jobs: JobView[],
     private readonly types: MachineType[],
+    private readonly up: MachineView[],
   ) {
-    for (const { spec } of jobs) {
+    if (types.length < 2) return;
+    for (const { spec, unfinished } of jobs) {
       const fitting = this.fitting(spec);
-      if (fitting.length === 1 && types.length > 1) this.dependedOn.add(fitting[0]!.name);
+      if (fitting.length !== 1) continue;
+      const name = fitting[0]!.name;
+      const known = this.dependents.get(name);
+      if (!known) this.dependents.set(name, { spec, tasks: unfinished, spot: spec.spot });
+      else {
+        known.tasks += unfinished;
+        known.spot ||= spec.spot;
+      }
     }
   }
 
-  avoidedBy(spec: JobSpec, type: MachineType): boolean {
-    return this.dependedOn.has(type.name) && this.fitting(spec).length > 1;
+  /** What a task of `spec` should pay, in seconds of waiting, for a machine of each type. */
+  prices(spec: JobSpec): (m: MachineView) => number {
+    if (this.dependents.size === 0 || this.fitting(spec).length < 2) return () => 0;
+    const byType = new Map<string, number>();
+    for (const [name, d] of this.dependents) {
+      const price = this.short(name, d) ? SHORT_SECONDS : SCARCE_SECONDS;
+      byType.set(name, spec.priority === Priority.Low ? price * 4 : price);
+    }
+    return (m) => {
+      const d = this.dependents.get(m.type.name);
+      return d && (d.spot || !m.spot) ? byType.get(m.type.name)! : 0;
+    };
+  }
+
+  /** How long its image takes on the types that nobody depends on; without such, without end. */
+  fetchSecondsOutside(spec: JobSpec): number {
+    const outside = this.fitting(spec).filter((t) => !this.dependents.has(t.name));
+    return Math.min(...outside.map((t) => spec.imageGb / t.fetchGbPerS));
+  }
+
+  private short(name: string, d: Dependents): boolean {
+    let left = d.tasks * KEPT_SHARE;
+    for (const m of this.up) {
+      if (m.type.name === name && (d.spot || !m.spot)) left -= howMany(d.spec.need, m.free);
+    }
+    return left > 0;
   }
 
   private fitting(spec: JobSpec): MachineType[] {
@@ -133,6 +178,7 @@
   scarce: ScarceTypes,
 ): Placed[] {
   const { spec } = job;
+  const price = scarce.prices(spec);
   const candidates = machines
     .filter(
       (m) =>
@@ -140,7 +186,7 @@
         allows(spec, m.type.name, m.zone, m.spot) &&
         !job.avoid.has(m.id),
     )
-    .map((machine) => ({ machine, cost: placementCost(job, machine, scarce) }))
+    .map((machine) => ({ machine, cost: placementCost(job, machine, price(machine)) }))
     .sort((a, b) => a.cost - b.cost);
   const placed = new Map<MachineView, number>();
   let left = count;
@@ -177,7 +223,7 @@
     const size = placed.reduce((n, p) => n + p.count, 0);
     unplace(job.spec.need, placed);
     if (size < job.spec.tasks) continue;
-    const cost = Math.max(...placed.map((p) => placementCost(job, p.machine, scarce)));
+    const cost = Math.max(...placed.map((p) => placementCost(job, p.machine, 0)));
     if (!best || cost < best.cost) best = { placed, cost };
   }
   if (best) for (const { machine, count } of best.placed) take(machine.free, job.spec.need, count);
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -5,6 +5,7 @@
 import {
   allows,
   expectImage,
+  FETCH_WEIGHT,
   fetchSeconds,
   place,
   placeGang,
@@ -52,7 +53,7 @@
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
     this.booting = s.machines.filter((m) => !m.up);
-    this.scarce = new ScarceTypes(s.jobs, s.types);
+    this.scarce = new ScarceTypes(s.jobs, s.types, this.up);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
     for (const m of s.machines) this.addToCrowd(m.zone);
@@ -97,7 +98,12 @@
   private startHot(job: JobView, count: number, rules: ZoneRules, team: TeamView): number {
     const { spec } = job;
     if (spec.kind !== 'service' || spec.priority > Priority.High) return 0;
-    const hot = this.up.filter((m) => m.images.has(spec.image) && fetchSeconds(spec, m) < QUICK_S);
+    const price = this.scarce.prices(spec);
+    // Where a type is scarce, its image there is not worth more than a fetch elsewhere.
+    const elsewhere = FETCH_WEIGHT * this.scarce.fetchSecondsOutside(spec);
+    const hot = this.up.filter(
+      (m) => m.images.has(spec.image) && fetchSeconds(spec, m) < QUICK_S && price(m) <= elsewhere,
+    );
     if (hot.length === 0) return 0;
     const started = this.start(job, count, rules, team, hot);
     const missing = count - started;
