--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -82,7 +82,7 @@
 /** The same where there is little of it left for them. */
 const SHORT_SECONDS = 60;
 /** Room for this share of what the dependents have open is kept for those that come next. */
-const KEPT_SHARE = 0.5;
+const KEPT_SHARE = 0.25;
 
 /** Who can use one type only, and how many tasks of theirs are open. */
 interface Dependents {
