--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -70,11 +70,7 @@
 export function placementCost(job: JobView, m: MachineView, scarcity: number): number {
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
-  // Batches without a deadline can wait for a fetch, but not be worth a whole machine kept from
-  // gangs and from being given back.
-  const patient = spec.kind === 'array' && spec.deadlineMs === null;
-  let cost = fetchSeconds(spec, m) * (patient ? 1 : FETCH_WEIGHT) + scarcity;
-  cost += leftover * (patient ? 16 : 8);
+  let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + scarcity;
   if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20;
   // A cheap machine is for those who may use it; the others leave it free.
   if (spec.spot && m.spot) cost -= 4;
