A keeper also keeps workers that know only the token of the leader before

The next leader takes office in the other zone; the workers behind the cut know only the old token, no keeper answered them, and the work of a whole zone died with its leases. A follower now also counts from the change of office before it takes workers for strays.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -108,7 +108,11 @@
   async run(signal: AbortSignal): Promise<void> {
     const restartMs = this.settings.workers.reportMs;
     const subscription = this.election.role.subscribe((role) => {
-      if (role.kind !== 'leader') return;
+      if (role.kind !== 'leader') {
+        // A new leader has time to be heard before its workers count as strays.
+        if (role.leader !== null) this.beatAt = this.runtime.clock.now();
+        return;
+      }
       const leader = new Leader(
         {
           store: this.store,
@@ -156,7 +160,7 @@
     const now = this.runtime.clock.now();
     if (role.kind === 'follower') {
       const leader = role.leader === this.settings.member ? null : role.leader;
-      if (this.isStray(report, role.token, now)) return this.keep(report, leader);
+      if (this.isStray(report, role.token, now)) return this.keep(report, role.token, leader);
       return { kind: 'elsewhere', leader };
     }
     const { term } = role;
@@ -167,24 +171,27 @@
     return { kind: 'orders', token: term.token, orders: this.leader.report(report) };
   }
 
-  /** A worker of our zone that the leader served until lately, and that comes while we are cut off. */
+  /**
+   * A worker of our zone that comes while we are cut off from the leader. It may know only the token
+   * of the one before: where office changes hands during the cut, no other node tells it.
+   */
   private isStray(report: Report, token: number, now: number): boolean {
     return (
       token > 0 &&
-      report.token === token &&
+      report.token <= token &&
       report.zone === this.settings.zone &&
       now - this.beatAt > this.settings.workers.reportMs * 2.5
     );
   }
 
   /** Keeps a stray's lease alive, with no orders but to stop what its user has cancelled. */
-  private async keep(report: Report, leader: string | null): Promise<ReportOutcome> {
-    if (!(await this.keeper.holds(report.token))) return { kind: 'elsewhere', leader };
+  private async keep(report: Report, token: number, leader: string | null): Promise<ReportOutcome> {
+    if (!(await this.keeper.holds(token))) return { kind: 'elsewhere', leader };
     void this.learnCancelled(report);
     const orders: Order[] = report.tasks
       .filter((t) => t.state !== 'exited' && this.strayCancelled.has(t.job))
       .map((t) => ({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceMs: 0 }));
-    return { kind: 'orders', token: report.token, orders };
+    return { kind: 'orders', token, orders };
   }
 
   private async learnCancelled(report: Report): Promise<void> {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -51,7 +51,7 @@
 sockets = 500
 `;
 
-/** The first controller is in zone a, the second in zone b. */
+/** The second controller is in zone b, the others are in zone a. */
 export function settings(member = 'berth-0'): Settings {
   const text = SETTINGS.replace('berth-0', member);
   return parseDeploy(
@@ -95,7 +95,7 @@
   yard?: string;
 }
 
-/** A small fleet with two controllers; it checks the rules at every step of every story. */
+/** A small fleet with two or three controllers; it checks the rules at every step of every story. */
 export class World {
   readonly clock = new FakeClock();
   readonly store = new FakeStore(this.clock);
@@ -112,9 +112,9 @@
   private lives = 0;
   private nextId = 1;
 
-  constructor(machines: { yard: string; spot?: boolean }[]) {
+  constructor(machines: { yard: string; spot?: boolean }[], controllers: 2 | 3 = 2) {
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false);
-    for (const name of ['berth-0', 'berth-1']) {
+    for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, controllers)) {
       this.nodes.push({
         name,
         controller: null,
@@ -311,7 +311,7 @@
   async deliver(node: number, report: object): Promise<Answered> {
     const { controller } = this.nodes[node]!;
     const { yard } = report as { yard: string };
-    const open = this.nodes[node]!.open && !(this.apart && yard !== (node === 0 ? 'a' : 'b'));
+    const open = this.nodes[node]!.open && !(this.apart && yard !== (node === 1 ? 'b' : 'a'));
     await this.clock.sleep(1);
     if (!controller || !open) {
       if (!open) await this.clock.sleep(5000);
--- a/test/keeper.test.ts
+++ b/test/keeper.test.ts
@@ -55,3 +55,32 @@
   assert.equal(w.running(job), 4);
   await w.close();
 });
+
+test('a zone goes on when the leader ends during the cut and another takes office behind it', async () => {
+  const w = new World(FOUR, 3);
+  await w.start();
+  // The leader to end is in zone a, where another controller stays.
+  if (w.leader === 1) {
+    w.crash(1);
+    await w.until(() => w.leader !== 1 && w.leader >= 0, 10, 'another leads');
+    w.restart(1);
+  }
+  const old = w.leader;
+  const other = old === 0 ? 2 : 0;
+  const job = await w.submit({ shape: 'service', pieces: 4, gpus: 4, runMs: 0 }, other);
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  const before = w.starts.length;
+  w.split(true);
+  await w.pass(6);
+  w.crash(old);
+  await w.until(() => w.leader !== old && w.leader >= 0, 10, 'another leads');
+  await w.pass(20);
+  assert.equal(w.running(job), 4);
+  w.split(false);
+  await w.pass(12);
+  assert.equal(w.running(job), 4);
+  assert.equal(w.starts.length, before);
+  await w.ask(w.nodes[w.leader]!.controller!.desk.abort(job));
+  await w.until(() => w.on(job).length === 0, 6, 'gone');
+  await w.close();
+});
