Room for spread jobs is made only in zones that may take more of them

Cause: to make room for a replica that must go to the other zone, work was stopped, and free room kept, in the zone that held its half already; the next round found nothing there again.

--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -73,7 +73,8 @@
         if (missing > 0) missing -= this.start(job, missing, rules, team, this.up);
         if (missing > 0) {
           this.charge(team, job.spec, missing);
-          const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id), this.up);
+          const guaranteed = this.guaranteed.has(job.id);
+          const freed = this.preemption.free(job, missing, guaranteed, this.up, rules);
           this.reserve(job, missing - freed, rules);
         }
       }
@@ -108,7 +109,7 @@
     const started = this.start(job, count, rules, team, hot);
     const missing = count - started;
     if (missing === 0) return started;
-    const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id), hot);
+    const freed = this.preemption.free(job, missing, this.guaranteed.has(job.id), hot, rules);
     this.charge(team, spec, freed);
     return started + freed;
   }
@@ -197,7 +198,7 @@
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
     const here = this.up.filter(inBest);
     let left = spec.tasks - this.setAside(job, spec.tasks, here, rules);
-    if (left > 0 && !behind) left -= this.preemption.free(job, left, guaranteed, here);
+    if (left > 0 && !behind) left -= this.preemption.free(job, left, guaranteed, here, rules);
     left -= this.setAside(job, left, coming.filter(inBest), rules);
     return this.rent(job, left, rules, best.zone) === 0;
   }
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,7 +1,7 @@
 import { fits, howMany, take, type Need } from '../fleet/types.js';
 import { outranks, rank } from './order.js';
 import type { JobView, MachineView, TeamView, VictimView } from './model.js';
-import { allows, shapeOf } from './placement.js';
+import { allows, shapeOf, type ZoneRules } from './placement.js';
 
 /**
  * Stops work to make room: of lower priority, or, for a job within its team's guarantee, what
@@ -62,24 +62,36 @@
     return room;
   }
 
-  /** How many of `count` tasks will find room by stopping others. */
-  free(job: JobView, count: number, guaranteed: boolean, among: MachineView[]): number {
+  /**
+   * How many of `count` tasks will find room by stopping others. Only where the job's zones let them
+   * start: room made in a zone that already holds its share would be kept free in vain, round after
+   * round, while the job waits for it.
+   */
+  free(
+    job: JobView,
+    count: number,
+    guaranteed: boolean,
+    among: MachineView[],
+    rules: ZoneRules,
+  ): number {
     // Room only shrinks within a round, but for what stops make: what was in vain once stays so.
     const key = `${shapeOf(job.spec)}|${job.spec.priority}|${guaranteed ? job.spec.team : ''}`;
-    const whole = among === this.up && job.avoid.size === 0;
+    const whole = among === this.up && job.avoid.size === 0 && !job.spec.spread;
     if (whole && this.inVain.get(key) === this.stops.length) return 0;
     let found = 0;
     const suitable = among.filter(
       (m) => allows(job.spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
     );
     for (const m of suitable) {
-      const n = Math.min(count - found, howMany(job.spec.need, this.coming(m)));
+      const most = Math.min(count - found, rules.room(m.zone));
+      const n = Math.min(most, howMany(job.spec.need, this.coming(m)));
       if (n > 0) {
         take(m.free, job.spec.need, n);
+        rules.add(m.zone, n);
         found += n;
       }
     }
-    if (found < count) found += this.displace(job, count - found, guaranteed, suitable);
+    if (found < count) found += this.displace(job, count - found, guaranteed, suitable, rules);
     if (whole && found === 0) this.inVain.set(key, this.stops.length);
     return found;
   }
@@ -89,19 +101,26 @@
     count: number,
     guaranteed: boolean,
     suitable: MachineView[],
+    rules: ZoneRules,
   ): number {
     let choices: Choice[] = [];
     for (const machine of suitable) {
+      if (rules.room(machine.zone) <= 0) continue;
       const choice = this.cheapest(job, machine, guaranteed);
       if (choice) choices.push(choice);
     }
     let found = 0;
     while (found < count && choices.length > 0) {
       const best = choices.reduce((a, b) => (b.loss < a.loss ? b : a));
+      if (rules.room(best.machine.zone) <= 0) {
+        choices = choices.filter((c) => c.machine.zone !== best.machine.zone);
+        continue;
+      }
       // An earlier stop may have brought a team down to its guarantee: the choice is made anew.
       const now = this.cheapest(job, best.machine, guaranteed);
       if (now && now.loss <= best.loss) {
         this.stopFor(job, now);
+        rules.add(best.machine.zone);
         found++;
       }
       const next = this.cheapest(job, best.machine, guaranteed);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -144,6 +144,38 @@
   assert.equal(started(both, spread.id), 2);
 });
 
+test('room for a spread job is made only in a zone that may take more of it', () => {
+  // Zone a has its half already. Stopping work there would help nobody, and would be done again in
+  // every round while the replica waits.
+  const replicas = job(
+    { team: 'speech', kind: 'service', priority: Priority.Production, tasks: 2, spread: true },
+    { waiting: 1, zones: new Map([['a', 1]]) },
+  );
+  const batch = job({ tasks: 16 }, { waiting: 0 });
+  const full = { cpus: 40, gpus: 0, memoryGb: 256 };
+  const victims = ['m1', 'm2'].map((machine, task) => ({
+    job: batch.id,
+    task,
+    machine,
+    spec: batch.spec,
+    lossMs: machine === 'm1' ? 0 : 5000,
+    wholeGang: false,
+    stopping: false,
+  }));
+  const result = plan(
+    snapshot({
+      machines: [machine('m1', { free: full }), machine('m2', { free: full, zone: 'b' })],
+      jobs: [replicas, batch],
+      teams: new Map([
+        ['vision', team(16)],
+        ['speech', team(1)],
+      ]),
+      victims,
+    }),
+  );
+  assert.deepEqual(result.stops, [{ job: batch.id, task: 1 }]);
+});
+
 test('a job stays in the zone where some of it may still be', () => {
   const held = job({ oneZone: true, tasks: 3 }, { waiting: 2, zones: new Map([['b', 1]]) });
   const only = plan(snapshot({ machines: [machine('m1')], jobs: [held] }));
