A budget's queue no longer stops being served when its bucket fills between two looks

The busier the processor, the more time lies between the two looks. Ruled out: processor time as such, polls that starve writes.

--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -13,7 +13,7 @@
   private tokens: number;
   private filledAt: number;
   private readonly queues: Waiter[][] = [[], [], []];
-  private timer: Promise<void> | null = null;
+  private serving = false;
 
   constructor(
     private readonly clock: Clock,
@@ -50,7 +50,7 @@
       };
       signal?.addEventListener('abort', leave, { once: true });
       queue.push(waiter);
-      this.timer ??= this.serve();
+      if (!this.serving) void this.serve();
     });
   }
 
@@ -69,6 +69,10 @@
   }
 
   private async serve(): Promise<void> {
+    // A flag rather than the promise: where the bucket fills between two looks at the clock, this
+    // ends before its promise is known to anybody, and a promise kept then would look like a
+    // queue that is being served for ever after.
+    this.serving = true;
     for (;;) {
       this.fill();
       const queue = this.queues.find((q) => q.length > 0);
@@ -83,6 +87,6 @@
         await this.clock.sleep(((next.cost - this.tokens) / this.perSecond) * 1000 + 1);
       }
     }
-    this.timer = null;
+    this.serving = false;
   }
 }
