Replicas left on half-empty machines gather on fewer, and none opens a machine without need

Where nothing waits, the emptiest machine is cleared if all of its replicas find room beside others, with their image there; a new replica goes beside others too. Not where an empty machine would be kept for long anyway.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -605,8 +605,12 @@
         m.idleSince = now;
         continue;
       }
-      const keepMs = m.type.bootMs * this.parts.operator.fleet.idleBoots * this.tightness(m.type);
-      if (now - m.idleSince > keepMs) this.returnMachine(m);
+      if (now - m.idleSince > this.keepMs(m.type)) this.returnMachine(m);
     }
   }
+
+  /** How long an idle machine is kept. */
+  keepMs(type: MachineType): number {
+    return type.bootMs * this.parts.operator.fleet.idleBoots * this.tightness(type);
+  }
 }
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,8 +1,10 @@
 import type { Machine } from '../fleet/machine.js';
+import type { MachineType } from '../fleet/types.js';
 import type {
   JobView,
   MachineView,
   Offer,
+  ReplicaView,
   Snapshot,
   TeamView,
   VictimView,
@@ -18,6 +20,7 @@
     types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
     victims: victims(leader, now),
+    movable: movable(leader),
     gateShut: [...leader.jobs.values()].some((j) => j.gang?.holdsGate && j.phase === 'open'),
   };
 }
@@ -30,7 +33,7 @@
     const up = m.usable(now, workers.leaseMs / 3);
     const booting = m.coming(now, workers.leaseMs);
     if (!up && !booting) continue;
-    views.push(machineView(m, up, now));
+    views.push(machineView(m, m.type, up, leader.keepMs(m.type)));
   }
   leader.rentals.onOrder(now).forEach((r, i) => {
     const type = leader.parts.catalogue.types.value?.get(r.type);
@@ -46,23 +49,26 @@
         images: new Set(),
         incomingGb: 0,
         tasksOf: new Map(),
-        idleMs: 0,
+        replicas: 0,
+        keepMs: leader.keepMs(type),
       });
     }
   });
   return views;
 }
 
-function machineView(m: Machine, up: boolean, now: number): MachineView {
+function machineView(m: Machine, type: MachineType, up: boolean, keepMs: number): MachineView {
   const tasksOf = new Map<string, number>();
+  let replicas = 0;
   let incomingGb = 0;
   for (const image of m.images.values()) if (!image.here) incomingGb += image.gb;
   for (const p of m.placements.values()) {
     tasksOf.set(p.job.id, (tasksOf.get(p.job.id) ?? 0) + 1);
+    if (p.job.spec.kind === 'service') replicas++;
   }
   return {
     id: m.id,
-    type: m.type!,
+    type,
     zone: m.zone,
     spot: m.spot,
     free: m.free(),
@@ -70,7 +76,8 @@
     images: new Set(m.images.keys()),
     incomingGb,
     tasksOf,
-    idleMs: now - m.idleSince,
+    replicas,
+    keepMs,
   };
 }
 
@@ -147,3 +154,16 @@
   }
   return list;
 }
+
+function movable(leader: Leader): ReplicaView[] {
+  const list: ReplicaView[] = [];
+  for (const job of leader.jobs.values()) {
+    if (job.spec.kind !== 'service' || job.phase !== 'open') continue;
+    for (const p of job.live.values()) {
+      if (p.stop) return [];
+      if (p.state !== 'running') continue;
+      list.push({ job: job.id, task: p.task, machine: p.machine, spec: job.spec });
+    }
+  }
+  return list;
+}
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -15,7 +15,10 @@
   incomingGb: number;
   /** Of which jobs it holds how many tasks. */
   tasksOf: ReadonlyMap<string, number>;
-  idleMs: number;
+  /** How many replicas of services it holds: they stay longest, and keep it from being given back. */
+  replicas: number;
+  /** Empty, it would be kept at least this long for what may come. */
+  keepMs: number;
 }
 
 export interface JobView {
@@ -59,6 +62,14 @@
   stopping: boolean;
 }
 
+/** A replica that runs, and whose image other machines may have. */
+export interface ReplicaView {
+  job: string;
+  task: number;
+  machine: string;
+  spec: JobSpec;
+}
+
 export interface Offer {
   type: MachineType;
   zone: string;
@@ -74,6 +85,8 @@
   /** What the cloud may rent out: offers refused lately are left out. */
   offers: Offer[];
   victims: VictimView[];
+  /** Replicas that could move; none while some are on the move. */
+  movable: ReplicaView[];
   /** An admitted gang that is placed but not ready keeps the gate shut. */
   gateShut: boolean;
 }
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -62,6 +62,9 @@
 /** What a second of fetching weighs against the other costs of a place. */
 export const FETCH_WEIGHT = 4;
 
+/** What it is worth, in seconds of waiting, to leave a machine without replicas without any. */
+const PIN_SECONDS = 40;
+
 /**
  * What it costs to put a task there, in seconds of waiting or their like: the image's fetch first;
  * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
@@ -71,7 +74,11 @@
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
   let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + scarcity;
-  if (spec.kind === 'service') cost += (m.tasksOf.get(job.id) ?? 0) * 20;
+  if (spec.kind === 'service') {
+    cost += (m.tasksOf.get(job.id) ?? 0) * 20;
+    // It would keep this machine from being given back for as long as it runs.
+    if (m.replicas === 0) cost += PIN_SECONDS;
+  }
   // A cheap machine is for those who may use it; the others leave it free.
   if (spec.spot && m.spot) cost -= 4;
   return cost;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -1,5 +1,6 @@
 import { fits, howMany, take } from '../fleet/types.js';
 import { Priority, type JobSpec } from '../jobs/job.js';
+import { gather } from './gather.js';
 import { inOrder, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Offer, Plan, Rent, Snapshot, TeamView } from './model.js';
 import {
@@ -80,6 +81,10 @@
       }
     }
     this.result.stops = this.preemption.stops;
+    // Only while nothing waits: what is stopped has to start again at once.
+    if (waiting.length === 0) {
+      this.result.stops = gather(this.s.movable, this.up, this.s.jobs);
+    }
     this.result.rents = this.rents();
     this.result.spare = this.up
       .filter((m) => !this.needed.has(m.id) && m.tasksOf.size === 0)
@@ -260,7 +265,8 @@
         images: new Set(),
         incomingGb: 0,
         tasksOf: new Map(),
-        idleMs: 0,
+        replicas: 0,
+        keepMs: 0,
       };
       const n = Math.min(left, rules.room(offer.zone), howMany(spec.need, view.free));
       take(view.free, spec.need, n);
--- /dev/null
+++ b/test/gather.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/fleet/types.js';
+import { Priority, type JobSpec } from '../src/jobs/job.js';
+import type { JobView, MachineView, ReplicaView } from '../src/scheduler/model.js';
+import { gather } from '../src/scheduler/gather.js';
+
+const TYPE: MachineType = {
+  name: 'g8',
+  room: { cpus: 48, gpus: 8, memoryGb: 288 },
+  cacheGb: 400,
+  fetchGbPerS: 2,
+  price: 20,
+  spotPrice: 7,
+  bootMs: 40_000,
+  zones: ['a', 'b'],
+};
+
+const SPEC: JobSpec = {
+  jobClass: 'c',
+  team: 'vision',
+  kind: 'service',
+  priority: Priority.Production,
+  tasks: 1,
+  need: { cpus: 8, gpus: 2, memoryGb: 40 },
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: 'img-1',
+  imageGb: 70,
+  estimateMs: 0,
+  checkpointMs: 0,
+  saveMs: 0,
+  deadlineMs: null,
+};
+
+/** Jobs named by where their replicas run: `['m1', 'm2']` is one service with two. */
+function fleet(
+  services: string[][],
+  over: { spec?: Partial<JobSpec>; machine?: Partial<MachineView>; zones?: string[] } = {},
+): { movable: ReplicaView[]; up: MachineView[]; jobs: JobView[] } {
+  const spec = { ...SPEC, ...over.spec };
+  const ids = [...new Set(services.flat())].sort();
+  const zoneOf = (id: string): string => over.zones?.[ids.indexOf(id)] ?? 'a';
+  const movable: ReplicaView[] = [];
+  const jobs = services.map((machines, i): JobView => {
+    const zones = new Map<string, number>();
+    machines.forEach((machine, task) => {
+      movable.push({ job: `req-${i}`, task, machine, spec });
+      zones.set(zoneOf(machine), (zones.get(zoneOf(machine)) ?? 0) + 1);
+    });
+    return {
+      id: `req-${i}`,
+      spec: { ...spec, tasks: machines.length },
+      submittedAt: i,
+      waiting: 0,
+      unfinished: machines.length,
+      zones,
+      avoid: new Set(),
+      gang: null,
+      admissible: true,
+    };
+  });
+  const up = ids.map((id): MachineView => {
+    const tasksOf = new Map<string, number>();
+    let replicas = 0;
+    for (const r of movable) {
+      if (r.machine !== id) continue;
+      replicas++;
+      tasksOf.set(r.job, (tasksOf.get(r.job) ?? 0) + 1);
+    }
+    return {
+      id,
+      type: TYPE,
+      zone: zoneOf(id),
+      spot: false,
+      free: { cpus: 48 - 8 * replicas, gpus: 8 - 2 * replicas, memoryGb: 288 - 40 * replicas },
+      up: true,
+      images: new Set(['img-1']),
+      incomingGb: 0,
+      tasksOf,
+      replicas,
+      keepMs: 40_000,
+      ...over.machine,
+    };
+  });
+  return { movable, up, jobs };
+}
+
+const run = (f: ReturnType<typeof fleet>): string[] =>
+  gather(f.movable, f.up, f.jobs).map((m) => `${m.job}/${m.task}`);
+
+test('replicas left alone on two machines gather on one, and stay there', () => {
+  assert.deepEqual(run(fleet([['m1'], ['m2']])), ['req-1/0']);
+  assert.deepEqual(run(fleet([['m1'], ['m1']])), []);
+});
+
+test('the emptiest machine is cleared, and only where all of it finds room', () => {
+  assert.deepEqual(run(fleet([['m1'], ['m1'], ['m1'], ['m2']])), ['req-3/0']);
+  // Four fill a machine: of the two on the second only one would fit.
+  assert.deepEqual(run(fleet([['m1'], ['m1'], ['m1'], ['m2'], ['m2']])), []);
+});
+
+test('replicas do not move where their image is not, nor off a machine that is kept anyway', () => {
+  assert.deepEqual(run(fleet([['m1'], ['m2']], { machine: { images: new Set() } })), []);
+  assert.deepEqual(run(fleet([['m1'], ['m2']], { machine: { incomingGb: 70 } })), []);
+  assert.deepEqual(run(fleet([['m1'], ['m2']], { machine: { keepMs: 200_000 } })), []);
+});
+
+test('replicas of one service keep apart, and in the zones they may be in', () => {
+  assert.deepEqual(run(fleet([['m1', 'm2']])), []);
+  const zones = ['a', 'a', 'b'];
+  // Zone b holds its half of the first service already, so that nothing may go there from zone a.
+  const spread = fleet([['m2', 'm3'], ['m3']], { spec: { spread: true }, zones: ['a', 'b'] });
+  assert.deepEqual(run(spread), []);
+  const inside = fleet([['m2', 'm3'], ['m1']], { spec: { spread: true }, zones });
+  assert.deepEqual(run(inside), ['req-0/0']);
+});
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -64,7 +64,8 @@
     images: new Set(),
     incomingGb: 0,
     tasksOf: new Map(),
-    idleMs: 0,
+    replicas: 0,
+    keepMs: 40_000,
     ...view,
   };
 }
@@ -86,6 +87,7 @@
     types: [TYPE],
     offers: [],
     victims: [],
+    movable: [],
     gateShut: false,
     ...s,
   };
