Room is also made by stopping what may be stopped for gangs behind the gate

Cause: a gang within its team's guarantee that came while another held the gate waited for a boot of its own, although what others run beyond their guarantee could make way at once; the gate then shut and opened for each. Admission is still one at a time; such a gang passes once its whole room is free.

--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -156,7 +156,7 @@
     }
     const holds = job.gang?.holdsGate ?? false;
     const behind = !holds && (this.s.gateShut || this.result.admit !== null);
-    if (!this.reserveGang(job, behind)) return;
+    if (!this.reserveGang(job)) return;
     this.charge(team, job.spec, job.spec.tasks);
     if (!holds && !behind) this.result.admit = job.id;
   }
@@ -165,12 +165,12 @@
    * Sets aside room for a whole gang: what is free, what lesser work makes when it is stopped (sooner
    * than a machine boots, and it loses little where it can be saved), what boots, what can be rented.
    *
-   * A gang behind the gate is not admitted, and displaces nothing. But its room is rented ahead and
-   * kept from smaller work, so that it passes with its whole room free: one boot after another, gangs
-   * would wait for as many boots as there are gangs before them. Since every round gives what there
-   * is to the first in order, two gangs cannot keep half of the machines each.
+   * A gang behind the gate is not admitted. But its room is made or rented ahead and kept from
+   * smaller work, so that it passes with its whole room free: one boot after another, gangs would
+   * wait for as many boots as there are gangs before them. Since every round gives what there is to
+   * the first in order, two gangs cannot keep half of the machines each.
    */
-  private reserveGang(job: JobView, behind: boolean): boolean {
+  private reserveGang(job: JobView): boolean {
     const { spec } = job;
     const coming = [...this.booting, ...this.rented.map((r) => r.view)];
     const zones = spec.oneZone
@@ -187,10 +187,7 @@
       // it is there, and so that a gang is admitted also where nothing can be rented.
       for (const m of this.up) {
         if (inZone(m) && suits(m)) {
-          const room = behind
-            ? this.preemption.coming(m)
-            : this.preemption.potential(job, m, guaranteed);
-          missing -= howMany(spec.need, room);
+          missing -= howMany(spec.need, this.preemption.potential(job, m, guaranteed));
         }
       }
       for (const m of coming) if (inZone(m) && suits(m)) missing -= howMany(spec.need, m.free);
@@ -203,7 +200,7 @@
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
     const here = this.up.filter(inBest);
     let left = spec.tasks - this.setAside(job, spec.tasks, here, rules);
-    if (left > 0 && !behind) left -= this.preemption.free(job, left, guaranteed, here, rules);
+    if (left > 0) left -= this.preemption.free(job, left, guaranteed, here, rules);
     left -= this.setAside(job, left, coming.filter(inBest), rules);
     return this.rent(job, left, rules, best.zone) === 0;
   }
