While the store refuses, questions about known jobs are answered at once too

A repeat, a malformed submission of a known job and a poll waited 1.6 to 4 s for the store to come back before they were refused. Now only a lost answer and a refusal for the rate are tried again while there is time.

--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -28,6 +28,11 @@
   tasks: number;
 }
 
+interface Waiter {
+  resolve(job: Known | null): void;
+  reject(reason: unknown): void;
+}
+
 /** How many open jobs a node remembers; beyond it the ones asked for least lately are read again. */
 const MOST_KNOWN = 5000;
 
@@ -38,7 +43,7 @@
  */
 export class Desk {
   private readonly known = new Map<string, Known>();
-  private asking = new Map<string, ((job: Known | null) => void)[]>();
+  private asking = new Map<string, Waiter[]>();
   private comparing = false;
 
   constructor(
@@ -73,7 +78,8 @@
     const found = new Set<string>();
     await Promise.all(
       [...ids].map(async (id) => {
-        if ((await this.fresh(id))?.phase === 'cancelled') found.add(id);
+        const job = await this.fresh(id).catch(() => null);
+        if (job?.phase === 'cancelled') found.add(id);
       }),
     );
     return found;
@@ -195,10 +201,10 @@
   private fresh(id: string): Promise<Known | null> {
     const known = this.known.get(id);
     if (known && known.phase !== 'open') return Promise.resolve(known);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const waiters = this.asking.get(id);
-      if (waiters) waiters.push(resolve);
-      else this.asking.set(id, [resolve]);
+      if (waiters) waiters.push({ resolve, reject });
+      else this.asking.set(id, [{ resolve, reject }]);
       if (!this.comparing) void this.compareAll();
     });
   }
@@ -212,7 +218,12 @@
       for (const [id] of batch) this.asking.delete(id);
       try {
         await this.compare(batch);
-      } catch {
+      } catch (error) {
+        // The store is down: whoever asks is told so at once, and when to come back.
+        if (error instanceof Refused && error.status === 503) {
+          for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
+          continue;
+        }
         // The questions stay open until their own time is over; the next attempt serves them.
         for (const [id, waiters] of batch) {
           this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
@@ -223,7 +234,7 @@
     this.comparing = false;
   }
 
-  private async compare(batch: [string, ((job: Known | null) => void)[]][]): Promise<void> {
+  private async compare(batch: [string, Waiter[]][]): Promise<void> {
     const when = batch.map(([id]) => ({
       key: KEYS.job(id),
       version: this.known.get(id)?.version ?? 0,
@@ -241,7 +252,7 @@
         }
         if (changed) await this.reread(id);
         const job = this.known.get(id) ?? null;
-        for (const resolve of waiters) resolve(job);
+        for (const w of waiters) w.resolve(job);
       }),
     );
   }
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -77,6 +77,23 @@
   await w.close();
 });
 
+test('while the store is down no question about a known job is held back either', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const { ref, body } = w.wish({ pieces: 1 });
+  const { desk } = w.nodes[0]!.controller!;
+  assert.equal((await w.ask(desk.submit(body))).status, 201);
+  w.store.down = true;
+  const before = w.clock.now();
+  const questions = [desk.submit(body), desk.submit({ ref }), desk.query(ref), desk.abort(ref)];
+  for (const answer of await Promise.all(questions.map((q) => w.ask(q)))) {
+    assert.equal(answer.status, 503);
+    assert.equal(answer.retryAfter, 1);
+  }
+  assert.ok(w.clock.now() - before < 1000);
+  await w.close();
+});
+
 test('a new leader takes over running work and does not start it again', async () => {
   const w = new World(FOUR);
   await w.start();
