--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -14,6 +14,7 @@
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
+import { Spares } from '../scheduler/spares.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
@@ -39,6 +40,7 @@
   readonly fleet: Fleet;
   readonly rentals: Rentals;
   readonly gate: GateKeeper;
+  private spares: Spares;
   private readonly ledger: Ledger;
   private readonly keepers: KeeperWatch;
   private readonly wake = new Subject<void>();
@@ -102,6 +104,7 @@
       },
     });
     this.gate = new GateKeeper(parts.operator);
+    this.spares = new Spares(term.startedAt, false);
   }
 
   private get now(): number {
@@ -148,6 +151,7 @@
         for (const e of rentals.items) {
           this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
+        this.spares = new Spares(this.term.startedAt, this.jobs.size > 0);
         this.ready = true;
         for (const job of this.jobs.values()) this.ledger.flush(job);
         runtime.log.info({ jobs: this.jobs.size, runs: runs.items.length }, 'recovered');
@@ -598,14 +602,22 @@
     return ratio * ratio;
   }
 
+  /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
   private returnIdle(spare: string[], now: number): void {
     const idle = new Set(spare);
+    const byType = new Map<string, Machine[]>();
+    for (const name of this.types.keys()) byType.set(name, []);
     for (const m of this.fleet.machines.values()) {
-      if (!idle.has(m.id) || m.placements.size > 0 || !m.type) {
-        m.idleSince = now;
-        continue;
-      }
-      if (now - m.idleSince > this.keepMs(m.type)) this.returnMachine(m);
+      if (idle.has(m.id) && m.placements.size === 0 && m.type) byType.get(m.type.name)?.push(m);
+      else m.idleSince = now;
+    }
+    for (const [name, machines] of byType) {
+      const type = this.types.get(name)!;
+      const surplus = this.spares.surplus(name, machines.length, now, this.keepMs(type));
+      if (surplus === 0) continue;
+      machines.sort((a, b) => Number(a.spot) - Number(b.spot) || a.idleSince - b.idleSince);
+      for (const m of machines.slice(0, surplus)) this.returnMachine(m);
+      this.spares.returned(name, surplus);
     }
   }
 
