--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -585,7 +585,17 @@
         job.touch(task);
       }
     }
-    this.parts.runtime.log.debug({ job: job.id, attempt: job.attempt, on }, 'placed');
+    const { clock, log } = this.parts.runtime;
+    log.debug(
+      {
+        job: job.id,
+        class: job.spec.jobClass,
+        attempt: job.attempt,
+        waitedMs: Math.round(clock.wall() - job.submittedAt),
+        on,
+      },
+      'placed',
+    );
     if (job.gang) this.gate.placed(job, now);
   }
 
