A new leader that no worker ever reaches hands over too

It was only noticed when workers that had reported stopped; a controller that is cut from the workers before its term begins would have led for good while their leases ran out.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -37,6 +37,12 @@
 /** Work is little that is done again in this many times what saving it takes. */
 const LITTLE_LOSS_SAVES = 3;
 
+/**
+ * How long a new leader waits for its first report, as a share of the workers' lease: workers give a
+ * controller that does not answer 0.4 of it before they try the next.
+ */
+const NEVER_HEARD_SHARE = 0.5;
+
 /** All that a controller does while it leads. It lives for one term and is thrown away after it. */
 export class Leader {
   readonly jobs = new Map<string, Job>();
@@ -502,13 +508,21 @@
     }
   }
 
-  /** Workers that reported to us have all stopped: they may reach another controller instead. */
+  /**
+   * No worker reaches us though there are some: they may reach another controller instead. Also
+   * where none ever has: who is cut from the workers before its term hears nobody stop. Then it
+   * takes longer, since they first have to find the new leader.
+   */
   private deserted(now: number): boolean {
-    const { workers } = this.parts.settings;
-    if (this.parts.settings.size === 1 || this.heardAt === null) return false;
-    if (now - this.heardAt < workers.reportMs * 3) return false;
+    const { workers, size } = this.parts.settings;
+    if (size === 1) return false;
+    const never = this.heardAt === null;
+    const patienceMs = never ? workers.leaseMs * NEVER_HEARD_SHARE : workers.reportMs * 3;
+    if (now - (this.heardAt ?? this.term.startedAt) < patienceMs) return false;
     for (const m of this.fleet.machines.values()) {
-      if (m.heardAt !== null && !m.returning && m.listedState === 'running') return true;
+      if (m.returning || m.listedState === 'failed') continue;
+      if (never && m.placements.size > 0) return true;
+      if ((never || m.heardAt !== null) && m.listedState === 'running') return true;
     }
     return false;
   }
--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -126,3 +126,21 @@
   assert.deepEqual(answer.body, { ref: job, phase: 'running', done: 0, running: 3 });
   await w.close();
 });
+
+test('a new leader that no worker ever reaches hands over too', async () => {
+  const w = new World(TWO, 3);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 2, runMs: 0 });
+  await w.until(() => w.running(job) === 2, 10, 'replicas run');
+  const first = w.leader;
+  const [cut, other] = [0, 1, 2].filter((i) => i !== first) as [number, number];
+  // The next to lead is cut from the workers before its term begins.
+  w.nodes[cut]!.open = false;
+  w.nodes[other]!.fate = () => 'refuse';
+  w.crash(first);
+  await w.until(() => w.leader === cut, 10, 'it takes office');
+  w.nodes[other]!.fate = () => 'serve';
+  await w.until(() => w.leader === other, 12, 'it gives office up');
+  await w.until(() => w.running(job) === 2, 20, 'replicas run again');
+  await w.close();
+});
