--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -9,6 +9,8 @@
   TeamView,
   VictimView,
 } from '../scheduler/model.js';
+import { dueAt } from '../scheduler/order.js';
+import type { Settings } from '../settings/deploy.js';
 import type { Leader } from './leader.js';
 
 /** What the leader believes at one moment, for a round of decisions. */
@@ -83,6 +85,8 @@
 
 function jobViews(leader: Leader, now: number): JobView[] {
   const views: JobView[] = [];
+  const wall = leader.parts.runtime.clock.wall();
+  const steps = deadlineSteps(leader.parts.settings);
   for (const job of leader.jobs.values()) {
     if (job.phase !== 'open') continue;
     const zones = new Map<string, number>();
@@ -94,6 +98,7 @@
       id: job.id,
       spec: job.spec,
       submittedAt: job.submittedAt,
+      dueAt: dueAt(job.spec, job.submittedAt, steps.get(job.spec.jobClass) ?? [], wall),
       waiting: job.waiting,
       unfinished: job.spec.tasks - job.doneCount,
       zones,
@@ -105,6 +110,19 @@
   return views;
 }
 
+/** By which multiples of their deadline the jobs of a class should be done, smallest first. */
+function deadlineSteps(settings: Settings): Map<string, number[]> {
+  const steps = new Map<string, number[]>();
+  for (const o of settings.objectives) {
+    if (o.kind !== 'deadline' || o.jobClass === null) continue;
+    steps.set(
+      o.jobClass,
+      [...(steps.get(o.jobClass) ?? []), o.times].sort((a, b) => a - b),
+    );
+  }
+  return steps;
+}
+
 /** What may be on machines counts in full until it is proven gone. */
 function teamViews(leader: Leader): Map<string, TeamView> {
   const teams = new Map<string, TeamView>();
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -25,6 +25,8 @@
   id: string;
   spec: JobSpec;
   submittedAt: number;
+  /** The next time that is asked for and can still be met; without a deadline, its submission. */
+  dueAt: number;
   /** Tasks that are neither done nor possibly on a machine. */
   waiting: number;
   unfinished: number;
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -37,9 +37,22 @@
   return spec.priority * 2 - (guaranteed ? 3 : 0);
 }
 
+/**
+ * By when a job should be done, in steps of its deadline: the first that it can still meet, or, with
+ * none left, twice the last. In a rush, what is late already would else go before all that could
+ * still be in time, and make that late too; later on its turn comes all the same.
+ */
+export function dueAt(spec: JobSpec, submittedAt: number, steps: number[], now: number): number {
+  const { deadlineMs } = spec;
+  if (deadlineMs === null) return submittedAt;
+  // Estimates are often wrong by half: only what even half of it cannot make is given up.
+  const atBest = now + spec.estimateMs / 2;
+  const times = steps.length > 0 ? steps : [1];
+  const next = times.find((t) => submittedAt + deadlineMs * t >= atBest);
+  return submittedAt + deadlineMs * (next ?? times[times.length - 1]! * 2);
+}
+
 export function inOrder(jobs: JobView[], guaranteed: ReadonlySet<string>): JobView[] {
-  const due = (j: JobView): number =>
-    j.spec.deadlineMs === null ? j.submittedAt : j.submittedAt + j.spec.deadlineMs;
   const sameClass = (a: JobView, b: JobView): boolean =>
     a.spec.priority === b.spec.priority && a.spec.kind === b.spec.kind;
   return [...jobs].sort((a, b) => {
@@ -48,7 +61,7 @@
     if (byRank !== 0) return byRank;
     const gate = Number(b.gang?.holdsGate ?? false) - Number(a.gang?.holdsGate ?? false);
     if (gate !== 0) return gate;
-    return sameClass(a, b) ? due(a) - due(b) : a.submittedAt - b.submittedAt;
+    return sameClass(a, b) ? a.dueAt - b.dueAt : a.submittedAt - b.submittedAt;
   });
 }
 
--- a/src/settings/deploy.ts
+++ b/src/settings/deploy.ts
@@ -34,6 +34,7 @@
           class: z.optional(z.string()),
           within_s: z.optional(z.number()),
           share: z.optional(z.number()),
+          times: z.optional(z.number()),
         }),
       ),
       [],
@@ -69,6 +70,8 @@
   jobClass: string | null;
   withinMs: number | null;
   share: number | null;
+  /** Of aims on deadlines: by how many times the deadline. */
+  times: number;
 }
 
 export interface Settings {
@@ -154,6 +157,7 @@
       jobClass: o.class ?? null,
       withinMs: o.within_s === undefined ? null : o.within_s * 1000,
       share: o.share ?? null,
+      times: o.times ?? 1,
     })),
     workers: {
       reportMs: facts.workers.report_s * 1000,
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -55,6 +55,7 @@
       id: `req-${i}`,
       spec: { ...spec, tasks: machines.length },
       submittedAt: i,
+      dueAt: i,
       waiting: 0,
       unfinished: machines.length,
       zones,
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -43,6 +43,7 @@
     id: `req-${++n}`,
     spec: full,
     submittedAt: n,
+    dueAt: n,
     waiting: full.tasks,
     unfinished: full.tasks,
     zones: new Map(),
