Rounds wait longer while writes of earlier ones queue

Cause: in a burst each freed place was given out in a round of its own, with a write for each; the store's rate of changes, not machines, then held up starts (2 to 8 s of queue). Now a round gathers for as long as the queue takes to empty, at most a report interval.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -433,9 +433,12 @@
       while (!signal.aborted) {
         const startedAt = clock.now();
         if (this.term.active(startedAt)) this.round();
-        // The longer a round takes, the longer the next one gathers work before it starts.
+        // The longer a round takes, or the more writes of earlier ones still wait for their share of
+        // the store's rate, the longer the next one gathers work: each write then carries more.
         const took = clock.now() - startedAt;
-        await clock.sleep(Math.max(base, took * 3), signal);
+        const behind = base * this.parts.store.writesWaiting;
+        const most = settings.workers.reportMs;
+        await clock.sleep(Math.max(base, took * 3, Math.min(behind, most)), signal);
         if (!this.dirty) {
           await new Promise<void>((resolve) => {
             wakeUp = resolve;
@@ -493,6 +496,7 @@
         spare: result.spare.length,
         gate: snapshot.gateShut,
         teams: Object.fromEntries([...snapshot.teams].map(([name, t]) => [name, t.used.gpus])),
+        writesWaiting: this.parts.store.writesWaiting,
         tookMs,
       },
       'round',
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -48,6 +48,11 @@
     );
   }
 
+  /** How many callers wait for their share of the writes. */
+  get writesWaiting(): number {
+    return this.writes.waiting;
+  }
+
   /** When the store last answered anything but a refusal. */
   get answeredAt(): number {
     return this.contactAt;
