Ends wait while writes queue, and starts of services and gangs go before those of arrays

Cause: the ends of an array's tasks, written last in the order, held the job's next starts up for as long as they queued. Now they wait before they are put together, at most four times, and a leader uses 0.85 of the store's rate.

--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -5,6 +5,9 @@
 import type { Job, Placement } from './live.js';
 import { parseJob, type JobRecord } from './records.js';
 
+/** How many times the ends of a job's tasks wait while writes queue. */
+const MOST_ENDS_WAITS = 4;
+
 export interface LedgerEvents {
   /** The job's own record was changed by another node: cancelled by its user. */
   jobChanged(job: Job, version: number, record: JobRecord): void;
@@ -51,18 +54,26 @@
 
   /**
    * Ends of tasks can wait a little: until they are recorded their workers go on showing them, and a
-   * successor learns them from there. So the ends of a large array share a few writes.
+   * successor learns them from there. So the ends of a large array share a few writes, and while
+   * writes queue they wait longer: a write that is under way would hold up the job's next starts.
    */
   flushEnds(job: Job): void {
     if (job.phase !== 'open') return this.flush(job);
     if (job.endsWait) return;
     job.endsWait = true;
-    void this.runtime.clock.sleep(this.endsWaitMs, this.term.signal).then(() => {
+    void this.gatherEnds(job).then(() => {
       job.endsWait = false;
       this.flush(job);
     });
   }
 
+  private async gatherEnds(job: Job): Promise<void> {
+    for (let i = 0; i < MOST_ENDS_WAITS; i++) {
+      await this.runtime.clock.sleep(this.endsWaitMs, this.term.signal);
+      if (this.store.writesWaiting === 0 || !job.dirty) return;
+    }
+  }
+
   private needsWrite(job: Job): boolean {
     // Of a closed job nothing is written again: its records would come back without their job.
     if (job.closed) return false;
@@ -119,7 +130,8 @@
       then.push({ put: KEYS.job(job.id), value });
     }
 
-    const urgency = phase === 'open' && starts.length === 0 ? 2 : 1;
+    // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
+    const urgency = phase === 'open' && job.spec.kind === 'array' ? 2 : 1;
     const outcome = await this.store.commit(when, then, urgency, this.term.signal);
     let revision: number;
     if (outcome.ok) revision = outcome.revision;
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -43,7 +43,7 @@
     this.requests = new Budget(runtime.clock, settings.state.rps / 2, settings.state.rps / 4);
     this.writes = new Budget(
       runtime.clock,
-      settings.state.writeRps * 0.7,
+      settings.state.writeRps * 0.85,
       settings.state.writeRps * 0.5,
     );
   }
