Of those left when a leader ends, the one restarted last takes office first

In a rolling restart chance chose the next leader, often one whose restart was still to come: up to five terms in 110 s. Controllers now say how long they have run when they connect; who knows of a younger one waits a tenth of the leader lease. Without the peer wire all contest at once as before.

--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -27,7 +27,7 @@
 
   constructor(
     private readonly store: Store,
-    mesh: Mesh,
+    private readonly mesh: Mesh,
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
@@ -47,6 +47,7 @@
         const entry = await this.store.get(KEYS.leader, 0, signal);
         if (entry) await this.follow(entry, signal);
         await this.untilFree(signal);
+        await this.letYoungerFirst(signal);
         const term = await this.contest(signal);
         if (term) await this.hold(term.term, term.lease, signal);
       } catch (error) {
@@ -108,6 +109,21 @@
     }
   }
 
+  /**
+   * Controllers that are restarted one after the other would each end a term if chance chose the next
+   * leader: one that has been restarted already is the last to be restarted again. So whoever knows
+   * of a younger process than its own waits a moment.
+   */
+  private async letYoungerFirst(signal: AbortSignal): Promise<void> {
+    const { clock, startedAt } = this.runtime;
+    const role = this.role.value;
+    const last = role.kind === 'follower' ? role.leader : null;
+    const younger = this.mesh.peers.some(
+      (p) => p !== last && (this.mesh.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
+    );
+    if (younger) await clock.sleep(this.lifetimeMs / 10, signal);
+  }
+
   private async contest(signal: AbortSignal): Promise<{ term: Term; lease: number } | null> {
     const { clock, random } = this.runtime;
     const value = { term: random.unique(), member: this.member };
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -5,8 +5,8 @@
  * of the payload, its CRC-32) and a payload, all numbers big-endian.
  */
 export type Message =
-  /** The first frame of a connection: who speaks. */
-  | { kind: 'hello'; member: string }
+  /** The first frame of a connection: who speaks, and how long its process has run. */
+  | { kind: 'hello'; member: string; ageMs: number }
   /** The leader lives, and how far each open job is, for display. */
   | { kind: 'beat'; token: number; counts: { id: string; done: number; running: number }[] }
   /** A user has cancelled a job; the store's own news of it may take longer. */
@@ -20,7 +20,7 @@
 
 const KINDS = ['hello', 'beat', 'cancelled', 'askPledge', 'pledge', 'askFree', 'free'] as const;
 const MAGIC = 0x4c48;
-const VERSION = 1;
+const VERSION = 2;
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 
@@ -110,7 +110,7 @@
 function writePayload(m: Message, w: Writer): Writer {
   switch (m.kind) {
     case 'hello':
-      return w.text(m.member);
+      return w.text(m.member).u64(m.ageMs);
     case 'beat':
       w.u64(m.token).u32(m.counts.length);
       for (const c of m.counts) w.text(c.id).u32(c.done).u32(c.running);
@@ -131,7 +131,7 @@
 function readPayload(kind: (typeof KINDS)[number], r: Reader): Message {
   switch (kind) {
     case 'hello':
-      return { kind, member: r.text() };
+      return { kind, member: r.text(), ageMs: r.u64() };
     case 'beat': {
       const token = r.u64();
       const counts: { id: string; done: number; running: number }[] = [];
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -10,6 +10,8 @@
   /** Sends to one controller if it is connected; nothing is kept for later. */
   send(to: string, message: Message): void;
   readonly peers: string[];
+  /** When a peer's process began, by our clock; null if it has not been heard. */
+  startedAt(peer: string): number | null;
 }
 
 /** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
@@ -23,6 +25,7 @@
   readonly heard = new Subject<{ from: string; message: Message }>();
   readonly peers: string[];
   private readonly out = new Map<string, Socket>();
+  private readonly starts = new Map<string, number>();
 
   constructor(
     private readonly settings: Settings,
@@ -53,6 +56,10 @@
     socket.write(encode(message));
   }
 
+  startedAt(peer: string): number | null {
+    return this.starts.get(peer) ?? null;
+  }
+
   private accept(signal: AbortSignal): Promise<void> {
     const [host, port] = split(this.settings.peerAddress);
     const server = createServer((socket) => this.listenTo(socket, signal));
@@ -74,8 +81,10 @@
     socket.on('data', (chunk: Buffer) => {
       try {
         for (const message of decoder.push(chunk)) {
-          if (message.kind === 'hello') from = message.member;
-          else if (from !== null && this.peers.includes(from)) this.heard.next({ from, message });
+          if (message.kind === 'hello') {
+            from = message.member;
+            this.starts.set(from, this.runtime.clock.now() - message.ageMs);
+          } else if (from !== null && this.peers.includes(from)) this.heard.next({ from, message });
         }
       } catch (error) {
         this.runtime.log.warn({ from, error: String(error) }, 'broken frame, connection closed');
@@ -93,7 +102,9 @@
       socket.setTimeout(this.retryMs * 4, end);
       socket.on('connect', () => {
         socket.setTimeout(0);
-        socket.write(encode({ kind: 'hello', member: this.settings.member }));
+        const { clock, startedAt } = this.runtime;
+        const ageMs = Math.max(0, Math.round(clock.now() - startedAt));
+        socket.write(encode({ kind: 'hello', member: this.settings.member, ageMs }));
         this.out.set(member, socket);
       });
       socket.on('error', end);
--- a/test/fakes/mesh.ts
+++ b/test/fakes/mesh.ts
@@ -7,13 +7,16 @@
 export class FakeWire {
   private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
   readonly cut = new Set<string>();
+  private readonly starts = new Map<string, number>();
 
   constructor(private readonly clock: FakeClock) {}
 
   attach(name: string, all: string[]): Mesh {
     const heard = new Subject<{ from: string; message: Message }>();
     this.ends.set(name, heard);
+    this.starts.set(name, this.clock.now());
     return {
+      startedAt: (peer) => this.starts.get(peer) ?? null,
       heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -7,7 +7,7 @@
 
 test('frames come out as they went in, however the stream is cut', () => {
   const sent: Message[] = [
-    { kind: 'hello', member: 'berth-1' },
+    { kind: 'hello', member: 'berth-1', ageMs: 12_345 },
     { kind: 'beat', token: 2 ** 40, counts: [{ id: 'req-1', done: 3, running: 70_000 }] },
     { kind: 'askPledge', ask: 7, token: 9, forMs: 4000 },
     { kind: 'pledge', ask: 7, granted: true },
@@ -144,3 +144,21 @@
   await w.until(() => w.running(job) === 2, 20, 'replicas run again');
   await w.close();
 });
+
+test('of those left when a leader ends, the one that was restarted last takes office', async () => {
+  for (const young of [0, 1, 2]) {
+    const w = new World(TWO, 3);
+    await w.start();
+    if (w.leader !== young) {
+      w.crash(young);
+      await w.pass(4);
+      w.restart(young);
+      await w.pass(4);
+      const old = w.leader;
+      w.crash(old);
+      await w.until(() => w.leader >= 0 && w.leader !== old, 8, 'takeover');
+      assert.equal(w.leader, young);
+    }
+    await w.close();
+  }
+});
