--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -5,7 +5,6 @@
 import { Fleet } from '../fleet/fleet.js';
 import { Rentals } from '../fleet/rentals.js';
 import type { MachineType } from '../fleet/types.js';
-import type { Machine } from '../fleet/machine.js';
 import type { Transport } from '../http/client.js';
 import type { Counts } from '../jobs/desk.js';
 import { Ledger } from '../jobs/ledger.js';
@@ -14,15 +13,14 @@
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
-import { Spares } from '../scheduler/spares.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry, type Store } from '../state/store.js';
-import type { Listed } from '../wire/cloud.js';
 import type { ExitWhy, Order, Report } from '../wire/report.js';
 import { checkTimeout, GateKeeper } from './gatekeeper.js';
 import { takeSnapshot } from './snapshot.js';
+import { Upkeep } from './upkeep.js';
 
 export interface LeaderParts {
   store: Store;
@@ -49,7 +47,7 @@
   readonly fleet: Fleet;
   readonly rentals: Rentals;
   readonly gate: GateKeeper;
-  private spares: Spares;
+  readonly upkeep: Upkeep;
   private readonly ledger: Ledger;
   private readonly keepers: KeeperWatch;
   private readonly wake = new Subject<void>();
@@ -106,14 +104,24 @@
         }
         this.touch();
       },
-      listed: (machines) => this.onListed(machines),
+      listed: (machines) => {
+        this.upkeep.listed(machines, this.now);
+        this.touch();
+      },
       returned: (ids) => {
         for (const id of ids) this.fleet.gone(id);
         this.touch();
       },
     });
     this.gate = new GateKeeper(parts.operator);
-    this.spares = new Spares(term.startedAt, false);
+    this.upkeep = new Upkeep(
+      this.fleet,
+      this.rentals,
+      settings,
+      parts.operator,
+      () => this.types,
+      term.startedAt,
+    );
   }
 
   private get now(): number {
@@ -160,7 +168,7 @@
         for (const e of rentals.items) {
           this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
-        this.spares = new Spares(this.term.startedAt, this.jobs.size > 0);
+        this.upkeep.recovered(this.jobs.size > 0);
         this.ready = true;
         for (const job of this.jobs.values()) this.ledger.flush(job);
         runtime.log.info({ jobs: this.jobs.size, runs: runs.items.length }, 'recovered');
@@ -388,39 +396,6 @@
     }
   }
 
-  private onListed(listed: Listed[]): void {
-    const now = this.now;
-    const names = new Set<string>();
-    for (const l of listed) {
-      names.add(l.id);
-      const known = this.fleet.machines.get(l.id);
-      const m = known ?? this.fleet.machine(l.id, now);
-      if (!known) {
-        m.rentedAt = now - l.ageMs;
-        m.zone = l.zone;
-        m.spot = l.spot;
-      }
-      m.type ??= this.types.get(l.type) ?? null;
-      m.listedState = l.state;
-      if (l.state === 'running') m.runningAt ??= now;
-      m.missedLists = 0;
-      if (l.state === 'failed') {
-        // The cloud says it has stopped: nothing is on it any more.
-        for (const p of [...m.placements.values()]) this.fleet.withdraw(p);
-        m.returning = true;
-        this.rentals.giveBack(l.id);
-      }
-    }
-    for (const m of [...this.fleet.machines.values()]) {
-      if (names.has(m.id)) continue;
-      m.missedLists++;
-      // Absence from a list proves nothing; only what is silent as well is given up.
-      const silent = now > this.fleet.silentFrom(m);
-      if (m.missedLists >= 3 && silent && m.placements.size === 0) this.fleet.gone(m.id);
-    }
-    this.touch();
-  }
-
   // ---- rounds of decisions
 
   private async rounds(signal: AbortSignal): Promise<void> {
@@ -534,7 +509,7 @@
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
   private drain(now: number): void {
     for (const m of this.fleet.machines.values()) {
-      if (m.stillborn(now)) this.returnMachine(m);
+      if (m.stillborn(now)) this.upkeep.giveBack(m);
       if (m.noticeAt === null && !m.faulty) continue;
       for (const p of m.placements.values()) {
         if (p.stop || p.job.phase !== 'open') continue;
@@ -542,7 +517,7 @@
         if (p.job.gang) this.stopAll(p.job, grace);
         else this.stop(p, grace);
       }
-      if (m.faulty && m.placements.size === 0) this.returnMachine(m);
+      if (m.faulty && m.placements.size === 0) this.upkeep.giveBack(m);
     }
   }
 
@@ -560,12 +535,6 @@
     return checkpointMs <= saveMs * LITTLE_LOSS_SAVES ? 0 : this.graceFor(job);
   }
 
-  private returnMachine(m: Machine): void {
-    if (m.returning) return;
-    m.returning = true;
-    this.rentals.giveBack(m.id);
-  }
-
   private carryOut(result: Plan, now: number, mayRent: boolean): void {
     const touched = new Set<Job>();
     for (const start of result.starts) {
@@ -585,7 +554,7 @@
     for (const job of touched) this.ledger.flush(job);
     if (!mayRent) return;
     for (const rent of result.rents) this.rentals.rent(rent);
-    this.returnIdle(result.spare, now);
+    this.upkeep.giveBackSurplus(result.spare, now);
   }
 
   private place(job: Job, on: { machine: string; count: number }[], now: number): void {
@@ -628,41 +597,4 @@
     );
     if (job.gang) this.gate.placed(job, now);
   }
-
-  /**
-   * How much longer than a boot a machine is worth keeping: the shorter the aims to begin are
-   * against the time it takes to get another machine, the more an idle one is worth.
-   */
-  private tightness(type: MachineType): number {
-    let ratio = 1;
-    for (const o of this.parts.settings.objectives) {
-      if (o.kind !== 'wait' || o.withinMs === null) continue;
-      ratio = Math.max(ratio, type.bootMs / o.withinMs / 2);
-    }
-    return ratio * ratio;
-  }
-
-  /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
-  private returnIdle(spare: string[], now: number): void {
-    const idle = new Set(spare);
-    const byType = new Map<string, Machine[]>();
-    for (const name of this.types.keys()) byType.set(name, []);
-    for (const m of this.fleet.machines.values()) {
-      if (idle.has(m.id) && m.placements.size === 0 && m.type) byType.get(m.type.name)?.push(m);
-      else m.idleSince = now;
-    }
-    for (const [name, machines] of byType) {
-      const type = this.types.get(name)!;
-      const surplus = this.spares.surplus(name, machines.length, now, this.keepMs(type));
-      if (surplus === 0) continue;
-      machines.sort((a, b) => Number(a.spot) - Number(b.spot) || a.idleSince - b.idleSince);
-      for (const m of machines.slice(0, surplus)) this.returnMachine(m);
-      this.spares.returned(name, surplus);
-    }
-  }
-
-  /** How long an idle machine is kept. */
-  keepMs(type: MachineType): number {
-    return type.bootMs * this.parts.operator.fleet.idleBoots * this.tightness(type);
-  }
 }
--- /dev/null
+++ b/src/control/upkeep.ts
@@ -0,0 +1,103 @@
+import type { Fleet } from '../fleet/fleet.js';
+import type { Machine } from '../fleet/machine.js';
+import type { Rentals } from '../fleet/rentals.js';
+import type { MachineType } from '../fleet/types.js';
+import { Spares } from '../scheduler/spares.js';
+import type { Settings } from '../settings/deploy.js';
+import type { Operator } from '../settings/operator.js';
+import type { Listed } from '../wire/cloud.js';
+
+/** Which machines there are, as the cloud lists them, and which of them go back. */
+export class Upkeep {
+  private spares: Spares;
+
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly rentals: Rentals,
+    private readonly settings: Settings,
+    private readonly operator: Operator,
+    private readonly types: () => ReadonlyMap<string, MachineType>,
+    private readonly termStartedAt: number,
+  ) {
+    this.spares = new Spares(termStartedAt, false);
+  }
+
+  /** The records of an earlier leader are read; `before`: there were any. */
+  recovered(before: boolean): void {
+    this.spares = new Spares(this.termStartedAt, before);
+  }
+
+  listed(listed: Listed[], now: number): void {
+    const names = new Set<string>();
+    for (const l of listed) {
+      names.add(l.id);
+      const known = this.fleet.machines.get(l.id);
+      const m = known ?? this.fleet.machine(l.id, now);
+      if (!known) {
+        m.rentedAt = now - l.ageMs;
+        m.zone = l.zone;
+        m.spot = l.spot;
+      }
+      m.type ??= this.types().get(l.type) ?? null;
+      m.listedState = l.state;
+      if (l.state === 'running') m.runningAt ??= now;
+      m.missedLists = 0;
+      if (l.state === 'failed') {
+        // The cloud says it has stopped: nothing is on it any more.
+        for (const p of [...m.placements.values()]) this.fleet.withdraw(p);
+        m.returning = true;
+        this.rentals.giveBack(l.id);
+      }
+    }
+    for (const m of [...this.fleet.machines.values()]) {
+      if (names.has(m.id)) continue;
+      m.missedLists++;
+      // Absence from a list proves nothing; only what is silent as well is given up.
+      const silent = now > this.fleet.silentFrom(m);
+      if (m.missedLists >= 3 && silent && m.placements.size === 0) this.fleet.gone(m.id);
+    }
+  }
+
+  giveBack(m: Machine): void {
+    if (m.returning) return;
+    m.returning = true;
+    this.rentals.giveBack(m.id);
+  }
+
+  /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
+  giveBackSurplus(spare: string[], now: number): void {
+    const idle = new Set(spare);
+    const byType = new Map<string, Machine[]>();
+    for (const name of this.types().keys()) byType.set(name, []);
+    for (const m of this.fleet.machines.values()) {
+      if (idle.has(m.id) && m.placements.size === 0 && m.type) byType.get(m.type.name)?.push(m);
+      else m.idleSince = now;
+    }
+    for (const [name, machines] of byType) {
+      const type = this.types().get(name)!;
+      const surplus = this.spares.surplus(name, machines.length, now, this.keepMs(type));
+      if (surplus === 0) continue;
+      machines.sort((a, b) => Number(a.spot) - Number(b.spot) || a.idleSince - b.idleSince);
+      for (const m of machines.slice(0, surplus)) this.giveBack(m);
+      this.spares.returned(name, surplus);
+    }
+  }
+
+  /** How long an idle machine is kept. */
+  keepMs(type: MachineType): number {
+    return type.bootMs * this.operator.fleet.idleBoots * this.tightness(type);
+  }
+
+  /**
+   * How much longer than a boot a machine is worth keeping: the shorter the aims to begin are
+   * against the time it takes to get another machine, the more an idle one is worth.
+   */
+  private tightness(type: MachineType): number {
+    let ratio = 1;
+    for (const o of this.settings.objectives) {
+      if (o.kind !== 'wait' || o.withinMs === null) continue;
+      ratio = Math.max(ratio, type.bootMs / o.withinMs / 2);
+    }
+    return ratio * ratio;
+  }
+}
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -1,39 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { MachineType } from '../src/fleet/types.js';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import type { JobView, MachineView, ReplicaView } from '../src/scheduler/model.js';
 import { gather } from '../src/scheduler/gather.js';
+import { SPEC, TYPE } from './fakes/samples.js';
 
-const TYPE: MachineType = {
-  name: 'g8',
-  room: { cpus: 48, gpus: 8, memoryGb: 288 },
-  cacheGb: 400,
-  fetchGbPerS: 2,
-  price: 20,
-  spotPrice: 7,
-  bootMs: 40_000,
-  zones: ['a', 'b'],
-};
-
-const SPEC: JobSpec = {
-  jobClass: 'c',
-  team: 'vision',
+const REPLICA: JobSpec = {
+  ...SPEC,
   kind: 'service',
   priority: Priority.Production,
-  tasks: 1,
   need: { cpus: 8, gpus: 2, memoryGb: 40 },
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img-1',
-  imageGb: 70,
-  estimateMs: 0,
-  checkpointMs: 0,
-  saveMs: 0,
-  deadlineMs: null,
 };
 
 /** Jobs named by where their replicas run: `['m1', 'm2']` is one service with two. */
@@ -41,7 +17,7 @@
   services: string[][],
   over: { spec?: Partial<JobSpec>; machine?: Partial<MachineView>; zones?: string[] } = {},
 ): { movable: ReplicaView[]; up: MachineView[]; jobs: JobView[] } {
-  const spec = { ...SPEC, ...over.spec };
+  const spec = { ...REPLICA, ...over.spec };
   const ids = [...new Set(services.flat())].sort();
   const zoneOf = (id: string): string => over.zones?.[ids.indexOf(id)] ?? 'a';
   const movable: ReplicaView[] = [];
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -1,32 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Term } from '../src/election/term.js';
-import { Priority, type JobSpec } from '../src/jobs/job.js';
+import type { JobSpec } from '../src/jobs/job.js';
 import { Ledger } from '../src/jobs/ledger.js';
 import { Job } from '../src/jobs/live.js';
 import type { Runtime } from '../src/runtime/duty.js';
 import type { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
-
-const SPEC: JobSpec = {
-  jobClass: 'c',
-  team: 'vision',
-  kind: 'array',
-  priority: Priority.Normal,
-  tasks: 4,
-  need: { cpus: 1, gpus: 1, memoryGb: 4 },
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img-1',
-  imageGb: 4,
-  estimateMs: 20_000,
-  checkpointMs: 0,
-  saveMs: 0,
-  deadlineMs: null,
-};
+import { SPEC } from './fakes/samples.js';
 
 /** A ledger above a store whose queue of writes never empties. */
 function busyLedger(): { clock: FakeClock; ledger: Ledger; urgencies: number[] } {
--- a/test/order.test.ts
+++ b/test/order.test.ts
@@ -2,26 +2,9 @@
 import { test } from 'node:test';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import { dueAt } from '../src/scheduler/order.js';
+import { SPEC } from './fakes/samples.js';
 
-const BATCH: JobSpec = {
-  jobClass: 'letters',
-  team: 'vision',
-  kind: 'array',
-  priority: Priority.Low,
-  tasks: 4,
-  need: { cpus: 1, gpus: 1, memoryGb: 4 },
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img-1',
-  imageGb: 4,
-  estimateMs: 20_000,
-  checkpointMs: 0,
-  saveMs: 0,
-  deadlineMs: 60_000,
-};
+const BATCH: JobSpec = { ...SPEC, priority: Priority.Low, deadlineMs: 60_000 };
 
 test('in a rush what can still be in time goes before what is late, but not for ever', () => {
   const due = (now: number, submittedAt = 0): number => dueAt(BATCH, submittedAt, [1, 1.5], now);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -1,40 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { MachineType } from '../src/fleet/types.js';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import type { JobView, MachineView, Snapshot, TeamView } from '../src/scheduler/model.js';
 import { plan } from '../src/scheduler/plan.js';
-
-const TYPE: MachineType = {
-  name: 'g8',
-  room: { cpus: 48, gpus: 8, memoryGb: 288 },
-  cacheGb: 400,
-  fetchGbPerS: 2,
-  price: 20,
-  spotPrice: 7,
-  bootMs: 40_000,
-  zones: ['a', 'b'],
-};
-
-const SPEC: JobSpec = {
-  jobClass: 'c',
-  team: 'vision',
-  kind: 'array',
-  priority: Priority.Normal,
-  tasks: 4,
-  need: { cpus: 1, gpus: 1, memoryGb: 4 },
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img-1',
-  imageGb: 4,
-  estimateMs: 20_000,
-  checkpointMs: 10_000,
-  saveMs: 1000,
-  deadlineMs: null,
-};
+import { SPEC, TYPE } from './fakes/samples.js';
 
 let n = 0;
 function job(spec: Partial<JobSpec>, view: Partial<JobView> = {}): JobView {
