--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -162,3 +162,30 @@
     await w.close();
   }
 });
+
+test('without connections between controllers answers stay right and office stays where it is', async () => {
+  const w = new World(TWO, 3);
+  await w.start();
+  const { leader } = w;
+  const follower = (leader + 1) % 3;
+  for (const node of w.nodes) w.wire.cut.add(node.name);
+  const job = await w.submit({ shape: 'service', pieces: 2, runMs: 0 }, follower);
+  await w.until(() => w.running(job) === 2, 10, 'replicas run');
+  await w.pass(20);
+  assert.equal(w.leader, leader);
+  // The cancellation reaches the leader by the store's news alone.
+  const { body } = await w.ask(w.nodes[follower]!.controller!.desk.abort(job));
+  assert.deepEqual(body, { ref: job, phase: 'withdrawn' });
+  await w.until(() => w.on(job).length === 0, 5, 'gone');
+  assert.equal(await w.phase(job, leader), 'withdrawn');
+  // An outage that outlasts the workers' leases costs running work, since nobody can promise not to
+  // contest, and nothing else: what runs afterwards was started once its leases had ended.
+  const array = await w.submit({ pieces: 2, runMs: 60_000 });
+  await w.until(() => w.running(array) === 2, 10, 'tasks run');
+  w.store.down = true;
+  await w.pass(16);
+  assert.equal(w.running(array), 0);
+  w.store.restore();
+  await w.until(() => w.running(array) === 2, 30, 'tasks run again');
+  await w.close();
+});
