--- /dev/null
+++ b/test/http.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import { test } from 'node:test';
+import { createApp, type Service } from '../src/http/server.js';
+import type { Desk } from '../src/jobs/desk.js';
+import type { Logger } from '../src/runtime/log.js';
+
+const silent: Logger = { error() {}, warn() {}, info() {}, debug() {} };
+
+/** What a controller answers to one request, without a network in between. */
+async function ask(
+  method: string,
+  path: string,
+  body = '',
+): Promise<{ code: number; body: unknown }> {
+  const desk = {
+    submit: (b: unknown) => Promise.resolve({ status: 201, body: { got: b } }),
+    query: () => Promise.reject(new Error('a secret inside')),
+    abort: () => Promise.resolve({ status: 503, body: { error: 'later' }, retryAfter: 1 }),
+  } as unknown as Desk;
+  const service: Service = {
+    desk,
+    ready: () => true,
+    report: () => ({ kind: 'elsewhere', leader: null }),
+  };
+  const server = createServer(createApp(service, silent));
+  let sent = '';
+  const answered = new Promise<void>((resolve) => {
+    const socket = new Duplex({
+      read() {},
+      write(chunk: Buffer, _encoding, done) {
+        sent += chunk.toString();
+        done();
+      },
+      final(done) {
+        resolve();
+        done();
+      },
+    });
+    server.emit('connection', socket as Socket);
+    socket.push(
+      `${method} ${path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+  });
+  await answered;
+  const [head, payload] = sent.split('\r\n\r\n') as [string, string];
+  return { code: Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1]), body: JSON.parse(payload) };
+}
+
+test('what cannot be read is refused as small JSON, each in its own way', async () => {
+  assert.deepEqual(await ask('POST', '/work', '{"a":'), {
+    code: 400,
+    body: { error: 'malformed request' },
+  });
+  const large = JSON.stringify({ a: 'x'.repeat(70_000) });
+  assert.deepEqual(await ask('POST', '/work', large), {
+    code: 413,
+    body: { error: 'body too large' },
+  });
+  assert.deepEqual(await ask('GET', '/nowhere'), { code: 404, body: { error: 'no such path' } });
+  assert.deepEqual(await ask('DELETE', '/work/req-1'), {
+    code: 405,
+    body: { error: 'wrong method' },
+  });
+  assert.equal((await ask('POST', '/v1/report', '{"rig":1}')).code, 400);
+});
+
+test('an error inside tells nothing of the inside, and a refusal passes through', async () => {
+  assert.deepEqual(await ask('GET', '/work/req-1'), {
+    code: 500,
+    body: { error: 'internal error' },
+  });
+  assert.equal((await ask('POST', '/work/req-1/abort')).code, 503);
+  assert.deepEqual(await ask('POST', '/work', '{"ref":"x"}'), {
+    code: 201,
+    body: { got: { ref: 'x' } },
+  });
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseDeploy } from '../src/settings/deploy.js';
+import { SettingsError } from '../src/settings/error.js';
+import { OPERATOR_DEFAULTS, parseOperator } from '../src/settings/operator.js';
+import { SETTINGS } from './fakes/world.js';
+
+/** The one line that the operator sees. */
+function complaint(parse: () => unknown): string {
+  try {
+    parse();
+  } catch (error) {
+    assert.ok(error instanceof SettingsError);
+    assert.ok(!error.message.includes('\n'));
+    return error.message;
+  }
+  return assert.fail('nothing to complain of');
+}
+
+test('fields that nobody knows are ignored, and 0 as a limit means none', () => {
+  const settings = parseDeploy(`colour = "green"\n${SETTINGS}`, 'file.toml');
+  assert.equal(settings.member, 'berth-0');
+  for (const team of settings.teams.values()) assert.equal(team.limit.cpus, Infinity);
+});
+
+test('a missing field, a wrong one and a broken file are told in one line with file and field', () => {
+  const without = SETTINGS.replace(/^member = .*$/m, '');
+  assert.match(
+    complaint(() => parseDeploy(without, 'file.toml')),
+    /^file\.toml: member: /,
+  );
+  const wrong = SETTINGS.replace(/^lease_s = .*$/m, 'lease_s = "long"');
+  assert.match(
+    complaint(() => parseDeploy(wrong, 'file.toml')),
+    /^file\.toml: facts\.workers\.lease_s: /,
+  );
+  assert.match(
+    complaint(() => parseDeploy('member = ', 'file.toml')),
+    /^file\.toml: /,
+  );
+});
+
+test("the operators' file changes what it names and refuses what it does not know", () => {
+  const parse = (inside: string) => parseOperator(`<leverhatch>${inside}</leverhatch>`, 'op.xml');
+  assert.deepEqual(parse(''), OPERATOR_DEFAULTS);
+  assert.deepEqual(parse('<fleet><idleBoots>2.5</idleBoots></fleet>'), {
+    ...OPERATOR_DEFAULTS,
+    fleet: { idleBoots: 2.5 },
+  });
+  const lines: [string, RegExp][] = [
+    ['<gate><colour>1</colour></gate>', /^op\.xml: leverhatch\.gate\.colour: unknown element/],
+    ['<gate><slackSeconds>-1</slackSeconds></gate>', /slackSeconds: must be a positive number/],
+    ['<gate>soon</gate>', /leverhatch\.gate: must be one element/],
+    ['<election><lifetime>0.9</lifetime></election>', /lifetime: must be at most 0\.8/],
+    ['<gate>', /^op\.xml: /],
+  ];
+  for (const [inside, what] of lines)
+    assert.match(
+      complaint(() => parse(inside)),
+      what,
+    );
+});
