--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -2,6 +2,7 @@
 import type { Term } from '../election/term.js';
 import { Keeper, keeperRightMs } from '../election/keeper.js';
 import { Catalogue } from '../fleet/catalogue.js';
+import type { Callers } from '../fleet/halts.js';
 import type { Transport } from '../http/client.js';
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
@@ -19,6 +20,7 @@
   mesh: Mesh;
   store: Transport;
   cloud: Transport;
+  workers: Callers;
 }
 
 /** One controller: answers users at all times, and leads while it holds the leader key. */
@@ -116,6 +118,7 @@
         {
           store: this.store,
           cloud: this.links.cloud,
+          workers: this.links.workers,
           catalogue: this.catalogue,
           settings: this.settings,
           operator: this.operator,
--- a/src/control/holds.ts
+++ b/src/control/holds.ts
@@ -23,7 +23,6 @@
 
   /** Resolves when the report should be answered; false if a newer one has taken its place. */
   wait(machine: string, ms: number): Promise<boolean> {
-    this.supersede(machine);
     const until = this.runtime.clock.now() + Math.min(ms, this.longestMs);
     return new Promise((answer) => this.held.set(machine, { until, answer }));
   }
@@ -33,9 +32,9 @@
     this.end(machine, false);
   }
 
-  /** There is an order for this machine. */
-  release(machine: string): void {
-    this.end(machine, true);
+  /** There is an order for this machine; false if no report of it waits. */
+  release(machine: string): boolean {
+    return this.end(machine, true);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -48,10 +47,11 @@
     for (const machine of [...this.held.keys()]) this.release(machine);
   }
 
-  private end(machine: string, newest: boolean): void {
+  private end(machine: string, newest: boolean): boolean {
     const held = this.held.get(machine);
-    if (!held) return;
+    if (!held) return false;
     this.held.delete(machine);
     held.answer(newest);
+    return true;
   }
 }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -4,6 +4,7 @@
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
 import { Rentals } from '../fleet/rentals.js';
+import { Halts, type Callers } from '../fleet/halts.js';
 import type { Machine } from '../fleet/machine.js';
 import type { MachineType } from '../fleet/types.js';
 import type { Transport } from '../http/client.js';
@@ -27,6 +28,7 @@
 export interface LeaderParts {
   store: Store;
   cloud: Transport;
+  workers: Callers;
   catalogue: Catalogue;
   settings: Settings;
   operator: Operator;
@@ -63,6 +65,7 @@
   private readonly ledger: Ledger;
   private readonly keepers: KeeperWatch;
   private readonly holds: Holds;
+  private readonly halts: Halts;
   private readonly wake = new Subject<void>();
   private ready = false;
   private listedOnce = false;
@@ -91,7 +94,7 @@
       settings.workers.leaseMs,
       this.keepers,
     );
-    const endsWaitMs = settings.workers.leaseMs / 4;
+    const endsWaitMs = settings.workers.leaseMs;
     this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
       recorded: (placements) => {
@@ -128,6 +131,9 @@
       },
     });
     this.holds = new Holds(runtime, this.longestHoldMs);
+    this.halts = new Halts(parts.workers, runtime, term, settings.workers.reportMs, (r) => {
+      this.fleet.direct(r);
+    });
     this.gate = new GateKeeper(parts.operator);
     this.upkeep = new Upkeep(
       this.fleet,
@@ -303,6 +309,7 @@
     const m = this.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
     const fresh = this.ready && (m?.newer(r.session, r.seq) ?? true);
+    if (fresh) this.holds.supersede(r.machine);
     const orders = this.fleet.report(r, type, this.now, this.ready);
     this.heardAt = this.now;
     const after = this.fleet.machines.get(r.machine)!;
@@ -417,7 +424,17 @@
     if (p.stop && p.stop.graceMs <= graceMs) return;
     p.stop = { graceMs };
     if (p.stage === 'recording' || p.stage === 'recorded') this.fleet.withdraw(p);
-    else this.holds.release(p.machine);
+    else if (!this.holds.release(p.machine)) this.halt(p, graceMs);
+  }
+
+  private halt(p: Placement, graceMs: number): void {
+    const m = this.fleet.machines.get(p.machine);
+    // A silent machine would only hold a socket; its lease is running out.
+    const { reportMs } = this.parts.settings.workers;
+    if (!m || p.session !== m.session || m.heardAt === null) return;
+    if (this.now - m.heardAt > reportMs * 2) return;
+    const { task, attempt } = p;
+    this.halts.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
   }
 
   // ---- cloud
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -65,6 +65,7 @@
     const before = m.session;
     if (act) m.session = r.session;
     m.seq = r.seq;
+    m.address = r.address;
     m.type = type ?? m.type;
     m.zone = r.zone;
     m.spot = r.spot;
@@ -90,27 +91,8 @@
     const forgets: Order[] = [];
     const seen = new Set<string>();
     for (const t of r.tasks) {
-      const key = taskKey(t.job, t.task);
-      const p = m.placements.get(key);
-      if (!p || p.attempt !== t.attempt || p.session !== r.session) {
-        this.unexpected(m, t, stops, forgets);
-        continue;
-      }
-      seen.add(key);
-      if (t.state === 'exited') {
-        m.placements.delete(key);
-        m.unrecorded.add(startKey(t.job, t.task, t.attempt));
-        m.dropFetch(p.job.spec.image);
-        this.events.exited(p, t.why ?? 'error', t.saved);
-        continue;
-      }
-      p.stage = 'live';
-      const before = p.state;
-      p.state = t.state;
-      if (t.state !== before) {
-        m.useImage(p.job.spec.image, p.job.spec.imageGb, t.state !== 'fetching');
-      }
-      if (t.state === 'running' && before !== 'running') this.events.running(p);
+      if (this.shown(m, r, t)) seen.add(taskKey(t.job, t.task));
+      else this.unexpected(m, t, stops, forgets);
     }
     const starts: Order[] = [];
     for (const [key, p] of [...m.placements]) {
@@ -129,6 +111,40 @@
     return [...stops, ...forgets, ...starts];
   }
 
+  /**
+   * The report that answers a direct command. It tells of what it shows, and proves nothing gone: an
+   * order that is on its way in the answer to an ordinary report may not have been carried out yet.
+   * Nor does it renew the lease.
+   */
+  direct(r: Report): void {
+    const m = this.machines.get(r.machine);
+    if (!m || r.session !== m.session || !m.newer(r.session, r.seq)) return;
+    m.seq = r.seq;
+    for (const t of r.tasks) this.shown(m, r, t);
+  }
+
+  /** What a report says of one task; false if it is none of the recorded starts. */
+  private shown(m: Machine, r: Report, t: TaskReport): boolean {
+    const key = taskKey(t.job, t.task);
+    const p = m.placements.get(key);
+    if (!p || p.attempt !== t.attempt || p.session !== r.session) return false;
+    if (t.state === 'exited') {
+      m.placements.delete(key);
+      m.unrecorded.add(startKey(t.job, t.task, t.attempt));
+      m.dropFetch(p.job.spec.image);
+      this.events.exited(p, t.why ?? 'error', t.saved);
+      return true;
+    }
+    p.stage = 'live';
+    const before = p.state;
+    p.state = t.state;
+    if (t.state !== before) {
+      m.useImage(p.job.spec.image, p.job.spec.imageGb, t.state !== 'fetching');
+    }
+    if (t.state === 'running' && before !== 'running') this.events.running(p);
+    return true;
+  }
+
   /**
    * Orders that have come up since its newest report was taken, which still waits for its answer.
    * What that report showed is still the latest that is known.
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -26,6 +26,8 @@
   answeredAt: number | null = null;
   /** Since when its reports have come without a gap. */
   steadySince = 0;
+  /** Where its worker takes direct commands; null: it has not reported. */
+  address: string | null = null;
   listedState: 'booting' | 'running' | 'failed' | null = null;
   /** When the list first said that it runs. */
   runningAt: number | null = null;
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -19,7 +19,16 @@
 }
 
 export function httpTransport(address: string, sockets: number): Transport {
-  const agent = new Agent({ keepAlive: true, maxSockets: sockets, scheduling: 'lifo' });
+  return over(new Agent({ keepAlive: true, maxSockets: sockets, scheduling: 'lifo' }), address);
+}
+
+/** For many hosts that are seldom called: they share so many sockets, and none is kept. */
+export function httpTransports(sockets: number): (address: string) => Transport {
+  const agent = new Agent({ keepAlive: false, maxTotalSockets: sockets });
+  return (address) => over(agent, address);
+}
+
+function over(agent: Agent, address: string): Transport {
   const colon = address.lastIndexOf(':');
   const host = address.slice(0, colon);
   const port = Number(address.slice(colon + 1));
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -39,6 +39,9 @@
  */
 const KNOWN_PER_MB = 50;
 
+/** For how small a share of a poll's time questions gather before they are compared together. */
+const GATHERINGS = 16;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -216,7 +219,8 @@
     this.comparing = true;
     const most = this.settings.state.txnOps * 4;
     while (this.asking.size > 0) {
-      // The batch is as wide as what came in during the last comparison.
+      // Users can wait this long, and a comparison of one job costs as much as one of many.
+      await this.runtime.clock.sleep(this.limits.pollMs / GATHERINGS);
       const batch = [...this.asking].slice(0, most);
       for (const [id] of batch) this.asking.delete(id);
       try {
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import { Controller } from './control/controller.js';
-import { httpTransport } from './http/client.js';
+import { httpTransport, httpTransports } from './http/client.js';
 import { listen } from './http/server.js';
 import { systemClock } from './runtime/clock.js';
 import { TcpMesh } from './peer/mesh.js';
@@ -31,15 +31,17 @@
   }
   const { sockets } = settings.machine;
   const toStore = Math.max(4, Math.floor(sockets / 20));
+  const toWorkers = Math.max(4, Math.floor(sockets / 20));
   const toCloud = Math.max(2, Math.ceil(settings.cloud.rps / 2));
   const mesh = new TcpMesh(settings, runtime, settings.workers.reportMs / 4);
   const controller = new Controller(settings, operator, runtime, {
     mesh,
     store: httpTransport(settings.stateAddress, toStore),
     cloud: httpTransport(settings.cloudAddress, toCloud),
+    workers: httpTransports(toWorkers),
   });
   // Two listeners, and a connection each way for every peer.
-  const own = toStore + toCloud + 2 * settings.peers.length + 2;
+  const own = toStore + toCloud + toWorkers + 2 * settings.peers.length + 2;
   const limits = {
     connections: Math.max(1, sockets - own),
     workerIdleMs: settings.workers.leaseMs,
--- a/src/wire/report.ts
+++ b/src/wire/report.ts
@@ -111,6 +111,12 @@
   return { baton: token, orders: orders.map(orderOut) };
 }
 
+export const DIRECT_PATH = '/do';
+
+export function directBody(token: number, session: number, orders: Order[]): object {
+  return { baton: token, shift: session, orders: orders.map(orderOut) };
+}
+
 export function redirectAnswer(member: string | null): object {
   return member === null ? {} : { foreman: member };
 }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Controller } from '../../src/control/controller.js';
+import { NoAnswer, type Reply } from '../../src/http/client.js';
 import type { Answer } from '../../src/jobs/desk.js';
 import type { Random } from '../../src/runtime/random.js';
 import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
@@ -106,6 +107,8 @@
   readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
   readonly starts: string[] = [];
   readonly broken: string[] = [];
+  /** Whether commands reach the workers' own addresses. */
+  directOpen = true;
   /** The zones cannot reach each other; both reach the store. */
   private apart = false;
   private readonly end = new AbortController();
@@ -159,6 +162,16 @@
           node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b),
         ),
         cloud: this.cloud.link(),
+        workers: (address) => ({
+          request: async (_method, _path, body) => {
+            await this.clock.sleep(2);
+            const worker = this.workers.get(address.split(':')[0]!);
+            const answer = this.directOpen ? worker?.direct(body as never) : null;
+            await this.clock.sleep(2);
+            if (!answer) throw new NoAnswer('no answer');
+            return JSON.parse(JSON.stringify(answer)) as Reply;
+          },
+        }),
       },
     );
     node.controller = controller;
