--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -55,6 +55,12 @@
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
+/**
+ * For how many report intervals all of many workers are silent by no chance; with few it takes more.
+ * Their leases run meanwhile, and have to last until they have found the next leader.
+ */
+const SILENT_REPORTS = 1.5;
+
 /** All that a controller does while it leads. It lives for one term and is thrown away after it. */
 export class Leader {
   readonly jobs = new Map<string, Job>();
@@ -465,10 +471,13 @@
     const { clock } = runtime;
     const base = settings.workers.reportMs / 10;
     let wakeUp: (() => void) | null = null;
+    let dueAt = clock.now();
     const subscription = this.wake.subscribe(() => wakeUp?.());
     try {
       while (!signal.aborted) {
         const startedAt = clock.now();
+        // Who stood still has heard nobody, and has not read yet what came meanwhile.
+        if (startedAt - dueAt > settings.workers.reportMs / 2) this.heardAt &&= startedAt;
         if (this.term.active(startedAt)) this.round();
         // The longer a round takes, or the more writes of earlier ones still wait for their share of
         // the store's rate, the longer the next one gathers work: each write then carries more.
@@ -477,11 +486,14 @@
         const took = clock.now() - startedAt;
         const behind = base * this.parts.store.writesWaiting;
         const most = settings.workers.reportMs;
-        await clock.sleep(Math.max(base, Math.min(most, Math.max(took * 3, behind))), signal);
+        const pause = Math.max(base, Math.min(most, Math.max(took * 3, behind)));
+        dueAt = clock.now() + pause;
+        await clock.sleep(pause, signal);
         if (!this.dirty) {
           await new Promise<void>((resolve) => {
             wakeUp = resolve;
-            void clock.sleep(settings.workers.reportMs, signal).then(resolve);
+            dueAt = clock.now() + most;
+            void clock.sleep(most, signal).then(resolve);
           });
           wakeUp = null;
         }
@@ -560,7 +572,9 @@
     const { workers, size } = this.parts.settings;
     if (size === 1) return false;
     const never = this.heardAt === null;
-    const patienceMs = never ? workers.leaseMs * NEVER_HEARD_SHARE : workers.reportMs * 3;
+    const patienceMs = never
+      ? workers.leaseMs * NEVER_HEARD_SHARE
+      : workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, this.fleet.heard));
     if (now - (this.heardAt ?? this.term.startedAt) < patienceMs) return false;
     for (const m of this.fleet.machines.values()) {
       if (m.returning || m.listedState === 'failed') continue;
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -35,6 +35,13 @@
     private readonly keepers: KeeperBounds,
   ) {}
 
+  /** How many machines have been heard in this term. */
+  get heard(): number {
+    let n = 0;
+    for (const m of this.machines.values()) if (m.heardAt !== null) n++;
+    return n;
+  }
+
   machine(id: string, now: number): Machine {
     let m = this.machines.get(id);
     if (!m) {
