--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -4,6 +4,7 @@
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
 import { Rentals } from '../fleet/rentals.js';
+import { Halts, type Callers } from '../fleet/halts.js';
 import type { Machine } from '../fleet/machine.js';
 import type { MachineType } from '../fleet/types.js';
 import type { Transport } from '../http/client.js';
@@ -27,6 +28,7 @@
 export interface LeaderParts {
   store: Store;
   cloud: Transport;
+  workers: Callers;
   catalogue: Catalogue;
   settings: Settings;
   operator: Operator;
@@ -53,6 +55,12 @@
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
+/**
+ * For how many report intervals all of many workers are silent by no chance; with few it takes more.
+ * Their leases run meanwhile, and have to last until they have found the next leader.
+ */
+const SILENT_REPORTS = 1.5;
+
 /** All that a controller does while it leads. It lives for one term and is thrown away after it. */
 export class Leader {
   readonly jobs = new Map<string, Job>();
@@ -63,6 +71,7 @@
   private readonly ledger: Ledger;
   private readonly keepers: KeeperWatch;
   private readonly holds: Holds;
+  private readonly halts: Halts;
   private readonly wake = new Subject<void>();
   private ready = false;
   private listedOnce = false;
@@ -91,7 +100,7 @@
       settings.workers.leaseMs,
       this.keepers,
     );
-    const endsWaitMs = settings.workers.leaseMs / 4;
+    const endsWaitMs = settings.workers.leaseMs;
     this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
       recorded: (placements) => {
@@ -128,6 +137,9 @@
       },
     });
     this.holds = new Holds(runtime, this.longestHoldMs);
+    this.halts = new Halts(parts.workers, runtime, term, settings.workers.reportMs, (r) => {
+      this.fleet.direct(r);
+    });
     this.gate = new GateKeeper(parts.operator);
     this.upkeep = new Upkeep(
       this.fleet,
@@ -303,6 +315,7 @@
     const m = this.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
     const fresh = this.ready && (m?.newer(r.session, r.seq) ?? true);
+    if (fresh) this.holds.supersede(r.machine);
     const orders = this.fleet.report(r, type, this.now, this.ready);
     this.heardAt = this.now;
     const after = this.fleet.machines.get(r.machine)!;
@@ -417,7 +430,17 @@
     if (p.stop && p.stop.graceMs <= graceMs) return;
     p.stop = { graceMs };
     if (p.stage === 'recording' || p.stage === 'recorded') this.fleet.withdraw(p);
-    else this.holds.release(p.machine);
+    else if (!this.holds.release(p.machine)) this.halt(p, graceMs);
+  }
+
+  private halt(p: Placement, graceMs: number): void {
+    const m = this.fleet.machines.get(p.machine);
+    // A silent machine would only hold a socket; its lease is running out.
+    const { reportMs } = this.parts.settings.workers;
+    if (!m || p.session !== m.session || m.heardAt === null) return;
+    if (this.now - m.heardAt > reportMs * 2) return;
+    const { task, attempt } = p;
+    this.halts.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
   }
 
   // ---- cloud
@@ -448,10 +471,13 @@
     const { clock } = runtime;
     const base = settings.workers.reportMs / 10;
     let wakeUp: (() => void) | null = null;
+    let dueAt = clock.now();
     const subscription = this.wake.subscribe(() => wakeUp?.());
     try {
       while (!signal.aborted) {
         const startedAt = clock.now();
+        // Who stood still has heard nobody, and has not read yet what came meanwhile.
+        if (startedAt - dueAt > settings.workers.reportMs / 2) this.heardAt &&= startedAt;
         if (this.term.active(startedAt)) this.round();
         // The longer a round takes, or the more writes of earlier ones still wait for their share of
         // the store's rate, the longer the next one gathers work: each write then carries more.
@@ -460,11 +486,14 @@
         const took = clock.now() - startedAt;
         const behind = base * this.parts.store.writesWaiting;
         const most = settings.workers.reportMs;
-        await clock.sleep(Math.max(base, Math.min(most, Math.max(took * 3, behind))), signal);
+        const pause = Math.max(base, Math.min(most, Math.max(took * 3, behind)));
+        dueAt = clock.now() + pause;
+        await clock.sleep(pause, signal);
         if (!this.dirty) {
           await new Promise<void>((resolve) => {
             wakeUp = resolve;
-            void clock.sleep(settings.workers.reportMs, signal).then(resolve);
+            dueAt = clock.now() + most;
+            void clock.sleep(most, signal).then(resolve);
           });
           wakeUp = null;
         }
@@ -543,7 +572,9 @@
     const { workers, size } = this.parts.settings;
     if (size === 1) return false;
     const never = this.heardAt === null;
-    const patienceMs = never ? workers.leaseMs * NEVER_HEARD_SHARE : workers.reportMs * 3;
+    const patienceMs = never
+      ? workers.leaseMs * NEVER_HEARD_SHARE
+      : workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, this.fleet.heard));
     if (now - (this.heardAt ?? this.term.startedAt) < patienceMs) return false;
     for (const m of this.fleet.machines.values()) {
       if (m.returning || m.listedState === 'failed') continue;
