--- a/test/fakes/cloud.ts
+++ b/test/fakes/cloud.ts
@@ -32,6 +32,10 @@
   down = false;
   capacity = 40;
   spotCapacity = 0;
+  /** Only the first page of a list is served. */
+  failLaterPages = false;
+  /** How many names each return and each rental carried. */
+  readonly calls: { path: string; count: number }[] = [];
   private next = 1;
 
   constructor(
@@ -62,14 +66,24 @@
   private execute(method: string, path: string, body: unknown): Reply {
     if (path === '/flavors') return { status: 200, body: { hulls: HULLS } };
     if (path === '/hosts/return') {
+      this.calls.push({ path, count: (body as { rigs: string[] }).rigs.length });
       for (const id of (body as { rigs: string[] }).rigs) {
         if (this.hosts.delete(id)) this.onGone(id);
       }
       return { status: 200, body: {} };
     }
-    if (method === 'POST') return this.rent(body as Parameters<FakeCloud['rent']>[0]);
+    if (method === 'POST') {
+      const rent = body as Parameters<FakeCloud['rent']>[0];
+      this.calls.push({ path, count: rent.number });
+      return this.rent(rent);
+    }
     const now = this.clock.now();
-    const rigs = [...this.hosts.values()].map((h) => ({
+    const url = new URL(path, 'http://cloud');
+    const since = url.searchParams.get('since') ?? '';
+    const page = Number(url.searchParams.get('page'));
+    if (since !== '' && this.failLaterPages) return { status: 503, body: { error: 'trouble' } };
+    const rest = [...this.hosts.values()].filter((h) => h.ref > since);
+    const rigs = rest.slice(0, page).map((h) => ({
       ref: h.ref,
       address: 'unused',
       hull: h.hull,
@@ -78,7 +92,7 @@
       phase: now >= h.upAt ? 'running' : 'starting',
       ageS: (now - h.rentedAt) / 1000,
     }));
-    return { status: 200, body: { rigs, more: false } };
+    return { status: 200, body: { rigs, more: rest.length > rigs.length } };
   }
 
   private rent(r: { charter: string; yard: string; driftwood: boolean; number: number }): Reply {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { Controller } from '../../src/control/controller.js';
-import { NoAnswer, type Reply } from '../../src/http/client.js';
+import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Answer } from '../../src/jobs/desk.js';
+import type { Clock } from '../../src/runtime/clock.js';
 import type { Random } from '../../src/runtime/random.js';
 import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
 import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
@@ -80,6 +81,8 @@
   fate(method: string, path: string, body: unknown): Fate;
   /** False while workers cannot reach it. */
   open: boolean;
+  /** Until when it stands still while its clocks run on. */
+  frozenUntil: number;
 }
 
 export interface JobWish {
@@ -124,6 +127,7 @@
         stop: new AbortController(),
         fate: () => 'serve',
         open: true,
+        frozenUntil: 0,
       });
     }
   }
@@ -148,7 +152,7 @@
       settings(node.name),
       OPERATOR_DEFAULTS,
       {
-        clock: this.clock,
+        clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`),
         log: silent,
         startedAt: this.clock.now(),
@@ -158,10 +162,11 @@
           node.name,
           this.nodes.map((n) => n.name),
         ),
-        store: this.store.link((m, p, b) =>
-          node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b),
+        store: this.through(
+          node,
+          this.store.link((m, p, b) => (node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b))),
         ),
-        cloud: this.cloud.link(),
+        cloud: this.through(node, this.cloud.link()),
         workers: (address) => ({
           request: async (_method, _path, body) => {
             await this.clock.sleep(2);
@@ -178,6 +183,42 @@
     void controller.run(node.stop.signal);
   }
 
+  /** It stands still from now on: what comes to it meanwhile it sees afterwards. */
+  freeze(i: number, ms: number): void {
+    this.nodes[i]!.frozenUntil = this.clock.now() + ms;
+  }
+
+  private async thaw(node: Node): Promise<void> {
+    while (this.clock.now() < node.frozenUntil) {
+      await this.clock.sleep(node.frozenUntil - this.clock.now());
+    }
+  }
+
+  private clockOf(node: Node): Clock {
+    return {
+      now: () => this.clock.now(),
+      wall: () => this.clock.wall(),
+      sleep: async (ms, signal) => {
+        await this.clock.sleep(ms, signal);
+        await this.thaw(node);
+      },
+    };
+  }
+
+  /** Requests leave at once; their answers are seen when the controller moves again. */
+  private through(node: Node, link: Transport): Transport {
+    return {
+      request: async (...args) => {
+        await this.thaw(node);
+        try {
+          return await link.request(...args);
+        } finally {
+          await this.thaw(node);
+        }
+      },
+    };
+  }
+
   /** Ends a controller as a kill would: nothing is handed over. */
   crash(i: number): void {
     const node = this.nodes[i]!;
@@ -323,6 +364,7 @@
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
     const { controller } = this.nodes[node]!;
+    await this.thaw(this.nodes[node]!);
     const { yard } = report as { yard: string };
     const open = this.nodes[node]!.open && !(this.apart && yard !== (node === 1 ? 'b' : 'a'));
     await this.clock.sleep(1);
