--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -23,6 +23,9 @@
   workers: Callers;
 }
 
+/** The leader speaks once a report interval; after so many of them without a word it is mute. */
+const BEATS_MISSED = 1.2;
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly desk: Desk;
@@ -163,7 +166,7 @@
     if (role.kind === 'follower') {
       const leader = role.leader === this.settings.member ? null : role.leader;
       if (this.isStray(report, role.token, now)) return this.keep(report, role.token, leader);
-      return { kind: 'elsewhere', leader };
+      return { kind: 'elsewhere', leader: this.leaderIsMute(now) ? null : leader };
     }
     const { term } = role;
     // A worker that has seen a higher token would drop our answer, and wait for another in vain.
@@ -183,6 +186,18 @@
       : { kind: 'elsewhere', leader: null };
   }
 
+  /**
+   * A leader that was heard and no longer is: a worker sent to one that stands still waits 4 s for
+   * nothing, of a lease that may just last until the next takes office. If the leader's key outlives
+   * that, it is only we who do not hear it.
+   */
+  private leaderIsMute(now: number): boolean {
+    const silentMs = now - this.beatAt - this.settings.workers.reportMs * BEATS_MISSED;
+    return (
+      silentMs > 0 && silentMs < this.settings.workers.leaseMs * this.operator.election.lifetime
+    );
+  }
+
   /**
    * A worker of our zone that comes while we are cut off from the leader. It may know only the token
    * of the one before: where office changes hands during the cut, no other node tells it.
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -49,7 +49,7 @@
  * How long the answer to a report may be kept back, as a share of the time between two, so that the
  * next one is not late; and well within the 4 s after which workers give an answer up.
  */
-const HOLD_SHARE = 0.9;
+const HOLD_SHARE = 0.75;
 const MOST_HOLD_MS = 2200;
 
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -60,11 +60,15 @@
     while (!signal.aborted && !this.dead) {
       // The lease of a hanging machine runs out like any other's: it never resumes past it.
       if (this.expired()) this.nextSession();
+      const began = this.clock.now();
+      const to = this.node;
       if (!this.hung) {
         this.work();
         await this.report();
       }
-      await this.clock.sleep(this.hung ? 100 : 1000, signal);
+      const lost = this.node !== to;
+      const took = this.clock.now() - began;
+      await this.clock.sleep(this.hung ? 100 : lost ? 1000 : Math.max(1, 1000 - took), signal);
     }
   }
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -190,7 +190,8 @@
 
   private async thaw(node: Node): Promise<void> {
     while (this.clock.now() < node.frozenUntil) {
-      await this.clock.sleep(node.frozenUntil - this.clock.now());
+      // A moment more, or rounding could leave a wait of no length.
+      await this.clock.sleep(node.frozenUntil - this.clock.now() + 1);
     }
   }
 
--- a/test/freeze.test.ts
+++ b/test/freeze.test.ts
@@ -65,3 +65,25 @@
   await w.until(() => w.running(job) === 2, 10, 'it runs, once');
   await w.close();
 });
+
+test('workers are not sent to a leader that has fallen silent, until it is known to hold office', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const leader = w.leader;
+  // Of the leader's zone: those of the follower's own it would keep alive itself.
+  const worker = [...w.workers.values()].find((x) => x.yard === (leader === 1 ? 'b' : 'a'));
+  const named = async (): Promise<unknown> => {
+    const answer = w.deliver(1 - leader, worker!.body());
+    await w.clock.advance(20);
+    return ((await answer).body as { foreman?: string }).foreman ?? null;
+  };
+  const name = w.nodes[leader]!.name;
+  assert.equal(await named(), name);
+  w.wire.cut.add(name);
+  await w.pass(2.5);
+  assert.equal(await named(), null);
+  await w.pass(3);
+  assert.equal(w.leader, leader);
+  assert.equal(await named(), name);
+  await w.close();
+});
