A controller that the store refuses alone calls itself unable, so that its users are moved to others

Found by reading: polls on a connection to such a controller would all fail for as long as the cut lasts, and the balancer does not move open connections of a node that calls itself ready. In an outage that all meet everybody stays ready.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -10,6 +10,7 @@
 import { beats, type Message } from '../peer/frames.js';
 import type { Mesh } from '../peer/mesh.js';
 import { duty, type Runtime } from '../runtime/duty.js';
+import { Reach } from '../peer/reach.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import { Store } from '../state/store.js';
@@ -31,6 +32,7 @@
   readonly desk: Desk;
   private readonly store: Store;
   private readonly election: Election;
+  private readonly reach: Reach;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
   private readonly keeper: Keeper;
@@ -51,6 +53,7 @@
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
     this.election = new Election(this.store, links.mesh, runtime, settings.member, lifetimeMs);
+    this.reach = new Reach(runtime.clock, settings.workers.reportMs);
     this.keeper = new Keeper(
       this.store,
       runtime,
@@ -101,7 +104,12 @@
           for (const peer of this.links.mesh.peers) this.links.mesh.send(peer, message);
         }
       }
-      await clock.sleep(this.settings.workers.reportMs, signal);
+      const { reportMs } = this.settings.workers;
+      const { failingSince, answeredAt } = this.store;
+      const serves = failingSince === null && clock.now() - answeredAt < reportMs * 2;
+      for (const peer of this.links.mesh.peers)
+        this.links.mesh.send(peer, { kind: 'store', serves });
+      await clock.sleep(reportMs, signal);
     }
   }
 
@@ -144,7 +152,10 @@
           if (this.leader === leader) this.leader = null;
         });
     });
-    const peers = this.links.mesh.heard.subscribe(({ message }) => this.onPeer(message));
+    const peers = this.links.mesh.heard.subscribe(({ from, message }) => {
+      if (message.kind === 'store') this.reach.heard(from, message.serves);
+      else this.onPeer(message);
+    });
     try {
       await Promise.all([
         duty(this.runtime, 'beat', signal, restartMs, (s) => this.beat(s)),
@@ -235,6 +246,6 @@
   }
 
   ready(): boolean {
-    return this.catalogue.types.value !== null;
+    return this.catalogue.types.value !== null && !this.reach.aloneCutOff(this.store.failingSince);
   }
 }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -16,7 +16,9 @@
   | { kind: 'pledge'; ask: number; granted: boolean }
   /** A controller that has just started asks whether anybody leads or has pledged. */
   | { kind: 'askFree'; ask: number }
-  | { kind: 'free'; ask: number; free: boolean };
+  | { kind: 'free'; ask: number; free: boolean }
+  /** Whether the state service serves the speaker. */
+  | { kind: 'store'; serves: boolean };
 
 export interface JobCounts {
   id: string;
@@ -24,7 +26,16 @@
   running: number;
 }
 
-const KINDS = ['hello', 'beat', 'cancelled', 'askPledge', 'pledge', 'askFree', 'free'] as const;
+const KINDS = [
+  'hello',
+  'beat',
+  'cancelled',
+  'askPledge',
+  'pledge',
+  'askFree',
+  'free',
+  'store',
+] as const;
 const MAGIC = 0x4c48;
 const VERSION = 3;
 const HEADER = 12;
@@ -145,6 +156,8 @@
       return w.u32(m.ask);
     case 'free':
       return w.u32(m.ask).u8(m.free ? 1 : 0);
+    case 'store':
+      return w.u8(m.serves ? 1 : 0);
   }
 }
 
@@ -171,6 +184,8 @@
       return { kind, ask: r.u32() };
     case 'free':
       return { kind, ask: r.u32(), free: r.u8() === 1 };
+    case 'store':
+      return { kind, serves: r.u8() === 1 };
   }
 }
 
