--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -5,7 +5,7 @@
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
 import { Desk, type Counts } from '../jobs/desk.js';
-import type { Message } from '../peer/frames.js';
+import { beats, type Message } from '../peer/frames.js';
 import type { Mesh } from '../peer/mesh.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
@@ -32,7 +32,7 @@
   private beatAt = -Infinity;
   private readonly strayAsked = new Map<string, number>();
   private readonly strayCancelled = new Set<string>();
-  private counts: ReadonlyMap<string, Counts> = new Map();
+  private readonly counts = new Map<string, Counts>();
 
   constructor(
     private readonly settings: Settings,
@@ -80,7 +80,8 @@
       // The leader is within reach again: the strays go back to it.
       this.strayAsked.clear();
       this.strayCancelled.clear();
-      this.counts = new Map(message.counts.map((c) => [c.id, c]));
+      if (message.first) this.counts.clear();
+      for (const c of message.counts) this.counts.set(c.id, c);
     }
   }
 
@@ -90,12 +91,9 @@
     while (!signal.aborted) {
       const role = this.election.role.value;
       if (this.leader && role.kind === 'leader') {
-        const message: Message = {
-          kind: 'beat',
-          token: role.term.token,
-          counts: this.leader.allCounts(),
-        };
-        for (const peer of this.links.mesh.peers) this.links.mesh.send(peer, message);
+        for (const message of beats(role.term.token, this.leader.allCounts())) {
+          for (const peer of this.links.mesh.peers) this.links.mesh.send(peer, message);
+        }
       }
       await clock.sleep(this.settings.workers.reportMs, signal);
     }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -41,6 +41,9 @@
  */
 const NEVER_HEARD_SHARE = 0.5;
 
+/** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
+const PRICES_MS = 30_000;
+
 /** All that a controller does while it leads. It lives for one term and is thrown away after it. */
 export class Leader {
   readonly jobs = new Map<string, Job>();
@@ -109,7 +112,7 @@
         this.touch();
       },
       returned: (ids) => {
-        for (const id of ids) this.fleet.gone(id);
+        this.upkeep.returned(ids, this.now);
         this.touch();
       },
     });
@@ -128,6 +131,11 @@
     return this.parts.runtime.clock.now();
   }
 
+  /** How soon a request that failed is made again. */
+  private get retryMs(): number {
+    return this.parts.settings.workers.leaseMs / 50;
+  }
+
   private get types(): ReadonlyMap<string, MachineType> {
     return this.parts.catalogue.types.value ?? new Map();
   }
@@ -176,7 +184,7 @@
       } catch (error) {
         signal.throwIfAborted();
         runtime.log.debug({ error: String(error) }, 'recovery repeated');
-        await runtime.clock.sleep(200, signal);
+        await runtime.clock.sleep(this.retryMs, signal);
       }
     }
   }
@@ -214,7 +222,7 @@
           const all = await store.range(KEYS.jobs, signal);
           for (const e of all.items) this.onJobEntry(e);
           revision = all.revision;
-        } else await runtime.clock.sleep(200, signal);
+        } else await runtime.clock.sleep(this.retryMs, signal);
       }
     }
   }
@@ -384,7 +392,10 @@
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
       if (await this.rentals.list()) this.listedOnce = true;
-      await runtime.clock.sleep(this.listedOnce ? settings.cloud.listLagMs : 500, signal);
+      await runtime.clock.sleep(
+        this.listedOnce ? settings.cloud.listLagMs : settings.cloud.listLagMs / 10,
+        signal,
+      );
     }
   }
 
@@ -392,7 +403,7 @@
     const { catalogue, runtime } = this.parts;
     while (!signal.aborted) {
       await catalogue.ask(signal).catch(() => false);
-      await runtime.clock.sleep(30_000, signal);
+      await runtime.clock.sleep(PRICES_MS, signal);
     }
   }
 
@@ -410,10 +421,12 @@
         if (this.term.active(startedAt)) this.round();
         // The longer a round takes, or the more writes of earlier ones still wait for their share of
         // the store's rate, the longer the next one gathers work: each write then carries more.
+        // But never for longer than a report interval: a controller that stood still in the middle of a
+        // round took long for another reason.
         const took = clock.now() - startedAt;
         const behind = base * this.parts.store.writesWaiting;
         const most = settings.workers.reportMs;
-        await clock.sleep(Math.max(base, took * 3, Math.min(behind, most)), signal);
+        await clock.sleep(Math.max(base, Math.min(most, Math.max(took * 3, behind))), signal);
         if (!this.dirty) {
           await new Promise<void>((resolve) => {
             wakeUp = resolve;
--- a/src/control/upkeep.ts
+++ b/src/control/upkeep.ts
@@ -7,9 +7,14 @@
 import type { Operator } from '../settings/operator.js';
 import type { Listed } from '../wire/cloud.js';
 
+/** For how many times the list's lag a machine that went back is not believed to be there again. */
+const GONE_LAGS = 6;
+
 /** Which machines there are, as the cloud lists them, and which of them go back. */
 export class Upkeep {
   private spares: Spares;
+  /** Machines that went back, and when: the list lags, and shows them as running for a while. */
+  private readonly wentBack = new Map<string, number>();
 
   constructor(
     private readonly fleet: Fleet,
@@ -31,6 +36,8 @@
     const names = new Set<string>();
     for (const l of listed) {
       names.add(l.id);
+      // Taken for new, they would be counted on for what waits, and nothing rented for it.
+      if (this.wentBack.has(l.id)) continue;
       const known = this.fleet.machines.get(l.id);
       const m = known ?? this.fleet.machine(l.id, now);
       if (!known) {
@@ -58,6 +65,17 @@
     }
   }
 
+  /** The cloud has confirmed that these machines are gone, and all that was on them. */
+  returned(ids: string[], now: number): void {
+    for (const id of ids) {
+      this.fleet.gone(id);
+      this.wentBack.set(id, now);
+    }
+    // No list is older than twice its lag.
+    const old = now - this.settings.cloud.listLagMs * GONE_LAGS;
+    for (const [id, at] of this.wentBack) if (at < old) this.wentBack.delete(id);
+  }
+
   giveBack(m: Machine): void {
     if (m.returning) return;
     m.returning = true;
--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -112,7 +112,7 @@
     );
     // An unanswered copy that was applied makes the repeat fail on its own key alone.
     if (!written.ok && written.failed.includes(KEYS.leader)) return this.term.end();
-    let wait = 500;
+    let wait = this.timeoutMs / 8;
     for (;;) {
       let reply: Reply | null = null;
       try {
@@ -141,7 +141,7 @@
       if (reply && reply.status === 400) throw new Error('the cloud calls the request malformed');
       await clock.sleep(jitter(wait, random), signal);
       signal.throwIfAborted();
-      wait = Math.min(wait * 2, 4000);
+      wait = Math.min(wait * 2, this.timeoutMs);
     }
   }
 
@@ -155,7 +155,9 @@
   }
 
   private refuse(rent: Rent): void {
-    const until = this.runtime.clock.now() + jitter(REFUSED_MS, this.runtime.random);
+    const until =
+      this.runtime.clock.now() +
+      jitter(this.settings.cloud.listLagMs * REFUSED_LAGS, this.runtime.random);
     this.refusedUntil.set(offerKey(rent.type, rent.zone, rent.spot), until);
   }
 
@@ -173,7 +175,10 @@
         for (const id of ids) this.returns.delete(id);
         this.events.returned(ids);
       } else {
-        await this.runtime.clock.sleep(jitter(1000, this.runtime.random), this.term.signal);
+        await this.runtime.clock.sleep(
+          jitter(this.timeoutMs / 4, this.runtime.random),
+          this.term.signal,
+        );
       }
     }
     this.returning = false;
@@ -198,6 +203,11 @@
   private async call(method: 'GET' | 'POST', path: string, body: object | null): Promise<Reply> {
     const { signal } = this.term;
     await this.budget.take(1, path === PATHS.giveBack ? 0 : 1, signal);
+    // A return cannot be fenced: a controller that stood still may by now be the last to know that
+    // another leads and has placed work there.
+    if (path === PATHS.giveBack && !this.term.active(this.runtime.clock.now())) {
+      throw new NoAnswer('office has lapsed');
+    }
     try {
       const reply = await this.cloud.request(method, path, body, this.timeoutMs, signal);
       const served = reply.status === 200 || (reply.status === 503 && noCapacity(reply.body));
@@ -215,8 +225,8 @@
   }
 }
 
-/** How long an offer that was refused is left alone. */
-const REFUSED_MS = 10_000;
+/** For how many times the list's lag an offer that was refused is left alone. */
+const REFUSED_LAGS = 2;
 
 const offerKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
 
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -35,13 +35,14 @@
 
 /** How many tasks of `need` go into `room`. */
 export function howMany(need: Need, room: Need): number {
-  const per = (n: number, r: number): number => (n <= 0 ? Infinity : Math.floor((r + EPSILON) / n));
-  return Math.max(
-    0,
-    Math.min(
-      per(need.cpus, room.cpus),
-      per(need.gpus, room.gpus),
-      per(need.memoryGb, room.memoryGb),
-    ),
+  // Asked for every machine many times a round, and most have no room at all.
+  if (!fits(need, room)) return 0;
+  return Math.min(
+    per(need.cpus, room.cpus),
+    per(need.gpus, room.gpus),
+    per(need.memoryGb, room.memoryGb),
   );
 }
+
+const per = (need: number, room: number): number =>
+  need <= 0 ? Infinity : Math.floor((room + EPSILON) / need);
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,9 +1,10 @@
-import { createServer, type ServerResponse } from 'node:http';
-import { createServer as createNetServer, type Server, type Socket } from 'node:net';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer as createNetServer, type Server } from 'node:net';
 import express, { type ErrorRequestHandler, type Express, type Response } from 'express';
 import type { Answer, Desk } from '../jobs/desk.js';
 import type { Logger } from '../runtime/log.js';
 import { parseReport, redirectAnswer, reportAnswer, type Report } from '../wire/report.js';
+import { Connections } from './connections.js';
 import { MAX_BODY, readReports, REPORT_PATH, type ReportOutcome } from './workers.js';
 
 export interface Service {
@@ -78,27 +79,44 @@
 /** Connections stay open until a side says otherwise; users come back about every 5 s. */
 const KEEP_ALIVE_MS = 75_000;
 
+export interface Limits {
+  /** Connections from outside that the machine has room for. */
+  connections: number;
+  /** A worker that has been silent for so long has lost its lease, and comes again on a new one. */
+  workerIdleMs: number;
+}
+
 export function listen(
   service: Service,
   log: Logger,
   address: string,
+  limits: Limits,
   signal: AbortSignal,
 ): Promise<Server> {
   const colon = address.lastIndexOf(':');
   const app = createApp(service, log);
   const http = createServer(app);
   http.keepAliveTimeout = KEEP_ALIVE_MS;
-  const open = new Set<Socket>();
+  const connections = new Connections(limits.connections);
+  http.on('request', ({ socket }: IncomingMessage, res: ServerResponse) => {
+    connections.busy(socket);
+    res.once('close', () => connections.rests(socket));
+  });
   const server = createNetServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
-    open.add(socket);
+    connections.add(socket);
     const drop = (): void => void socket.destroy();
-    socket.once('close', () => open.delete(socket));
     socket.on('error', drop);
     socket.on('end', drop);
     socket.setTimeout(KEEP_ALIVE_MS, drop);
+    let worker = false;
     readReports(
       socket,
-      (r) => service.report(r),
+      (r) => {
+        // Behind a cut its connection stays open on our side while it comes again on others.
+        if (!worker) socket.setTimeout(limits.workerIdleMs);
+        worker = true;
+        return service.report(r);
+      },
       (s, rest) => {
         for (const event of ['error', 'end', 'timeout'] as const) s.removeListener(event, drop);
         s.setTimeout(0);
@@ -109,7 +127,7 @@
   });
   signal.addEventListener('abort', () => {
     server.close();
-    for (const socket of open) socket.destroy();
+    connections.closeAll();
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -33,8 +33,11 @@
   reject(reason: unknown): void;
 }
 
-/** How many open jobs a node remembers; beyond it the ones asked for least lately are read again. */
-const MOST_KNOWN = 5000;
+/**
+ * How many jobs a node remembers for each MB of its memory, at some 200 bytes each; beyond it the
+ * ones asked for least lately are read again.
+ */
+const KNOWN_PER_MB = 50;
 
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
@@ -235,9 +238,10 @@
   }
 
   private async compare(batch: [string, Waiter[]][]): Promise<void> {
-    const when = batch.map(([id]) => ({
+    const compared = new Map(batch.map(([id]) => [id, this.known.get(id) ?? null]));
+    const when = [...compared].map(([id, job]) => ({
       key: KEYS.job(id),
-      version: this.known.get(id)?.version ?? 0,
+      version: job?.version ?? 0,
     }));
     const outcome = await this.store.txn(when, [], 0);
     const failed = new Set(outcome.ok ? [] : outcome.failed);
@@ -250,32 +254,38 @@
           this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
           return;
         }
-        if (changed) await this.reread(id);
-        const job = this.known.get(id) ?? null;
+        // What was compared is the answer also if the job has been dropped from memory since then:
+        // an accepted job must never look as if it were unknown.
+        const job = changed ? await this.reread(id) : (this.known.get(id) ?? compared.get(id)!);
         for (const w of waiters) w.resolve(job);
       }),
     );
   }
 
-  private async reread(id: string): Promise<void> {
+  private async reread(id: string): Promise<Known | null> {
     const entry = await this.store.get(KEYS.job(id), 0);
     const record = entry && parseJob(entry.value);
-    if (!entry) return;
+    if (!entry) return null;
     if (!record) throw new Error(`unreadable record of ${id}`);
-    this.remember(id, { version: entry.version, phase: record.phase, tasks: record.tasks });
+    return this.remember(id, {
+      version: entry.version,
+      phase: record.phase,
+      tasks: record.tasks,
+    });
   }
 
-  private remember(id: string, job: Known): void {
+  private remember(id: string, job: Known): Known {
     const before = this.known.get(id);
     // Answers may overtake one another: the newer version stands.
-    if (before && before.version > job.version) return;
+    if (before && before.version > job.version) return before;
     this.known.delete(id);
     this.known.set(id, job);
-    if (this.known.size <= MOST_KNOWN) return;
+    if (this.known.size <= this.settings.machine.memoryMb * KNOWN_PER_MB) return job;
     for (const oldest of this.known.keys()) {
       this.known.delete(oldest);
       break;
     }
+    return job;
   }
 
   private async within(
--- a/src/main.ts
+++ b/src/main.ts
@@ -29,14 +29,22 @@
   for (const name of ['SIGINT', 'SIGTERM'] as const) {
     process.once(name, () => stop.abort(new Error(name)));
   }
-  const sockets = Math.max(4, Math.floor(settings.machine.sockets / 20));
+  const { sockets } = settings.machine;
+  const toStore = Math.max(4, Math.floor(sockets / 20));
+  const toCloud = Math.max(2, Math.ceil(settings.cloud.rps / 2));
   const mesh = new TcpMesh(settings, runtime, settings.workers.reportMs / 4);
   const controller = new Controller(settings, operator, runtime, {
     mesh,
-    store: httpTransport(settings.stateAddress, sockets),
-    cloud: httpTransport(settings.cloudAddress, Math.max(2, Math.ceil(settings.cloud.rps / 2))),
+    store: httpTransport(settings.stateAddress, toStore),
+    cloud: httpTransport(settings.cloudAddress, toCloud),
   });
-  await listen(controller, log, settings.publicAddress, stop.signal);
+  // Two listeners, and a connection each way for every peer.
+  const own = toStore + toCloud + 2 * settings.peers.length + 2;
+  const limits = {
+    connections: Math.max(1, sockets - own),
+    workerIdleMs: settings.workers.leaseMs,
+  };
+  await listen(controller, log, settings.publicAddress, limits, stop.signal);
   log.info({ address: settings.publicAddress }, 'listening');
   await Promise.all([controller.run(stop.signal), mesh.run(stop.signal)]);
   process.exit(0);
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -7,8 +7,8 @@
 export type Message =
   /** The first frame of a connection: who speaks, and how long its process has run. */
   | { kind: 'hello'; member: string; ageMs: number }
-  /** The leader lives, and how far each open job is, for display. */
-  | { kind: 'beat'; token: number; counts: { id: string; done: number; running: number }[] }
+  /** The leader lives, and how far open jobs are, for display; `first`: of one or more frames. */
+  | { kind: 'beat'; token: number; first: boolean; counts: JobCounts[] }
   /** A user has cancelled a job; the store's own news of it may take longer. */
   | { kind: 'cancelled'; id: string }
   /** The leader asks not to be contested while the store serves nobody. */
@@ -18,11 +18,29 @@
   | { kind: 'askFree'; ask: number }
   | { kind: 'free'; ask: number; free: boolean };
 
+export interface JobCounts {
+  id: string;
+  done: number;
+  running: number;
+}
+
 const KINDS = ['hello', 'beat', 'cancelled', 'askPledge', 'pledge', 'askFree', 'free'] as const;
 const MAGIC = 0x4c48;
-const VERSION = 2;
+const VERSION = 3;
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
+/** How many jobs' counts fit into one frame, however long their names are. */
+const MOST_COUNTS = Math.floor((MAX_PAYLOAD - 13) / (1 + 255 + 8));
+
+/** A leader's beat in as many frames as its jobs need. */
+export function beats(token: number, counts: JobCounts[]): Message[] {
+  const messages: Message[] = [];
+  for (let from = 0; from === 0 || from < counts.length; from += MOST_COUNTS) {
+    const part = counts.slice(from, from + MOST_COUNTS);
+    messages.push({ kind: 'beat', token, first: from === 0, counts: part });
+  }
+  return messages;
+}
 
 class Writer {
   private readonly parts: Buffer[] = [];
@@ -112,7 +130,9 @@
     case 'hello':
       return w.text(m.member).u64(m.ageMs);
     case 'beat':
-      w.u64(m.token).u32(m.counts.length);
+      w.u64(m.token)
+        .u8(m.first ? 1 : 0)
+        .u32(m.counts.length);
       for (const c of m.counts) w.text(c.id).u32(c.done).u32(c.running);
       return w;
     case 'cancelled':
@@ -134,11 +154,12 @@
       return { kind, member: r.text(), ageMs: r.u64() };
     case 'beat': {
       const token = r.u64();
-      const counts: { id: string; done: number; running: number }[] = [];
+      const first = r.u8() === 1;
+      const counts: JobCounts[] = [];
       for (let n = r.u32(); n > 0; n--) {
         counts.push({ id: r.text(), done: r.u32(), running: r.u32() });
       }
-      return { kind, token, counts };
+      return { kind, token, first, counts };
     }
     case 'cancelled':
       return { kind, id: r.text() };
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -1,7 +1,7 @@
 import { fits, howMany, take } from '../fleet/types.js';
 import { Priority, type JobSpec } from '../jobs/job.js';
 import { gather } from './gather.js';
-import { inOrder, withinGuarantee } from './order.js';
+import { inOrder, rank, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Offer, Plan, Rent, Snapshot, TeamView } from './model.js';
 import {
   allows,
@@ -49,6 +49,9 @@
   private readonly scarce: ScarceTypes;
   /** For lists of machines: shapes of which no task fits there any more. */
   private readonly full = new Map<MachineView[], Set<string>>();
+  private readonly byShape = new Map<string, MachineView[]>();
+  /** Gangs that found no room, by shape and rank: the fewest tasks that did not. */
+  private readonly tooLarge = new Map<string, number>();
   private readonly crowds = new Map<string, number>();
 
   constructor(private readonly s: Snapshot) {
@@ -148,7 +151,7 @@
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
     if (limitRoom(team, job.spec) < job.spec.tasks) return;
-    const placed = placeGang(job, this.up, this.scarce);
+    const placed = this.isFull(job.spec, this.up) ? null : placeGang(job, this.up, this.scarce);
     if (placed) {
       this.charge(team, job.spec, job.spec.tasks);
       this.record(job, placed);
@@ -179,14 +182,20 @@
     const suits = (m: MachineView): boolean =>
       allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id);
     const guaranteed = this.guaranteed.has(job.id);
+    // Room only shrinks while a round goes on: where a gang found none, one of its kind that is no
+    // smaller finds none either.
+    const kind = `${shapeOf(spec)}|${spec.oneZone}|${rank(spec, guaranteed)}`;
+    const usual = job.avoid.size === 0 && job.zones.size === 0;
+    if (usual && spec.tasks >= (this.tooLarge.get(kind) ?? Infinity)) return false;
     let best: { zone: string | null; missing: number } | null = null;
     for (const zone of zones) {
       const inZone = (m: { zone: string }): boolean => zone === null || m.zone === zone;
       let missing = spec.tasks;
       // Room that is being made or can be made counts, so that the choice of the zone stands until
       // it is there, and so that a gang is admitted also where nothing can be rented.
-      for (const m of this.up) {
-        if (inZone(m) && suits(m)) {
+      for (const m of this.suitable(spec)) {
+        if (missing <= 0) break;
+        if (inZone(m) && !job.avoid.has(m.id)) {
           missing -= howMany(spec.need, this.preemption.potential(job, m, guaranteed));
         }
       }
@@ -195,7 +204,10 @@
       if (missing > 0 && !this.s.offers.some((o) => inZone(o) && this.suits(spec, o))) continue;
       if (!best || missing < best.missing) best = { zone, missing };
     }
-    if (!best) return false;
+    if (!best) {
+      if (usual) this.tooLarge.set(kind, spec.tasks);
+      return false;
+    }
     const rules = new ZoneRules(spec, job.zones);
     const inBest = (m: MachineView): boolean => best.zone === null || m.zone === best.zone;
     const here = this.up.filter(inBest);
@@ -211,13 +223,31 @@
    * a round would else cost more than all reports.
    */
   private find(job: JobView, count: number, rules: ZoneRules, machines: MachineView[]): Placed[] {
+    if (this.isFull(job.spec, machines)) return [];
+    return place(job, count, machines, rules, this.scarce);
+  }
+
+  private isFull(spec: JobSpec, machines: MachineView[]): boolean {
     let full = this.full.get(machines);
     if (!full) this.full.set(machines, (full = new Set()));
-    const shape = shapeOf(job.spec);
-    if (full.has(shape)) return [];
-    const placed = place(job, count, machines, rules, this.scarce);
-    if (placed.length === 0 && !machines.some((m) => fits(job.spec.need, m.free))) full.add(shape);
-    return placed;
+    const shape = shapeOf(spec);
+    if (full.has(shape)) return true;
+    if (machines.some((m) => fits(spec.need, m.free))) return false;
+    full.add(shape);
+    return true;
+  }
+
+  /** Machines that are up and may hold a task of this shape, whatever is on them. */
+  private suitable(spec: JobSpec): MachineView[] {
+    const shape = shapeOf(spec);
+    let machines = this.byShape.get(shape);
+    if (!machines) {
+      machines = this.up.filter(
+        (m) => allows(spec, m.type.name, m.zone, m.spot) && fits(spec.need, m.type.room),
+      );
+      this.byShape.set(shape, machines);
+    }
+    return machines;
   }
 
   private setAside(job: JobView, count: number, machines: MachineView[], rules: ZoneRules): number {
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -10,14 +10,17 @@
  */
 export class Preemption {
   readonly stops: { job: string; task: number }[] = [];
+  /** By machine, what may be stopped there task by task. */
   private readonly byMachine = new Map<string, VictimView[]>();
   private readonly chosen = new Set<VictimView>();
   private readonly leavingOf = new Map<string, { cpus: number; gpus: number }>();
   /** Room that what is being stopped on a machine will leave, beyond what is free there. */
   private readonly leaving = new Map<string, Need>();
 
-  /** Shapes for which nothing was found, and after how many stops. */
+  /** Shapes for which no more was found, and after how many stops. */
   private readonly inVain = new Map<string, number>();
+  /** The least important priority among what may be stopped. */
+  private lowest = -Infinity;
 
   constructor(
     victims: VictimView[],
@@ -25,29 +28,32 @@
     private readonly teams: ReadonlyMap<string, TeamView>,
     private readonly guaranteed: ReadonlySet<string>,
   ) {
+    for (const m of up) this.leaving.set(m.id, { cpus: 0, gpus: 0, memoryGb: 0 });
     for (const v of victims) {
-      const list = this.byMachine.get(v.machine);
-      if (list) list.push(v);
-      else this.byMachine.set(v.machine, [v]);
+      if (v.stopping) {
+        const room = this.leaving.get(v.machine);
+        if (room) take(room, v.spec.need, -1);
+      } else if (!v.wholeGang) {
+        const list = this.byMachine.get(v.machine);
+        if (list) list.push(v);
+        else this.byMachine.set(v.machine, [v]);
+        this.lowest = Math.max(this.lowest, v.spec.priority);
+      }
     }
     // The least important first, and of these the cheapest loss.
     for (const list of this.byMachine.values()) {
       list.sort((a, b) => b.spec.priority - a.spec.priority || a.lossMs - b.lossMs);
     }
-    for (const m of up) {
-      const room = { cpus: 0, gpus: 0, memoryGb: 0 };
-      for (const v of this.byMachine.get(m.id) ?? []) {
-        if (v.stopping) take(room, v.spec.need, -1);
-      }
-      this.leaving.set(m.id, room);
-    }
   }
 
   /** What is free there, or will be once all that is told to stop has left. */
   coming(m: MachineView): Need {
-    const room = { ...m.free };
-    take(room, this.leaving.get(m.id)!, -1);
-    return room;
+    const leaving = this.leaving.get(m.id)!;
+    return {
+      cpus: m.free.cpus + leaving.cpus,
+      gpus: m.free.gpus + leaving.gpus,
+      memoryGb: m.free.memoryGb + leaving.memoryGb,
+    };
   }
 
   /** What there would be if all work of lower priority that comes after this job had left. */
@@ -55,7 +61,7 @@
     const room = this.coming(m);
     const own = rank(job.spec, guaranteed);
     for (const v of this.byMachine.get(m.id) ?? []) {
-      if (v.stopping || v.wholeGang || this.chosen.has(v)) continue;
+      if (this.chosen.has(v)) continue;
       if (!outranks(job.spec.priority, v.spec.priority)) continue;
       if (rank(v.spec, this.guaranteed.has(v.job)) > own) take(room, v.spec.need, -1);
     }
@@ -76,14 +82,17 @@
   ): number {
     // Room only shrinks within a round, but for what stops make: what was in vain once stays so.
     const key = `${shapeOf(job.spec)}|${job.spec.priority}|${guaranteed ? job.spec.team : ''}`;
-    const whole = among === this.up && job.avoid.size === 0 && !job.spec.spread;
+    const { spread, oneZone } = job.spec;
+    const whole = among === this.up && job.avoid.size === 0 && !spread && !oneZone;
     if (whole && this.inVain.get(key) === this.stops.length) return 0;
     let found = 0;
     const suitable = among.filter(
       (m) => allows(job.spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id),
     );
     for (const m of suitable) {
+      if (found === count) break;
       const most = Math.min(count - found, rules.room(m.zone));
+      if (most <= 0) continue;
       const n = Math.min(most, howMany(job.spec.need, this.coming(m)));
       if (n > 0) {
         take(m.free, job.spec.need, n);
@@ -92,7 +101,7 @@
       }
     }
     if (found < count) found += this.displace(job, count - found, guaranteed, suitable, rules);
-    if (whole && found === 0) this.inVain.set(key, this.stops.length);
+    if (whole && found < count) this.inVain.set(key, this.stops.length);
     return found;
   }
 
@@ -103,8 +112,11 @@
     suitable: MachineView[],
     rules: ZoneRules,
   ): number {
+    // Where nothing less important runs, only a guarantee could take room from others.
+    if (!guaranteed && !outranks(job.spec.priority, this.lowest)) return 0;
     let choices: Choice[] = [];
     for (const machine of suitable) {
+      if (!this.byMachine.has(machine.id)) continue;
       if (rules.room(machine.zone) <= 0) continue;
       const choice = this.cheapest(job, machine, guaranteed);
       if (choice) choices.push(choice);
@@ -124,7 +136,7 @@
         found++;
       }
       const next = this.cheapest(job, best.machine, guaranteed);
-      choices = choices.filter((c) => c !== best);
+      choices.splice(choices.indexOf(best), 1);
       if (next) choices.push(next);
     }
     return found;
@@ -175,7 +187,7 @@
     let loss = 0;
     for (const v of this.byMachine.get(machine.id) ?? []) {
       if (victims.length > 0 && fits(need, room)) break;
-      if (v.stopping || v.wholeGang || this.chosen.has(v)) continue;
+      if (this.chosen.has(v)) continue;
       // What goes before this job in the order would take the room back in the next round, and be
       // stopped again in the one after.
       if (rank(v.spec, this.guaranteed.has(v.job)) <= own) continue;
--- a/src/settings/deploy.ts
+++ b/src/settings/deploy.ts
@@ -16,7 +16,7 @@
   external: z.object({ cloud: address, state: address }),
   facts: z.object({
     size: z.int().check(z.positive()),
-    zones: z.array(z.string()),
+    zones: z.array(z.string()).check(z.minLength(1, 'must name a zone')),
     clock_error_ms: amount,
     teams: z.array(
       z.object({
@@ -39,13 +39,21 @@
       ),
       [],
     ),
-    workers: z.object({
-      report_s: positive,
-      lease_s: positive,
-      gang_wait_s: positive,
-      gang_peer_s: positive,
-      cancel_s: positive,
-    }),
+    workers: z
+      .object({
+        report_s: positive,
+        lease_s: positive,
+        gang_wait_s: positive,
+        gang_peer_s: positive,
+        cancel_s: positive,
+      })
+      .check(
+        // With fewer, a worker that reports in time would lose its lease.
+        z.refine((w) => w.lease_s >= w.report_s * 2, {
+          path: ['lease_s'],
+          error: 'must hold at least two reports',
+        }),
+      ),
     state: z.object({
       rps: positive,
       write_rps: positive,
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { test } from 'node:test';
+import { Connections } from '../src/http/connections.js';
 import { createApp, type Service } from '../src/http/server.js';
 import type { Desk } from '../src/jobs/desk.js';
 import type { Logger } from '../src/runtime/log.js';
@@ -67,6 +68,23 @@
   assert.equal((await ask('POST', '/v1/report', '{"rig":1}')).code, 400);
 });
 
+test('users that ask nothing give way when connections run out, the longest idle first', () => {
+  const connections = new Connections(4);
+  const open = (): Socket => {
+    const socket = new Duplex({ read() {}, write() {} }) as Socket;
+    connections.add(socket);
+    return socket;
+  };
+  const [first, second, third, worker] = [open(), open(), open(), open()];
+  for (const user of [first, second, third]) connections.rests(user);
+  connections.busy(first);
+  open();
+  assert.deepEqual(
+    [first, second, third, worker].map((s) => s.destroyed),
+    [false, true, false, false],
+  );
+});
+
 test('an error inside tells nothing of the inside, and a refusal passes through', async () => {
   assert.deepEqual(await ask('GET', '/work/req-1'), {
     code: 500,
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -40,6 +40,27 @@
   );
 });
 
+test('settings with which nothing could work are refused, unusual ones are not', () => {
+  const lines: [string, string, RegExp][] = [
+    ['lease_s = 10.0', 'lease_s = 1.9', /^file\.toml: facts\.workers\.lease_s: .*two reports/],
+    ['zones = ["a", "b"]', 'zones = []', /^file\.toml: facts\.zones: /],
+    ['size = 2', 'size = 0', /^file\.toml: facts\.size: /],
+    ['sockets = 500', 'sockets = 0', /^file\.toml: facts\.resources\.sockets: /],
+  ];
+  for (const [sound, wrong, what] of lines) {
+    assert.ok(SETTINGS.includes(sound));
+    assert.match(
+      complaint(() => parseDeploy(SETTINGS.replace(sound, wrong), 'file.toml')),
+      what,
+    );
+  }
+  const large = SETTINGS.replace('lease_s = 10.0', 'lease_s = 2.0').replace(
+    'size = 2',
+    'size = 90',
+  );
+  assert.equal(parseDeploy(large, 'file.toml').size, 90);
+});
+
 test("the operators' file changes what it names and refuses what it does not know", () => {
   const parse = (inside: string) => parseOperator(`<leverhatch>${inside}</leverhatch>`, 'op.xml');
   assert.deepEqual(parse(''), OPERATOR_DEFAULTS);
