One checker of all rules under every story, users that record what they are told, and a vocabulary of troubles

The stories so far checked three rules by hand. Users now reach controllers through one function, so that the checker sees every answer; machines and submissions are judged without the help of the code under test. Stand-ins: direct commands to a hung worker wait for it, stops save, launches without room are refused, a cut between zones lets controllers of one zone talk and takes direct commands with it (it cut all of them before).

--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -34,15 +34,21 @@
     });
   }
 
+  private first(): Timer | undefined {
+    let first: Timer | undefined;
+    for (const t of this.timers) {
+      if (!first || t.at < first.at || (t.at === first.at && t.order < first.order)) first = t;
+    }
+    return first;
+  }
+
   /** Lets `ms` pass, with everything that is due on the way, in order. */
   async advance(ms: number): Promise<void> {
     const until = this.time + ms;
     await settle();
     for (;;) {
-      const next = this.timers
-        .filter((t) => t.at <= until)
-        .sort((a, b) => a.at - b.at || a.order - b.order)[0];
-      if (!next) break;
+      const next = this.first();
+      if (!next || next.at > until) break;
       this.time = Math.max(this.time, next.at);
       next.fire();
       await settle();
--- a/test/fakes/cloud.ts
+++ b/test/fakes/cloud.ts
@@ -10,27 +10,44 @@
   upAt: number;
 }
 
-const HULLS = [
-  {
-    sku: 'g8',
-    vcpus: 48,
-    gpus: 8,
-    memoryGb: 288,
-    cacheGb: 400,
-    fetchGbPerS: 2,
-    price: 20,
-    marketPrice: 7,
-    readyS: 40,
-    yards: ['a', 'b'],
-  },
-];
+export interface Hull {
+  sku: string;
+  vcpus: number;
+  gpus: number;
+  memoryGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  marketPrice: number;
+  readyS: number;
+  yards: string[];
+}
+
+const G8: Hull = {
+  sku: 'g8',
+  vcpus: 48,
+  gpus: 8,
+  memoryGb: 288,
+  cacheGb: 400,
+  fetchGbPerS: 2,
+  price: 20,
+  marketPrice: 7,
+  readyS: 40,
+  yards: ['a', 'b'],
+};
+
+/** A type with half the room of the usual one, for stories of jobs that allow one type only. */
+export const G4: Hull = { ...G8, sku: 'g4', vcpus: 24, gpus: 4, memoryGb: 144, price: 11 };
 
-/** A cloud that rents machines of one type in two zones. */
+/** A cloud that rents machines, usually of one type, in two zones. */
 export class FakeCloud {
+  readonly hulls: Hull[] = [G8];
   readonly hosts = new Map<string, Host>();
   readonly charters = new Map<string, string[]>();
   down = false;
   capacity = 40;
+  /** How long machines take to boot. */
+  bootMs = 40_000;
   spotCapacity = 0;
   /** Only the first page of a list is served. */
   failLaterPages = false;
@@ -43,10 +60,10 @@
     private readonly onGone: (id: string) => void,
   ) {}
 
-  add(yard: string, bootMs: number, driftwood = false): Host {
+  add(yard: string, bootMs: number, driftwood = false, hull = 'g8'): Host {
     const ref = `host-${String(this.next++).padStart(6, '0')}`;
     const now = this.clock.now();
-    const host = { ref, hull: 'g8', yard, driftwood, rentedAt: now, upAt: now + bootMs };
+    const host = { ref, hull, yard, driftwood, rentedAt: now, upAt: now + bootMs };
     this.hosts.set(ref, host);
     return host;
   }
@@ -64,7 +81,7 @@
   }
 
   private execute(method: string, path: string, body: unknown): Reply {
-    if (path === '/flavors') return { status: 200, body: { hulls: HULLS } };
+    if (path === '/flavors') return { status: 200, body: { hulls: this.hulls } };
     if (path === '/hosts/return') {
       this.calls.push({ path, count: (body as { rigs: string[] }).rigs.length });
       for (const id of (body as { rigs: string[] }).rigs) {
@@ -95,14 +112,23 @@
     return { status: 200, body: { rigs, more: rest.length > rigs.length } };
   }
 
-  private rent(r: { charter: string; yard: string; driftwood: boolean; number: number }): Reply {
+  private rent(r: {
+    charter: string;
+    hull: string;
+    yard: string;
+    driftwood: boolean;
+    number: number;
+  }): Reply {
     const before = this.charters.get(r.charter);
     if (before) return { status: 200, body: { rigs: before } };
     const held = [...this.hosts.values()].filter((h) => h.driftwood === r.driftwood).length;
     const most = r.driftwood ? this.spotCapacity : this.capacity;
     const n = Math.min(r.number, most - held);
     if (n <= 0) return { status: 503, body: { error: 'no capacity' } };
-    const rigs = Array.from({ length: n }, () => this.add(r.yard, 40_000, r.driftwood).ref);
+    const rigs = Array.from(
+      { length: n },
+      () => this.add(r.yard, this.bootMs, r.driftwood, r.hull).ref,
+    );
     this.charters.set(r.charter, rigs);
     return { status: 200, body: { rigs } };
   }
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -7,9 +7,15 @@
 export class FakeWire {
   private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
   readonly cut = new Set<string>();
+  /** Whether a message gets lost between two that are not cut off; none does unless a story says so. */
+  loses: (from: string, to: string, message: Message) => boolean = () => false;
   private readonly starts = new Map<string, number>();
 
-  constructor(private readonly clock: FakeClock) {}
+  constructor(
+    private readonly clock: FakeClock,
+    /** Whether two controllers are in zones that cannot reach each other now. */
+    private readonly separated: (from: string, to: string) => boolean = () => false,
+  ) {}
 
   attach(name: string, all: string[]): PeerTransport {
     const heard = new Subject<{ from: string; message: Message }>();
@@ -25,6 +31,7 @@
         void this.clock.sleep(2).then(() => {
           // A message from an earlier life of the process does not come from this one.
           if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
+          if (this.separated(name, to) || this.loses(name, to, message)) return;
           for (const m of new Decoder().push(bytes)) {
             this.ends.get(to)?.next({ from: name, message: m });
           }
--- /dev/null
+++ b/test/fakes/random.ts
@@ -0,0 +1,20 @@
+/** A reproducible source of numbers in [0, 1): mulberry32. */
+export class SeededRandom {
+  constructor(private state: number) {}
+
+  next(): number {
+    this.state = (this.state + 0x6d2b79f5) | 0;
+    let t = Math.imul(this.state ^ (this.state >>> 15), 1 | this.state);
+    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
+    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
+  }
+
+  /** A number from `low` up to, not including, `high`. */
+  between(low: number, high: number): number {
+    return low + (high - low) * this.next();
+  }
+
+  pick<T>(items: readonly T[]): T {
+    return items[Math.floor(this.next() * items.length)]!;
+  }
+}
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -20,12 +20,23 @@
 }
 
 /** What happens to a request on its way: answered, refused, lost before or after it was executed. */
-export type Fate = 'serve' | 'refuse' | 'lose request' | 'lose answer' | 'apply late';
+export type Fate =
+  | 'serve'
+  | 'refuse'
+  | 'lose request'
+  | 'lose answer'
+  | 'apply late'
+  /** No answer comes; it is carried out so much later, or once an outage is over. */
+  | { applyAfterMs: number };
 
 /** A small state service, written from the protocol. */
 export class FakeStore {
   readonly keys = new Map<string, Stored>();
   down = false;
+  /** How much longer than usual every answer takes. */
+  slowMs = 0;
+  /** A key has been written; called at that moment. */
+  onWrite: (key: string) => void = () => undefined;
   private revision = 0;
   private nextLease = 1;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -45,21 +56,39 @@
         if (path.startsWith('/follow')) return this.follow(path, timeoutMs, signal, fate);
         const what = this.down ? 'refuse' : fate(method, path, copy);
         if (what === 'refuse') return { status: 503, body: { error: 'trouble' } };
-        if (what === 'lose request' || what === 'apply late') {
-          if (what === 'apply late') this.late.push(() => this.execute(method, path, copy));
+        const unanswered = async (): Promise<never> => {
           await this.clock.sleep(timeoutMs, signal);
           throw new NoAnswer('lost');
+        };
+        if (what === 'lose request') return unanswered();
+        if (what === 'apply late') {
+          this.late.push(() => this.execute(method, path, copy));
+          return unanswered();
         }
-        const reply = this.execute(method, path, copy);
-        if (what === 'lose answer') {
-          await this.clock.sleep(timeoutMs, signal);
-          throw new NoAnswer('lost');
+        const lateMs = typeof what === 'object' ? what.applyAfterMs : this.slowMs;
+        if (typeof what === 'object' || this.slowMs >= timeoutMs) {
+          void this.executeLater(lateMs, method, path, copy);
+          return unanswered();
         }
+        if (this.slowMs > 0) await this.clock.sleep(this.slowMs, signal);
+        const reply = this.execute(method, path, copy);
+        if (what === 'lose answer') return unanswered();
         return reply;
       },
     };
   }
 
+  private async executeLater(
+    ms: number,
+    method: string,
+    path: string,
+    body: unknown,
+  ): Promise<void> {
+    await this.clock.sleep(ms);
+    while (this.down) await this.clock.sleep(100);
+    this.execute(method, path, body);
+  }
+
   get(key: string): unknown {
     this.expire();
     return this.keys.get(key)?.value;
@@ -126,6 +155,7 @@
         const stored = { value: c.value, stamp: this.revision, hold: c.hold ?? null };
         this.keys.set(c.write, stored);
         this.history.push({ key: c.write, stamp: this.revision, value: c.value });
+        this.onWrite(c.write);
       } else if (c.delete !== undefined && this.keys.has(c.delete)) this.remove(c.delete);
     }
     return { status: 200, body: { ledgerRev: this.revision } };
--- /dev/null
+++ b/test/fakes/troubles.ts
@@ -0,0 +1,231 @@
+import type { Message } from '../../src/peer/frames.js';
+import type { Fate } from './store.js';
+import type { FakeWorker } from './worker.js';
+import type { World } from './world.js';
+
+type DirectCommand = Parameters<FakeWorker['direct']>[0];
+
+/** When copies of reports arrive again: from 2 s to well over a lease later. */
+const COPY_MS = [2000, 18_000] as const;
+/** When transactions without an answer are carried out. */
+const WRITE_MS = [2000, 12_000] as const;
+/** For how long direct commands are held up. */
+const COMMAND_MS = [2000, 16_000] as const;
+/** When, after a leader took office, reports kept for it arrive. */
+const NEXT_LEADER_MS = [5, 60, 400];
+
+/** What a share of something meets; 0: none of it. */
+interface Shares {
+  /** Transactions that get no answer and are carried out seconds later. */
+  lateWrites: number;
+  /** Transactions that are carried out at once and whose answers are lost. */
+  lostAnswers: number;
+  /** Reports of which a copy arrives again later. */
+  lateReports: number;
+  /** Reports of which a copy is kept for the next leader. */
+  reportsForNext: number;
+  /** Direct commands that are held up, unanswered, and carried out once. */
+  lateCommands: number;
+}
+
+/**
+ * The troubles that stories are told in. All of them begin when they are called and last until
+ * `over`, unless they say for how long.
+ */
+export class Troubles {
+  readonly share: Shares = {
+    lateWrites: 0,
+    lostAnswers: 0,
+    lateReports: 0,
+    reportsForNext: 0,
+    lateCommands: 0,
+  };
+  /** Copies of reports go to all controllers, not only to where the report went. */
+  copiesEverywhere = false;
+  private kept: object[] = [];
+
+  constructor(private readonly world: World) {
+    world.store.onWrite = (key) => {
+      if (key === 'leader') void this.newLeader();
+    };
+  }
+
+  // ---- the state service
+
+  /** It is down for everybody. */
+  outage(): void {
+    this.world.store.down = true;
+  }
+
+  /** It serves again after an outage. */
+  outageOver(): void {
+    this.world.store.restore();
+  }
+
+  /** It refuses one controller alone. */
+  refuse(node: number): void {
+    this.world.nodes[node]!.fate = () => 'refuse';
+  }
+
+  serve(node: number): void {
+    this.world.nodes[node]!.fate = () => 'serve';
+  }
+
+  /** The fate of a request that nothing else has decided. */
+  storeFate(path: string): Fate {
+    if (path !== '/txn') return 'serve';
+    const { random } = this.world;
+    const { lateWrites, lostAnswers } = this.share;
+    if (lateWrites > 0 && random.next() < lateWrites) {
+      return { applyAfterMs: random.between(...WRITE_MS) };
+    }
+    return lostAnswers > 0 && random.next() < lostAnswers ? 'lose answer' : 'serve';
+  }
+
+  // ---- controllers
+
+  /** A controller loses the store and the other controllers, not its workers and users. */
+  isolate(node: number): void {
+    this.refuse(node);
+    this.world.wire.cut.add(this.world.nodes[node]!.name);
+  }
+
+  /** It reaches all again. */
+  rejoin(node: number): void {
+    this.serve(node);
+    this.world.wire.cut.delete(this.world.nodes[node]!.name);
+  }
+
+  /** Controllers refuse each other's connections. */
+  refusePeers(): void {
+    for (const node of this.world.nodes) this.world.wire.cut.add(node.name);
+  }
+
+  /** Messages of these kinds get lost between controllers. */
+  loseMessages(...kinds: Message['kind'][]): void {
+    this.world.wire.loses = (_from, _to, message) => kinds.includes(message.kind);
+  }
+
+  /** A controller's answers to users and workers are held up. */
+  holdAnswers(node: number, ms: number): void {
+    this.world.nodes[node]!.heldMs = ms;
+  }
+
+  /** A controller ends and comes back after so many seconds. */
+  async restart(node: number, afterS: number): Promise<void> {
+    this.world.crash(node);
+    await this.world.pass(afterS);
+    this.world.restart(node);
+  }
+
+  /** All controllers end at once and come back after so many seconds. */
+  async restartAll(afterS: number): Promise<void> {
+    for (const [i] of this.world.nodes.entries()) this.world.crash(i);
+    await this.world.pass(afterS);
+    for (const [i] of this.world.nodes.entries()) this.world.restart(i);
+  }
+
+  /** The leader ends and comes back a little later; answers which it was. */
+  async endLeader(backAfterS: number): Promise<number> {
+    const { leader } = this.world;
+    if (leader >= 0) await this.restart(leader, backAfterS);
+    return leader;
+  }
+
+  // ---- machines
+
+  /** Machines hang, and go on after so many seconds. */
+  hang(workers: FakeWorker[], seconds: number): void {
+    for (const worker of workers) worker.hung = true;
+    void this.world.clock.sleep(seconds * 1000).then(() => {
+      for (const worker of workers) worker.hung = false;
+    });
+  }
+
+  /** Machines reach nobody and nobody reaches them. */
+  cutOff(workers: FakeWorker[]): void {
+    for (const worker of workers) worker.mute = worker.deaf = true;
+  }
+
+  /** The reports of these machines arrive; answers and direct commands get lost. */
+  deafen(workers: FakeWorker[]): void {
+    for (const worker of workers) worker.deaf = true;
+  }
+
+  /** These machines reach no controller, while direct commands reach them. */
+  mute(workers: FakeWorker[]): void {
+    for (const worker of workers) worker.mute = true;
+  }
+
+  /** A direct command's way to a worker; null: no answer. */
+  async direct(
+    worker: FakeWorker,
+    command: DirectCommand,
+    timeoutMs: number,
+  ): Promise<ReturnType<FakeWorker['direct']>> {
+    const { clock, random } = this.world;
+    if (this.share.lateCommands === 0 || random.next() >= this.share.lateCommands) {
+      return worker.direct(command);
+    }
+    void clock.sleep(random.between(...COMMAND_MS)).then(() => worker.direct(command));
+    await clock.sleep(timeoutMs);
+    return null;
+  }
+
+  // ---- reports that come again
+
+  /** Makes the copies of a report that has just been sent. */
+  copyReport(node: number, report: object): void {
+    const { lateReports, reportsForNext } = this.share;
+    const { clock, random } = this.world;
+    if (reportsForNext > 0 && random.next() < reportsForNext)
+      this.kept.push(structuredClone(report));
+    if (lateReports === 0 || random.next() >= lateReports) return;
+    const copy = structuredClone(report);
+    void clock.sleep(random.between(...COPY_MS)).then(() => {
+      if (this.copiesEverywhere) this.everywhere(copy);
+      else this.deliver(node, copy);
+    });
+  }
+
+  /** A copy of a report reaches every controller now. */
+  everywhere(report: object): void {
+    for (const [i] of this.world.nodes.entries()) this.deliver(i, report);
+  }
+
+  private deliver(node: number, report: object): void {
+    void this.world.deliver(node, report).catch(() => undefined);
+  }
+
+  private async newLeader(): Promise<void> {
+    const { clock } = this.world;
+    for (const ms of NEXT_LEADER_MS) {
+      const part = this.kept.splice(0, Math.ceil(this.kept.length / 2));
+      await clock.sleep(ms);
+      for (const report of part) this.everywhere(report);
+    }
+  }
+
+  // ---- the end of all troubles
+
+  /** Everything is as it should be again; what has been sent may still arrive. */
+  over(): void {
+    const { world } = this;
+    if (world.store.down) world.store.restore();
+    world.store.slowMs = 0;
+    world.split(false);
+    world.directOpen = true;
+    world.wire.cut.clear();
+    world.wire.loses = () => false;
+    this.copiesEverywhere = false;
+    for (const name of Object.keys(this.share) as (keyof Shares)[]) this.share[name] = 0;
+    for (const [i, node] of world.nodes.entries()) {
+      node.open = true;
+      node.heldMs = 0;
+      if (!node.controller) world.restart(i);
+      else node.fate = () => 'serve';
+    }
+    for (const w of world.workers.values()) w.hung = w.deaf = w.mute = false;
+    world.checker.calm();
+  }
+}
--- /dev/null
+++ b/test/fakes/users.ts
@@ -0,0 +1,83 @@
+import type { Answer, JobApi } from '../../src/jobs/job-api.js';
+import type { FakeClock } from './clock.js';
+import type { Action, RuleChecker } from './rule-checker.js';
+
+/** One controller as its users see it. */
+export interface Front {
+  readonly name: string;
+  /** Null while no process accepts connections there. */
+  jobApi(): JobApi | null;
+  /** Ends when the process that takes the request now ends, and its connections with it. */
+  readonly alive: AbortSignal;
+  /** For how long answers are held up on their way. */
+  readonly heldMs: number;
+  /** Resolves when a process that stands still goes on. */
+  thaw(): Promise<void>;
+}
+
+/** What a user gets who gets nothing: the connection failed, broke or brought no answer in time. */
+const NOTHING: Answer = { status: 0, body: {} };
+
+/** How long users wait for an answer. */
+const PATIENCE_MS: Record<Action, number> = { submit: 5000, query: 2000, abort: 5000 };
+
+/**
+ * The only way of users to controllers: what they are told, when and at which node goes to the
+ * checker of the rules.
+ */
+export class Users {
+  constructor(
+    private readonly clock: FakeClock,
+    private readonly checker: RuleChecker,
+    private readonly front: (node: number) => Front,
+  ) {}
+
+  /** The users' interface of one controller. */
+  at(node: number): {
+    submit(body: unknown): Promise<Answer>;
+    query(ref: string): Promise<Answer>;
+    abort(ref: string): Promise<Answer>;
+  } {
+    return {
+      submit: (body) =>
+        this.ask(node, 'submit', refOf(body), (api) => api.submit(structuredClone(body)), body),
+      query: (ref) => this.ask(node, 'query', ref, (api) => api.query(ref)),
+      abort: (ref) => this.ask(node, 'abort', ref, (api) => api.abort(ref)),
+    };
+  }
+
+  private async ask(
+    node: number,
+    action: Action,
+    ref: string,
+    request: (api: JobApi) => Promise<Answer>,
+    body?: unknown,
+  ): Promise<Answer> {
+    const front = this.front(node);
+    const question = this.checker.asked(action, ref, front.name, body);
+    const done = new AbortController();
+    const given = this.clock.sleep(PATIENCE_MS[action], done.signal).then(() => NOTHING);
+    const answer = await Promise.race([this.reach(front, request), given]);
+    done.abort();
+    const { phase } = answer.body as { phase?: string };
+    this.checker.answered(question, { status: answer.status, phase: phase ?? null }, body);
+    return answer;
+  }
+
+  private async reach(front: Front, request: (api: JobApi) => Promise<Answer>): Promise<Answer> {
+    const { alive } = front;
+    await front.thaw();
+    const api = front.jobApi();
+    if (!api || alive.aborted) return NOTHING;
+    const answer = await request(api);
+    await front.thaw();
+    if (front.heldMs > 0) await this.clock.sleep(front.heldMs);
+    return alive.aborted ? NOTHING : answer;
+  }
+}
+
+/** The job that a body names; whatever else it says. */
+function refOf(body: unknown): string {
+  const ref = typeof body === 'object' && body !== null ? (body as { ref?: unknown }).ref : null;
+  return typeof ref === 'string' ? ref : '';
+}
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -7,6 +7,8 @@
   phase: 'fetching' | 'gathering' | 'running' | 'flushing' | 'ended';
   cause: string | null;
   since: number;
+  /** Its progress is saved. */
+  stored?: boolean;
 }
 
 export interface JobFacts {
@@ -15,14 +17,39 @@
   runMs: number;
   fetchMs: number;
   saveMs: number;
+  vcpus: number;
+  gpus: number;
+  memoryGb: number;
 }
 
+export interface Room {
+  vcpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** What the worker is told to run, and where it stands. */
+export interface WorkerSite {
+  id: string;
+  hull: string;
+  yard: string;
+  driftwood: boolean;
+  room: Room;
+  leaseMs: number;
+  nodes: string[];
+}
+
+type DirectCommand = { baton: number; shift: number; orders: Record<string, unknown>[] };
+
 export interface WorkerHost {
   /** How the worker learns what to run; null: no such job. */
   facts(job: string): JobFacts | null;
   /** Whether all tasks of this attempt have their image. */
   assembled(job: string, attempt: number): boolean;
   onMachine(worker: FakeWorker, piece: Piece): void;
+  onDone(piece: Piece): void;
+  /** Sends a report on its way; rejects if no connection comes about. */
+  call(node: number, report: object, worker: FakeWorker): Promise<Answered>;
 }
 
 export type Answered = { status: number; body: unknown };
@@ -35,27 +62,43 @@
   pieces: Piece[] = [];
   dead = false;
   hung = false;
-  /** Reports arrive, answers do not. */
+  /** Reports arrive; answers and direct commands do not. */
   deaf = false;
+  /** Reports reach nobody; direct commands arrive. */
+  mute = false;
   warningS: number | null = null;
   /** Every report as it was sent, for late copies. */
   readonly sent: object[] = [];
   private node = 0;
   private leaseFrom: number;
 
+  /** Direct commands that came while it hung: they are carried out when it goes on. */
+  private readonly inbox: DirectCommand[] = [];
+
   constructor(
-    readonly id: string,
-    readonly yard: string,
-    readonly driftwood: boolean,
+    private readonly site: WorkerSite,
     private readonly clock: FakeClock,
     private readonly host: WorkerHost,
-    private readonly leaseMs: number,
-    private readonly call: (node: number, report: object) => Promise<Answered>,
-    private readonly nodes: string[],
   ) {
     this.leaseFrom = clock.now();
   }
 
+  get id(): string {
+    return this.site.id;
+  }
+
+  get hull(): string {
+    return this.site.hull;
+  }
+
+  get yard(): string {
+    return this.site.yard;
+  }
+
+  get driftwood(): boolean {
+    return this.site.driftwood;
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.dead) {
       // The lease of a hanging machine runs out like any other's: it never resumes past it.
@@ -63,6 +106,7 @@
       const began = this.clock.now();
       const to = this.node;
       if (!this.hung) {
+        for (const command of this.inbox.splice(0)) this.direct(command);
         this.work();
         await this.report();
       }
@@ -76,7 +120,7 @@
     return {
       rig: this.id,
       address: `${this.id}:9000`,
-      hull: 'g8',
+      hull: this.hull,
       yard: this.yard,
       driftwood: this.driftwood,
       shift: this.shift,
@@ -88,16 +132,18 @@
         try: p.attempt,
         phase: p.phase,
         ...(p.cause === null ? {} : { cause: p.cause }),
+        ...(p.stored ? { stored: true } : {}),
       })),
     };
   }
 
   /** A direct command; null: no answer. */
-  direct(command: { baton: number; shift: number; orders: Record<string, unknown>[] }): {
-    status: number;
-    body: object;
-  } | null {
-    if (this.dead || this.hung) return null;
+  direct(command: DirectCommand): { status: number; body: object } | null {
+    if (this.dead || this.deaf) return null;
+    if (this.hung) {
+      this.inbox.push(command);
+      return null;
+    }
     const fits = command.baton >= this.baton && command.shift === this.shift;
     if (fits) {
       this.baton = command.baton;
@@ -113,17 +159,20 @@
     const sentAt = this.clock.now();
     const late = new AbortController();
     const none = this.clock.sleep(4000, late.signal).then(() => null);
-    const answer = await Promise.race([this.call(this.node, body).catch(() => null), none]);
+    const way = this.mute
+      ? Promise.resolve(null)
+      : this.host.call(this.node, body, this).catch(() => null);
+    const answer = await Promise.race([way, none]);
     late.abort();
     if (this.dead || this.hung) return;
     if (answer && this.deaf) return;
     if (!answer || (answer.status !== 200 && answer.status !== 421)) {
-      this.node = (this.node + 1) % this.nodes.length;
+      this.node = (this.node + 1) % this.site.nodes.length;
       return;
     }
     if (answer.status === 421) {
-      const to = this.nodes.indexOf((answer.body as { foreman?: string }).foreman ?? '');
-      this.node = to >= 0 && to !== this.node ? to : (this.node + 1) % this.nodes.length;
+      const to = this.site.nodes.indexOf((answer.body as { foreman?: string }).foreman ?? '');
+      this.node = to >= 0 && to !== this.node ? to : (this.node + 1) % this.site.nodes.length;
       return;
     }
     const { baton, orders } = answer.body as { baton: number; orders: Record<string, unknown>[] };
@@ -142,23 +191,39 @@
     if (order.verb === 'forget') {
       this.pieces = this.pieces.filter((p) => p !== here || p.phase !== 'ended');
     } else if (order.verb === 'launch' && !here) {
-      const busy = this.pieces.some((p) => same(p) && p.phase !== 'ended');
-      this.pieces.push({
-        job,
-        task: Number(task),
-        attempt,
-        phase: busy ? 'ended' : 'fetching',
-        cause: busy ? 'in_use' : null,
-        since: this.clock.now(),
-      });
-    } else if (order.verb === 'halt' && here && here.phase !== 'ended') {
-      here.phase = 'ended';
-      here.cause = 'stopped';
+      const cause = this.whyRefused(job, Number(task));
+      const phase = cause === null ? 'fetching' : 'ended';
+      this.pieces.push({ job, task: Number(task), attempt, phase, cause, since: this.clock.now() });
+    } else if (order.verb === 'halt' && here) this.halt(here, Number(order.windDownS) * 1000);
+  }
+
+  private whyRefused(job: string, task: number): string | null {
+    const running = this.pieces.filter((p) => p.phase !== 'ended');
+    if (running.some((p) => p.job === job && p.task === task)) return 'in_use';
+    const facts = this.host.facts(job);
+    if (!facts) return 'unknown';
+    for (const amount of ['vcpus', 'gpus', 'memoryGb'] as const) {
+      const used = running.reduce((n, p) => n + (this.host.facts(p.job)?.[amount] ?? 0), 0);
+      if (used + facts[amount] > this.site.room[amount] + 1e-6) return 'no_room';
     }
+    return null;
+  }
+
+  private halt(piece: Piece, windDownMs: number): void {
+    if (piece.phase === 'ended') return;
+    const saveMs = this.host.facts(piece.job)?.saveMs ?? 0;
+    const saves = piece.phase === 'running' || piece.phase === 'flushing';
+    if (saves && saveMs > 0 && windDownMs >= saveMs) {
+      if (piece.phase === 'running') piece.since = this.clock.now();
+      piece.phase = 'flushing';
+      return;
+    }
+    piece.phase = 'ended';
+    piece.cause = 'stopped';
   }
 
   private expired(): boolean {
-    return this.clock.now() - this.leaseFrom > this.leaseMs;
+    return this.clock.now() - this.leaseFrom > this.site.leaseMs;
   }
 
   private nextSession(): void {
@@ -191,6 +256,12 @@
       if (p.phase === 'running' && facts.runMs > 0 && now - p.since >= facts.runMs) {
         p.phase = 'ended';
         p.cause = 'done';
+        this.host.onDone(p);
+      }
+      if (p.phase === 'flushing' && now - p.since >= facts.saveMs) {
+        p.phase = 'ended';
+        p.cause = 'stopped';
+        p.stored = true;
       }
     }
   }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -8,9 +8,13 @@
 import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
 import { FakeClock } from './clock.js';
-import { FakeCloud } from './cloud.js';
+import { FakeCloud, type Host } from './cloud.js';
 import { FakeWire } from './peer-transport.js';
+import { SeededRandom } from './random.js';
+import { RuleChecker, type MachineSeen, type TaskSeen } from './rule-checker.js';
 import { FakeStore, type Fate } from './store.js';
+import { Troubles } from './troubles.js';
+import { Users, type Front } from './users.js';
 import { FakeWorker, type Answered, type JobFacts, type Piece } from './worker.js';
 
 export const SETTINGS = `
@@ -53,17 +57,28 @@
 sockets = 500
 `;
 
+/** A team whose work needs no GPUs. */
+const DESK = `
+[[facts.teams]]
+name = "desk"
+cpus = 4.0
+cpus_max = 16.0
+`;
+
 /** The second controller is in zone b, the others are in zone a. */
 export function settings(member = 'berth-0'): Settings {
-  const text = SETTINGS.replace('berth-0', member);
+  const text = SETTINGS.replace('berth-0', member).replace(
+    '[facts.workers]',
+    `${DESK}[facts.workers]`,
+  );
   return parseDeploy(
     member === 'berth-1' ? text.replace('site = "a"', 'site = "b"') : text,
     'settings',
   );
 }
 
-export function fakeRandom(name: string): Random {
-  let n = 0;
+export function fakeRandom(name: string, seed = 0): Random {
+  let n = seed;
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
 }
 
@@ -74,7 +89,9 @@
   debug: (): void => {},
 };
 
-interface Node {
+type Room = { cpus: number; gpus: number; memoryGb: number };
+
+export interface Node {
   name: string;
   controller: Controller | null;
   stop: AbortController;
@@ -83,6 +100,8 @@
   open: boolean;
   /** Until when it stands still while its clocks run on. */
   frozenUntil: number;
+  /** For how long its answers to users and workers are held up on their way. */
+  heldMs: number;
 }
 
 export interface JobWish {
@@ -97,6 +116,15 @@
   apart?: boolean;
   driftwood?: boolean;
   yard?: string;
+  hulls?: string[];
+  vcpus?: number;
+  waitsOn?: string[];
+}
+
+export interface MachineWish {
+  yard: string;
+  spot?: boolean;
+  hull?: string;
 }
 
 /** A small fleet with two or three controllers; it checks the rules at every step of every story. */
@@ -104,12 +132,15 @@
   readonly clock = new FakeClock();
   readonly store = new FakeStore(this.clock);
   readonly cloud = new FakeCloud(this.clock, (id) => this.kill(id));
-  readonly wire = new FakeWire(this.clock);
+  readonly wire = new FakeWire(this.clock, (from, to) => this.separated(from, to));
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes: Node[] = [];
-  readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
+  readonly facts = new Map<string, JobFacts>();
   readonly starts: string[] = [];
-  readonly broken: string[] = [];
+  readonly random: SeededRandom;
+  readonly checker: RuleChecker;
+  readonly users: Users;
+  readonly trouble: Troubles;
   /** Whether commands reach the workers' own addresses. */
   directOpen = true;
   /** The zones cannot reach each other; both reach the store. */
@@ -118,8 +149,13 @@
   private lives = 0;
   private nextId = 1;
 
-  constructor(machines: { yard: string; spot?: boolean }[], controllers: 2 | 3 = 2) {
-    for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false);
+  constructor(
+    machines: MachineWish[],
+    controllers: 2 | 3 = 2,
+    readonly seed = 0,
+  ) {
+    this.random = new SeededRandom(seed);
+    for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
     for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, controllers)) {
       this.nodes.push({
         name,
@@ -128,8 +164,43 @@
         fate: () => 'serve',
         open: true,
         frozenUntil: 0,
+        heldMs: 0,
       });
     }
+    const { teams, workers } = settings();
+    this.checker = new RuleChecker({
+      fleet: { types: this.types(), teams: new Map([...teams].map(([n, t]) => [n, t.limit])) },
+      cancelMs: workers.cancelMs,
+      now: () => this.clock.now(),
+      machines: () => this.machinesSeen(),
+    });
+    this.users = new Users(this.clock, this.checker, (i) => this.front(i));
+    this.trouble = new Troubles(this);
+  }
+
+  private types(): Map<string, { room: Room; zones: string[] }> {
+    const types = new Map<string, { room: Room; zones: string[] }>();
+    for (const h of this.cloud.hulls) {
+      const room = { cpus: h.vcpus, gpus: h.gpus, memoryGb: h.memoryGb };
+      types.set(h.sku, { room, zones: h.yards });
+    }
+    return types;
+  }
+
+  private front(i: number): Front {
+    const node = this.nodes[i]!;
+    return {
+      name: node.name,
+      jobApi: () => node.controller?.jobApi ?? null,
+      alive: node.stop.signal,
+      heldMs: node.heldMs,
+      thaw: () => this.thaw(node),
+    };
+  }
+
+  /** The users' interface of one controller; all that is said there is checked. */
+  user(node: number): ReturnType<Users['at']> {
+    return this.users.at(node);
   }
 
   async start(): Promise<void> {
@@ -139,21 +210,23 @@
   }
 
   async close(): Promise<void> {
+    this.checker.look();
     for (const node of this.nodes) node.stop.abort();
     this.end.abort();
     await this.clock.advance(100);
-    assert.deepEqual(this.broken, []);
+    assert.deepEqual(this.checker.violations, []);
   }
 
   boot(i: number): void {
     const node = this.nodes[i]!;
-    node.stop = new AbortController();
+    const stop = new AbortController();
+    node.stop = stop;
     const controller = new Controller(
       settings(node.name),
       OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
-        random: fakeRandom(`${node.name}.${++this.lives}`),
+        random: fakeRandom(`${node.name}.${++this.lives}`, this.seed * 37 * this.lives),
         log: silent,
         startedAt: this.clock.now(),
       },
@@ -164,14 +237,17 @@
         ),
         store: this.through(
           node,
-          this.store.link((m, p, b) => (node.stop.signal.aborted ? 'refuse' : node.fate(m, p, b))),
+          this.store.link((m, p, b) => this.fate(node, stop.signal, m, p, b)),
         ),
         cloud: this.through(node, this.cloud.link()),
         workers: (address) => ({
-          request: async (_method, _path, body) => {
+          request: async (_method, _path, body, timeoutMs) => {
             await this.clock.sleep(2);
             const worker = this.workers.get(address.split(':')[0]!);
-            const answer = this.directOpen ? worker?.direct(body as never) : null;
+            const answer =
+              worker && this.directReaches(node, worker)
+                ? await this.trouble.direct(worker, body as never, timeoutMs)
+                : null;
             await this.clock.sleep(2);
             if (!answer) throw new NoAnswer('no answer');
             return JSON.parse(JSON.stringify(answer)) as Reply;
@@ -183,6 +259,21 @@
     void controller.run(node.stop.signal);
   }
 
+  /** What becomes of a request of one process to the store. */
+  private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
+    if (life.aborted) return 'refuse';
+    const own = node.fate(method, path, body);
+    return own === 'serve' ? this.trouble.storeFate(path) : own;
+  }
+
+  private directReaches(node: Node, worker: FakeWorker): boolean {
+    return this.directOpen && !(this.apart && worker.yard !== this.zoneOf(node));
+  }
+
+  zoneOf(node: Node): string {
+    return settings(node.name).zone;
+  }
+
   /** It stands still from now on: what comes to it meanwhile it sees afterwards. */
   freeze(i: number, ms: number): void {
     this.nodes[i]!.frozenUntil = this.clock.now() + ms;
@@ -236,10 +327,11 @@
 
   split(apart: boolean): void {
     this.apart = apart;
-    for (const node of this.nodes) {
-      if (apart) this.wire.cut.add(node.name);
-      else this.wire.cut.delete(node.name);
-    }
+  }
+
+  /** Whether two controllers are in zones that cannot reach each other now. */
+  separated(from: string, to: string): boolean {
+    return this.apart && settings(from).zone !== settings(to).zone;
   }
 
   get leader(): number {
@@ -274,16 +366,6 @@
 
   wish(w: JobWish): { ref: string; body: object } {
     const ref = `req-${String(this.nextId++).padStart(6, '0')}`;
-    this.facts.set(ref, {
-      shape: w.shape ?? 'array',
-      pieces: w.pieces ?? 1,
-      runMs: w.runMs ?? 20_000,
-      fetchMs: w.fetchMs ?? 2000,
-      saveMs: 1000,
-      gpus: w.gpus ?? 1,
-      crew: w.crew ?? 'vision',
-      samePlace: w.samePlace ?? false,
-    });
     const body = {
       ref,
       lane: 'train',
@@ -291,11 +373,12 @@
       shape: w.shape ?? 'array',
       urgency: w.urgency ?? 'standard',
       pieces: w.pieces ?? 1,
-      vcpus: 1,
+      vcpus: w.vcpus ?? 1,
       gpus: w.gpus ?? 1,
       memoryGb: 4,
       crate: 'img-1',
       sizeGb: 4,
+      hulls: w.hulls ?? null,
       yard: w.yard ?? null,
       samePlace: w.samePlace ?? false,
       apart: w.apart ?? false,
@@ -303,19 +386,23 @@
       guessS: (w.runMs ?? 20_000) / 1000,
       snapshotEveryS: 10,
       stowS: 1,
+      ...(w.waitsOn ? { waitsOn: w.waitsOn } : {}),
     };
+    const { shape, pieces, vcpus, gpus, memoryGb } = body;
+    const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
+    this.facts.set(ref, { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 });
     return { ref, body };
   }
 
   async submit(w: JobWish, node = 0): Promise<string> {
     const { ref, body } = this.wish(w);
-    const answer = await this.ask(this.nodes[node]!.controller!.jobApi.submit(body));
+    const answer = await this.ask(this.user(node).submit(body));
     assert.equal(answer.status, 201);
     return ref;
   }
 
   async phase(ref: string, node = 0): Promise<string> {
-    const answer = await this.ask(this.nodes[node]!.controller!.jobApi.query(ref));
+    const answer = await this.ask(this.user(node).query(ref));
     return answer.status === 200 ? (answer.body as { phase: string }).phase : String(answer.status);
   }
 
@@ -341,20 +428,7 @@
     while (!this.end.signal.aborted) {
       for (const h of this.cloud.hosts.values()) {
         if (this.workers.has(h.ref) || this.clock.now() < h.upAt) continue;
-        const worker = new FakeWorker(
-          h.ref,
-          h.yard,
-          h.driftwood,
-          this.clock,
-          {
-            facts: (job) => this.facts.get(job) ?? null,
-            assembled: (job, attempt) => this.assembled(job, attempt),
-            onMachine: (w, p) => this.onMachine(w, p),
-          },
-          10_000,
-          (node, report) => this.deliver(node, report),
-          this.nodes.map((n) => n.name),
-        );
+        const worker = this.worker(h);
         this.workers.set(h.ref, worker);
         void worker.run(this.end.signal);
       }
@@ -362,12 +436,39 @@
     }
   }
 
+  private worker(host: Host): FakeWorker {
+    const { vcpus, gpus, memoryGb } = this.cloud.hulls.find((h) => h.sku === host.hull)!;
+    return new FakeWorker(
+      {
+        id: host.ref,
+        hull: host.hull,
+        yard: host.yard,
+        driftwood: host.driftwood,
+        room: { vcpus, gpus, memoryGb },
+        leaseMs: settings().workers.leaseMs,
+        nodes: this.nodes.map((n) => n.name),
+      },
+      this.clock,
+      {
+        facts: (job) => this.facts.get(job) ?? null,
+        assembled: (job, attempt) => this.assembled(job, attempt),
+        onMachine: (w, p) => this.onMachine(w, p),
+        onDone: (p) => this.checker.completed(p.job, p.task),
+        call: (node, report) => {
+          this.trouble.copyReport(node, report);
+          return this.deliver(node, report);
+        },
+      },
+    );
+  }
+
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
     const { controller } = this.nodes[node]!;
     await this.thaw(this.nodes[node]!);
     const { yard } = report as { yard: string };
-    const open = this.nodes[node]!.open && !(this.apart && yard !== (node === 1 ? 'b' : 'a'));
+    const cutOff = this.apart && yard !== this.zoneOf(this.nodes[node]!);
+    const open = this.nodes[node]!.open && !cutOff;
     await this.clock.sleep(1);
     if (!controller || !open) {
       if (!open) await this.clock.sleep(5000);
@@ -376,7 +477,7 @@
     const parsed = parseReport(JSON.parse(JSON.stringify(report)));
     assert.ok(parsed);
     const outcome = await controller.report(parsed);
-    await this.clock.sleep(1);
+    await this.clock.sleep(1 + this.nodes[node]!.heldMs);
     return outcome.kind === 'orders'
       ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
       : { status: 421, body: redirectAnswer(outcome.leader) };
@@ -388,45 +489,26 @@
   }
 
   private onMachine(worker: FakeWorker, piece: Piece): void {
-    const name = `${piece.job}/${piece.task}`;
-    this.starts.push(name);
-    for (const other of this.workers.values()) {
-      if (other === worker || other.dead) continue;
-      const twin = other.pieces.find(
-        (p) =>
-          p.job === piece.job &&
-          p.task === piece.task &&
-          p.phase !== 'ended' &&
-          p.phase !== 'fetching',
-      );
-      if (twin) this.broken.push(`ran_twice ${name} on ${worker.id} and ${other.id}`);
-      const elsewhere = other.pieces.some(
-        (p) => p.job === piece.job && p.phase !== 'ended' && p.phase !== 'fetching',
-      );
-      if (elsewhere && this.facts.get(piece.job)!.samePlace && other.yard !== worker.yard) {
-        this.broken.push(`wrong_place ${name} in ${worker.yard}`);
-      }
-    }
+    this.starts.push(`${piece.job}/${piece.task}`);
+    this.checker.started(seen(worker), piece.job, piece.task);
+  }
+
+  private machinesSeen(): MachineSeen[] {
+    return [...this.workers.values()].filter((w) => !w.dead).map(seen);
   }
 
   private check(): void {
-    const used = new Map<string, number>();
-    for (const worker of this.workers.values()) {
-      if (worker.dead) continue;
-      let gpus = 0;
-      for (const p of worker.pieces) {
-        const facts = this.facts.get(p.job);
-        if (!facts || p.phase === 'ended') continue;
-        gpus += facts.gpus;
-        if (p.phase !== 'fetching') used.set(facts.crew, (used.get(facts.crew) ?? 0) + facts.gpus);
-      }
-      if (gpus > 8) this.broken.push(`no room on ${worker.id}: ${gpus}`);
-    }
-    for (const [team, limit] of [
-      ['vision', 32],
-      ['speech', 64],
-    ] as const) {
-      if ((used.get(team) ?? 0) > limit) this.broken.push(`quota of ${team}: ${used.get(team)}`);
-    }
+    this.checker.look();
+  }
+}
+
+/** What really is on a machine. */
+function seen(worker: FakeWorker): MachineSeen {
+  const tasks: TaskSeen[] = [];
+  for (const { job, task, phase } of worker.pieces) {
+    if (phase !== 'ended') tasks.push({ job, task, state: phase });
   }
+  const { id, hull: type, yard: zone, driftwood: spot } = worker;
+  const usable = !worker.hung && !worker.deaf && !worker.mute && worker.warningS === null;
+  return { id, type, zone, spot, usable, tasks };
 }
--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -150,7 +150,7 @@
   await w.until(() => w.running(job) === 3, 10, 'runs');
   await w.pass(3);
   const follower = 1 - w.leader;
-  const answer = await w.ask(w.nodes[follower]!.controller!.jobApi.query(job));
+  const answer = await w.ask(w.user(follower).query(job));
   assert.deepEqual(answer.body, { ref: job, phase: 'running', done: 0, running: 3 });
   await w.close();
 });
@@ -202,7 +202,7 @@
   await w.pass(20);
   assert.equal(w.leader, leader);
   // The cancellation reaches the leader by the store's news alone.
-  const { body } = await w.ask(w.nodes[follower]!.controller!.jobApi.abort(job));
+  const { body } = await w.ask(w.user(follower).abort(job));
   assert.deepEqual(body, { ref: job, phase: 'withdrawn' });
   await w.until(() => w.on(job).length === 0, 5, 'gone');
   assert.equal(await w.phase(job, leader), 'withdrawn');
--- a/test/stop-commands.test.ts
+++ b/test/stop-commands.test.ts
@@ -19,7 +19,7 @@
     w.directOpen = open;
     await w.clock.advance(100);
     const from = w.clock.now();
-    assert.equal((await w.ask(w.nodes[w.leader]!.controller!.jobApi.abort(job))).status, 200);
+    assert.equal((await w.ask(w.user(w.leader).abort(job))).status, 200);
     while (w.on(job).length > 0 && w.clock.now() - from < 5000) await w.clock.advance(10);
     // The cancellation itself takes up to a step of the story's clock.
     const took = w.clock.now() - from;
--- a/test/store-reachability.test.ts
+++ b/test/store-reachability.test.ts
@@ -12,7 +12,7 @@
   const cut = (w.leader + 1) % 3;
   w.nodes[cut]!.fate = () => 'refuse';
   const job = await w.submit({ pieces: 1 }, w.leader);
-  void w.nodes[cut]!.controller!.jobApi.query(job);
+  void w.user(cut).query(job);
   await w.pass(7);
   assert.deepEqual(
     ready(),
@@ -30,9 +30,9 @@
   w.store.down = true;
   for (let i = 0; i < 12; i++) {
     await w.pass(1);
-    for (const { controller } of w.nodes) {
+    for (const [i, { controller }] of w.nodes.entries()) {
       assert.equal(controller!.ready(), true);
-      const answer = await w.ask(controller!.jobApi.query('req-000001'));
+      const answer = await w.ask(w.user(i).query('req-000001'));
       assert.deepEqual([answer.status, answer.retryAfter], [503, 1]);
     }
   }
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -22,12 +22,12 @@
   const w = new World(FOUR);
   await w.start();
   const { ref, body } = w.wish({ pieces: 2, runMs: 3000 });
-  const first = w.ask(w.nodes[0]!.controller!.jobApi.submit(body));
-  const second = w.ask(w.nodes[1]!.controller!.jobApi.submit(body));
+  const first = w.ask(w.user(0).submit(body));
+  const second = w.ask(w.user(1).submit(body));
   const codes = [(await first).status, (await second).status].sort();
   assert.deepEqual(codes, [200, 201]);
   await w.pass(15);
-  const later = await w.ask(w.nodes[1]!.controller!.jobApi.submit({ ...body, crew: 'nobody' }));
+  const later = await w.ask(w.user(1).submit({ ...body, crew: 'nobody' }));
   assert.deepEqual(later, { status: 200, body: { ref, phase: 'done' } });
   assert.equal(w.starts.length, 2);
   await w.close();
@@ -38,7 +38,7 @@
   await w.start();
   const job = await w.submit({ shape: 'service', pieces: 3, runMs: 0, urgency: 'production' });
   await w.until(() => w.running(job) === 3, 10, 'replicas run');
-  const answer = await w.ask(w.nodes[1]!.controller!.jobApi.abort(job));
+  const answer = await w.ask(w.user(1).abort(job));
   assert.deepEqual(answer.body, { ref: job, phase: 'withdrawn' });
   await w.until(() => w.on(job).length === 0, 5, 'replicas gone');
   await w.pass(10);
@@ -57,7 +57,7 @@
       ? 'lose answer'
       : 'serve';
   const { ref, body } = w.wish({ pieces: 1 });
-  const answer = await w.ask(node.controller!.jobApi.submit(body));
+  const answer = await w.ask(w.user(0).submit(body));
   assert.equal(answer.status, 200);
   await w.until(() => w.starts.length === 1, 10, 'it runs');
   assert.equal(await w.phase(ref), 'running');
@@ -70,7 +70,7 @@
   w.store.down = true;
   const before = w.clock.now();
   const { body } = w.wish({ pieces: 1 });
-  const answer = await w.ask(w.nodes[0]!.controller!.jobApi.submit(body));
+  const answer = await w.ask(w.user(0).submit(body));
   assert.equal(answer.status, 503);
   assert.equal(answer.retryAfter, 1);
   assert.ok(w.clock.now() - before < 1000);
@@ -81,7 +81,7 @@
   const w = new World(FOUR);
   await w.start();
   const { ref, body } = w.wish({ pieces: 1 });
-  const { jobApi } = w.nodes[0]!.controller!;
+  const jobApi = w.user(0);
   assert.equal((await w.ask(jobApi.submit(body))).status, 201);
   w.store.down = true;
   const before = w.clock.now();
@@ -123,7 +123,7 @@
   // The record gets into the store, the answer does not get back, and then the leader is gone.
   w.nodes[old]!.fate = (_m, path, b) =>
     path === '/txn' && JSON.stringify(b).includes('"write":"runs/') ? 'lose answer' : 'serve';
-  await w.ask(w.nodes[1 - old]!.controller!.jobApi.submit(body));
+  await w.ask(w.user(1 - old).submit(body));
   await w.until(() => w.store.get(`runs/${ref}/0`) !== undefined, 5, 'recorded');
   w.crash(old);
   assert.equal(w.starts.length, 0);
@@ -265,7 +265,7 @@
   const w = new World(FOUR);
   await w.start();
   const { ref, body } = w.wish({ pieces: 4 });
-  const { jobApi } = w.nodes[0]!.controller!;
+  const jobApi = w.user(0);
   await w.ask(jobApi.submit(body));
   const answer = await w.ask(jobApi.abort(ref));
   assert.equal(answer.status, 200);
@@ -326,7 +326,7 @@
   const w = new World(FOUR);
   await w.start();
   const { ref, body } = w.wish({ pieces: 3 });
-  const { jobApi } = w.nodes[1 - w.leader]!.controller!;
+  const jobApi = w.user(1 - w.leader);
   // The news of the cancellation reaches the leader only through the refusal of its record.
   w.nodes[w.leader]!.fate = (_m, path) =>
     path.startsWith('/follow?starts=jobs') ? 'refuse' : 'serve';
@@ -355,7 +355,7 @@
   await w.until(() => w.running(job) === 2, 10, 'both run');
   [...w.workers.values()].find((x) => x.pieces.length > 0)!.hung = true;
   const old = w.leader;
-  await w.ask(w.nodes[1 - old]!.controller!.jobApi.abort(job));
+  await w.ask(w.user(1 - old).abort(job));
   await w.pass(1);
   w.crash(old);
   await w.until(() => w.leader === 1 - old, 6, 'takeover');
--- a/test/zone-delegate.test.ts
+++ b/test/zone-delegate.test.ts
@@ -19,7 +19,7 @@
   assert.equal(w.running(job), 4);
   assert.equal(w.starts.length, 4);
   // The leader commands the zone again.
-  await w.ask(w.nodes[w.leader]!.controller!.jobApi.abort(job));
+  await w.ask(w.user(w.leader).abort(job));
   await w.until(() => w.on(job).length === 0, 5, 'gone');
   await w.close();
 });
@@ -31,7 +31,7 @@
   await w.until(() => w.running(job) === 4, 10, 'replicas run');
   w.split(true);
   await w.pass(12);
-  await w.ask(w.nodes[w.leader]!.controller!.jobApi.abort(job));
+  await w.ask(w.user(w.leader).abort(job));
   await w.until(() => w.on(job).length === 0, 25, 'gone in both zones');
   await w.close();
 });
@@ -80,7 +80,7 @@
   await w.pass(12);
   assert.equal(w.running(job), 4);
   assert.equal(w.starts.length, before);
-  await w.ask(w.nodes[w.leader]!.controller!.jobApi.abort(job));
+  await w.ask(w.user(w.leader).abort(job));
   await w.until(() => w.on(job).length === 0, 6, 'gone');
   await w.close();
 });
