--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -53,7 +53,7 @@
       next.fire();
       await settle();
     }
-    this.time = until;
+    this.time = Math.max(this.time, until);
   }
 }
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -89,6 +89,11 @@
   debug: (): void => {},
 };
 
+/** How many broken rules a failed story tells of. */
+const MOST_TOLD = 6;
+
+const ENDS = ['done', 'withdrawn'];
+
 type Room = { cpus: number; gpus: number; memoryGb: number };
 
 export interface Node {
@@ -137,6 +142,8 @@
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts>();
   readonly starts: string[] = [];
+  /** The submissions that users were told are accepted. */
+  readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
   readonly checker: RuleChecker;
   readonly users: Users;
@@ -214,7 +221,8 @@
     for (const node of this.nodes) node.stop.abort();
     this.end.abort();
     await this.clock.advance(100);
-    assert.deepEqual(this.checker.violations, []);
+    const broken = this.checker.violations.map((v) => `${v.at / 1000} s: ${v.rule}: ${v.what}`);
+    assert.deepEqual(broken.slice(0, MOST_TOLD), []);
   }
 
   boot(i: number): void {
@@ -398,9 +406,80 @@
     const { ref, body } = this.wish(w);
     const answer = await this.ask(this.user(node).submit(body));
     assert.equal(answer.status, 201);
+    this.accepted.set(ref, body);
+    return ref;
+  }
+
+  /** A user submits at any node, and again, until the job is accepted. */
+  async accept(w: JobWish): Promise<string> {
+    const { ref, body } = this.wish(w);
+    await this.persist(() => this.user(this.anyNode()).submit(body), 'accepted');
+    this.accepted.set(ref, body);
     return ref;
   }
 
+  /** A user cancels at any node, or at one node only, and again, until it is confirmed. */
+  async cancel(ref: string, node?: number): Promise<string> {
+    const answer = await this.persist(
+      () => this.user(node ?? this.anyNode()).abort(ref),
+      `${ref} cancelled`,
+    );
+    return (answer.body as { phase: string }).phase;
+  }
+
+  /** Repeats a request every second as users do, for up to a minute. */
+  private async persist(request: () => Promise<Answer>, what: string): Promise<Answer> {
+    for (let i = 0; i < 60; i++) {
+      const answer = await this.ask(request());
+      if (answer.status === 200 || answer.status === 201) return answer;
+      await this.pass(1);
+    }
+    return assert.fail(`not ${what} within a minute`);
+  }
+
+  private anyNode(): number {
+    return Math.floor(this.random.next() * this.nodes.length);
+  }
+
+  /** Users go on asking for all jobs, at any node, and now and then submit one again. */
+  async keepAsking(everyMs = 700): Promise<void> {
+    const { signal } = this.end;
+    while (!signal.aborted) {
+      for (const [ref, body] of this.accepted) {
+        const user = this.user(this.anyNode());
+        void (this.random.next() < 0.2 ? user.submit(body) : user.query(ref));
+      }
+      await this.clock.sleep(everyMs, signal);
+    }
+  }
+
+  /** All troubles are over: whatever was accepted ends, or runs as a service, or is cancelled. */
+  async settle(seconds = 100): Promise<void> {
+    this.trouble.over();
+    const left = new Set(this.accepted.keys());
+    const settled = (): boolean => {
+      for (const ref of left) if (this.isSettled(ref)) left.delete(ref);
+      return left.size === 0;
+    };
+    await this.until(settled, seconds, 'all jobs end or run');
+    // Users expect a job's last state from 3 s after its last task.
+    await this.pass(4);
+    for (const ref of this.accepted.keys()) {
+      const phases = new Set<string>();
+      for (const [i] of this.nodes.entries()) phases.add(await this.phase(ref, i));
+      const last = this.facts.get(ref)!.shape === 'service' ? ['running', 'withdrawn'] : ENDS;
+      assert.equal(phases.size, 1, `${ref}: ${[...phases].join()}`);
+      assert.ok(last.includes([...phases][0]!), `${ref}: ${[...phases].join()}`);
+    }
+  }
+
+  private isSettled(ref: string): boolean {
+    const { shape, pieces } = this.facts.get(ref)!;
+    const record = this.store.get(`jobs/${ref}`) as { phase: string } | undefined;
+    if (record?.phase === 'cancelled') return this.on(ref).length === 0;
+    return shape === 'service' ? this.running(ref) === pieces : record?.phase === 'done';
+  }
+
   async phase(ref: string, node = 0): Promise<string> {
     const answer = await this.ask(this.user(node).query(ref));
     return answer.status === 200 ? (answer.body as { phase: string }).phase : String(answer.status);
