Leader split: job records, reports, task progress, stops and decision rounds are modules of their own

Code is moved, not changed; leader.ts puts the parts together. The wake-up of rounds is a plain call in place of a subject with one subscriber.

--- /dev/null
+++ b/src/control/decision-rounds.ts
@@ -0,0 +1,225 @@
+import type { Job, Placement } from '../jobs/live.js';
+import type { Plan, Snapshot } from '../scheduler/model.js';
+import { plan } from '../scheduler/plan.js';
+import { checkTimeout } from './gang-gate.js';
+import type { Leader } from './leader.js';
+import { takeSnapshot } from './snapshot.js';
+
+/**
+ * How long a new leader waits for its first report, as a share of the workers' lease: workers give a
+ * controller that does not answer 0.4 of it before they try the next.
+ */
+const NEVER_HEARD_SHARE = 0.5;
+
+/**
+ * For how many report intervals all of many workers are silent by no chance; with few it takes more.
+ * Their leases run meanwhile, and have to last until they have found the next leader.
+ */
+const SILENT_REPORTS = 1.5;
+
+/** Rounds of decisions: what starts, what makes way, what is rented and given back. */
+export class DecisionRounds {
+  private dirty = true;
+  private wakeUp: (() => void) | null = null;
+
+  constructor(private readonly leader: Leader) {}
+
+  /** Something changed that the next round of decisions should see. */
+  touch(): void {
+    this.dirty = true;
+    this.wakeUp?.();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { runtime, settings } = this.leader.parts;
+    const { clock } = runtime;
+    const base = settings.workers.reportMs / 10;
+    let dueAt = clock.now();
+    while (!signal.aborted) {
+      const startedAt = clock.now();
+      // Who stood still has heard nobody, and has not read yet what came meanwhile.
+      if (startedAt - dueAt > settings.workers.reportMs / 2)
+        this.leader.reports.heardAt &&= startedAt;
+      if (this.leader.term.active(startedAt)) this.round();
+      // The longer a round takes, or the more writes of earlier ones still wait for their share of
+      // the store's rate, the longer the next one gathers work: each write then carries more.
+      // But never for longer than a report interval: a controller that stood still in the middle of a
+      // round took long for another reason.
+      const took = clock.now() - startedAt;
+      const behind = base * this.leader.parts.store.writesWaiting;
+      const most = settings.workers.reportMs;
+      const pause = Math.max(base, Math.min(most, Math.max(took * 3, behind)));
+      dueAt = clock.now() + pause;
+      await clock.sleep(pause, signal);
+      if (!this.dirty) {
+        await new Promise<void>((resolve) => {
+          this.wakeUp = resolve;
+          dueAt = clock.now() + most;
+          void clock.sleep(most, signal).then(resolve);
+        });
+        this.wakeUp = null;
+      }
+    }
+  }
+
+  private round(): void {
+    const now = this.leader.now;
+    this.dirty = false;
+    if (this.leader.fleet.sweep(now)) void this.lookForKeepers();
+    if (!this.leader.term.leased(now)) return;
+    if (this.deserted(now)) {
+      this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
+      this.leader.resign();
+      return;
+    }
+    this.drain(now);
+    for (const job of this.leader.jobs.values()) {
+      if (job.gang) {
+        checkTimeout(this.leader, job, now);
+      }
+      if (job.phase !== 'open' && job.live.size > 0) this.leader.stops.stopAll(job, 0);
+    }
+    if (this.leader.types.size === 0) return;
+    // Before the first reports and the list are in, free machines look missing.
+    const settled =
+      now - this.leader.term.startedAt > this.leader.parts.settings.workers.reportMs * 3;
+    const snapshot = takeSnapshot(this.leader, now);
+    const result = plan(snapshot);
+    this.carryOut(result, now, settled && this.leader.listedOnce);
+    this.logRound(snapshot, result, this.leader.now - now);
+  }
+
+  /** What the round saw and did: where a fleet stalls can be read from these lines. */
+  private logRound(snapshot: Snapshot, result: Plan, tookMs: number): void {
+    const waiting: Record<string, number> = {};
+    for (const { spec, waiting: tasks } of snapshot.jobs) {
+      if (tasks > 0) waiting[spec.jobClass] = (waiting[spec.jobClass] ?? 0) + tasks;
+    }
+    const up = snapshot.machines.filter((m) => m.up).length;
+    this.leader.parts.runtime.log.debug(
+      {
+        up,
+        coming: snapshot.machines.length - up,
+        waiting,
+        started: result.starts.reduce((n, s) => n + s.on.reduce((k, o) => k + o.count, 0), 0),
+        stops: result.stops.length,
+        rents: result.rents,
+        spare: result.spare.length,
+        gate: snapshot.gateShut,
+        teams: Object.fromEntries([...snapshot.teams].map(([name, t]) => [name, t.used.gpus])),
+        writesWaiting: this.leader.parts.store.writesWaiting,
+        tookMs,
+      },
+      'round',
+    );
+  }
+
+  private async lookForKeepers(): Promise<void> {
+    try {
+      await this.leader.zoneDelegates.look(this.leader.term.signal);
+      this.leader.touch();
+    } catch {
+      // The next round asks again.
+    }
+  }
+
+  /**
+   * No worker reaches us though there are some: they may reach another controller instead. Also
+   * where none ever has: who is cut from the workers before its term hears nobody stop. Then it
+   * takes longer, since they first have to find the new leader.
+   */
+  private deserted(now: number): boolean {
+    const { workers, size } = this.leader.parts.settings;
+    if (size === 1) return false;
+    const never = this.leader.reports.heardAt === null;
+    const patienceMs = never
+      ? workers.leaseMs * NEVER_HEARD_SHARE
+      : workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, this.leader.fleet.heard));
+    if (now - (this.leader.reports.heardAt ?? this.leader.term.startedAt) < patienceMs)
+      return false;
+    for (const m of this.leader.fleet.machines.values()) {
+      if (m.returning || m.listedState === 'failed') continue;
+      if (never && m.placements.size > 0) return true;
+      if ((never || m.heardAt !== null) && m.listedState === 'running') return true;
+    }
+    return false;
+  }
+
+  /** Work leaves a machine that the cloud takes back or that has proven faulty. */
+  private drain(now: number): void {
+    for (const m of this.leader.fleet.machines.values()) {
+      if (m.stillborn(now)) this.leader.reconciler.giveBack(m);
+      if (m.noticeAt === null && !m.faulty) continue;
+      for (const p of m.placements.values()) {
+        if (p.stop || p.job.phase !== 'open') continue;
+        const grace = this.leader.stops.graceFor(p.job);
+        if (p.job.gang) this.leader.stops.stopAll(p.job, grace);
+        else this.leader.stops.stop(p, grace);
+      }
+      if (m.faulty && m.placements.size === 0) this.leader.reconciler.giveBack(m);
+    }
+  }
+
+  private carryOut(result: Plan, now: number, mayRent: boolean): void {
+    const touched = new Set<Job>();
+    for (const start of result.starts) {
+      const job = this.leader.jobs.get(start.job)!;
+      this.place(job, start.on, now);
+      touched.add(job);
+    }
+    if (result.admit !== null) {
+      const job = this.leader.jobs.get(result.admit)!;
+      this.leader.gate.admit(job, now);
+      touched.add(job);
+    }
+    for (const { job, task } of result.stops) {
+      const p = this.leader.jobs.get(job)?.live.get(task);
+      if (p) this.leader.stops.stop(p, this.leader.stops.graceToMakeWay(p.job));
+    }
+    for (const job of touched) this.leader.ledger.flush(job);
+    if (!mayRent) return;
+    for (const rent of result.rents) this.leader.rentals.rent(rent);
+    this.leader.reconciler.giveBackSurplus(result.spare, now);
+  }
+
+  private place(job: Job, on: { machine: string; count: number }[], now: number): void {
+    const total = on.reduce((n, o) => n + o.count, 0);
+    const tasks = job.waitingTasks(total);
+    job.attempt++;
+    let next = 0;
+    for (const { machine, count } of on) {
+      const m = this.leader.fleet.machines.get(machine)!;
+      for (let i = 0; i < count; i++) {
+        const task = tasks[next++]!;
+        const p: Placement = {
+          job,
+          task,
+          attempt: job.attempt,
+          machine,
+          session: m.session,
+          zone: m.zone,
+          stage: 'recording',
+          state: null,
+          placedAt: now,
+          runningSince: null,
+          stop: null,
+        };
+        job.live.set(task, p);
+        this.leader.fleet.add(p, now);
+        job.touch(task);
+      }
+    }
+    const { clock, log } = this.leader.parts.runtime;
+    log.debug(
+      {
+        job: job.id,
+        class: job.spec.jobClass,
+        attempt: job.attempt,
+        waitedMs: Math.round(clock.wall() - job.submittedAt),
+        on,
+      },
+      'placed',
+    );
+    if (job.gang) this.leader.gate.placed(job, now);
+  }
+}
--- a/src/control/gang-gate.ts
+++ b/src/control/gang-gate.ts
@@ -69,8 +69,8 @@
   if (gang.chargedMs <= gateTimeout(leader, job)) return;
   leader.parts.runtime.log.info({ job: job.id, waitedMs: gang.chargedMs }, 'gang past its timeout');
   leader.gate.suspend(job, now);
-  leader.stopAll(job, 0);
-  leader.flush(job);
+  leader.stops.stopAll(job, 0);
+  leader.ledger.flush(job);
 }
 
 /** Boot and fetch of the slowest machine type that the gang may get, and some slack. */
--- /dev/null
+++ b/src/control/job-records.ts
@@ -0,0 +1,117 @@
+import { Job } from '../jobs/live.js';
+import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { jobOfKey, KEYS } from '../state/keys.js';
+import { HistoryLost, type Entry } from '../state/store.js';
+import type { Leader } from './leader.js';
+
+/** Reads the records of earlier leaders at the start of a term, and follows the users' changes. */
+export class JobRecords {
+  /** True once the records are read: before, no report is believed and nothing is ordered. */
+  ready = false;
+
+  constructor(private readonly leader: Leader) {}
+
+  async recover(signal: AbortSignal): Promise<number> {
+    const { store, runtime } = this.leader.parts;
+    for (;;) {
+      try {
+        const jobs = await store.range(KEYS.jobs, signal);
+        const runs = await store.range(KEYS.runs, signal);
+        const rentals = await store.range(KEYS.rentals, signal);
+        await this.leader.zoneDelegates.look(signal);
+        this.leader.jobs.clear();
+        for (const e of jobs.items) this.onJobEntry(e);
+        for (const e of runs.items) this.restoreRun(e);
+        for (const e of rentals.items) {
+          this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
+        }
+        this.leader.reconciler.recovered(this.leader.jobs.size > 0);
+        this.ready = true;
+        for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
+        runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
+        return jobs.revision;
+      } catch (error) {
+        signal.throwIfAborted();
+        runtime.log.debug({ error: String(error) }, 'recovery repeated');
+        await runtime.clock.sleep(this.leader.retryMs, signal);
+      }
+    }
+  }
+
+  private restoreRun(e: Entry): void {
+    const rest = e.key.slice(KEYS.runs.length);
+    const slash = rest.lastIndexOf('/');
+    const job = this.leader.jobs.get(rest.slice(0, slash));
+    const record = parseRun(e.value);
+    const chunk = Number(rest.slice(slash + 1));
+    if (!job || !record || !job.chunks[chunk]) {
+      // What cannot be read may still run: the job is left alone rather than started again.
+      this.leader.parts.runtime.log.error(
+        { key: e.key },
+        'unreadable run record, left as occupied',
+      );
+      if (job) job.blind = true;
+      return;
+    }
+    const { clock } = this.leader.parts.runtime;
+    for (const p of job.restore(chunk, e.version, record, clock.now(), clock.wall())) {
+      this.leader.fleet.add(p, clock.now());
+      if (job.phase !== 'open') p.stop = { graceMs: 0 };
+    }
+  }
+
+  async follow(from: number, signal: AbortSignal): Promise<void> {
+    const { store, runtime } = this.leader.parts;
+    let revision = from;
+    while (!signal.aborted) {
+      try {
+        const news = await store.watch(KEYS.jobs, revision, 10_000, signal);
+        revision = news.revision;
+        for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
+      } catch (error) {
+        if (signal.aborted) return;
+        if (error instanceof HistoryLost) {
+          const all = await store.range(KEYS.jobs, signal);
+          for (const e of all.items) this.onJobEntry(e);
+          revision = all.revision;
+        } else await runtime.clock.sleep(this.leader.retryMs, signal);
+      }
+    }
+  }
+
+  private onJobEntry(e: Entry): void {
+    const record = parseJob(e.value);
+    if (!record) {
+      this.leader.parts.runtime.log.error({ key: e.key }, 'unreadable job record');
+      return;
+    }
+    this.onJobRecord(jobOfKey(e.key), e.version, record);
+  }
+
+  onJobRecord(id: string, version: number, record: JobRecord): void {
+    const known = this.leader.jobs.get(id);
+    if (!known) {
+      if (!record.spec || record.at === undefined) return;
+      const job = new Job(
+        id,
+        record.spec,
+        record.at,
+        version,
+        tasksPerRecord(this.leader.parts.settings.state.valueBytes),
+      );
+      job.phase = record.phase;
+      this.leader.jobs.set(id, job);
+      // Before the run records are read a cancelled job looks as if nothing of it could run.
+      if (this.ready) this.leader.ledger.flush(job);
+      this.leader.touch();
+      return;
+    }
+    if (version <= known.version) return;
+    known.version = version;
+    known.phase = record.phase;
+    known.phaseStored = true;
+    if (record.phase !== 'open') this.leader.stops.stopAll(known, 0);
+    this.leader.ledger.flush(known);
+    this.leader.touch();
+  }
+}
--- /dev/null
+++ b/src/control/task-stops.ts
@@ -0,0 +1,52 @@
+import type { Job, Placement } from '../jobs/live.js';
+import type { Leader } from './leader.js';
+
+/** Work is little that is done again in this many times what saving it takes. */
+const LITTLE_LOSS_SAVES = 3;
+
+/** Stops tasks, with or without time to save, by the shortest way there is to their machines. */
+export class TaskStops {
+  constructor(private readonly leader: Leader) {}
+
+  /** A user's node has just cancelled this job; the store's own news of it may take longer. */
+  hint(id: string): void {
+    const job = this.leader.jobs.get(id);
+    if (job && job.phase === 'open') this.stopAll(job, 0);
+  }
+
+  /** Stops every task of a job; what was never sent is taken back at once. */
+  stopAll(job: Job, graceMs: number): void {
+    for (const p of [...job.live.values()]) this.stop(p, graceMs);
+  }
+
+  stop(p: Placement, graceMs: number): void {
+    if (p.stop && p.stop.graceMs <= graceMs) return;
+    p.stop = { graceMs };
+    if (p.stage === 'recording' || p.stage === 'recorded') this.leader.fleet.withdraw(p);
+    else if (!this.leader.longPoll.release(p.machine)) this.halt(p, graceMs);
+  }
+
+  private halt(p: Placement, graceMs: number): void {
+    const m = this.leader.fleet.machines.get(p.machine);
+    // A silent machine would only hold a socket; its lease is running out.
+    const { reportMs } = this.leader.parts.settings.workers;
+    if (!m || p.session !== m.session || m.heardAt === null) return;
+    if (this.leader.now - m.heardAt > reportMs * 2) return;
+    const { task, attempt } = p;
+    this.leader.stopCommands.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
+  }
+
+  graceFor(job: Job): number {
+    const { spec } = job;
+    return spec.checkpointMs > 0 ? spec.saveMs + this.leader.parts.settings.workers.gangPeerMs : 0;
+  }
+
+  /**
+   * What makes way for others saves first only if it would lose much: a machine that saves does no
+   * more work than one that does a little of it again, and whoever waits for it waits longer.
+   */
+  graceToMakeWay(job: Job): number {
+    const { checkpointMs, saveMs } = job.spec;
+    return checkpointMs <= saveMs * LITTLE_LOSS_SAVES ? 0 : this.graceFor(job);
+  }
+}
