--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -159,6 +159,8 @@
   private apart = false;
   private readonly end = new AbortController();
   private lives = 0;
+  /** How many users repeat a request now. */
+  private persisting = 0;
   private nextId = 1;
 
   constructor(
@@ -497,11 +499,8 @@
   /** All troubles are over: whatever was accepted ends, or runs as a service, or is cancelled. */
   async settle(seconds = 100): Promise<void> {
     this.trouble.over();
-    const left = new Set(this.accepted.keys());
-    const settled = (): boolean => {
-      for (const ref of left) if (this.isSettled(ref)) left.delete(ref);
-      return left.size === 0;
-    };
+    const settled = (): boolean =>
+      this.persisting === 0 && [...this.accepted.keys()].every((ref) => this.isSettled(ref));
     await this.until(settled, seconds, 'all jobs end or run');
     // Users expect a job's last state from 3 s after its last task.
     await this.pass(4);
