Users are not held: a refusal for the rate or a long queue is answered at once

Cause: a submission or cancellation that the store refused for its rate was tried again and again for 4 s inside the request; a comparison that failed kept its questions until their time was over, and went on asking for them after it; one unreadable record kept a comparison going without end. Change: only a lost answer is followed by a second copy, which tells whether the first was carried out; everything else, and a queue of writes of more than a second, is answered with the time to come back. A comparison without an answer is sent once more beside the first copy instead of waiting it out.

--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -1,9 +1,8 @@
 import { NoAnswer } from '../http/client.js';
 import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
-import { Refused, type Store } from '../state/store.js';
+import type { Condition, Store } from '../state/store.js';
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import type { JobPhase, JobSpec } from './job.js';
@@ -29,6 +28,8 @@
 }
 
 interface Waiter {
+  /** Aborted once the question's own time is over: nobody waits for its answer any more. */
+  signal: AbortSignal | null;
   resolve(job: Known | null): void;
   reject(reason: unknown): void;
 }
@@ -39,6 +40,19 @@
  */
 const KNOWN_PER_MB = 50;
 
+/** For how large a share of a submission's time it may queue for the store's rate. */
+const MOST_QUEUED_SHARE = 0.25;
+
+/** After how large a share of a poll's time a comparison without an answer is sent again. */
+const HEDGE_SHARE = 0.25;
+
+/** More writes wait for the store's rate than a user should wait for. */
+class Overloaded extends Error {
+  constructor(readonly delayMs: number) {
+    super(`the queue of writes is ${Math.round(delayMs)} ms long`);
+  }
+}
+
 /** For how small a share of a poll's time questions gather before they are compared together. */
 const GATHERINGS = 16;
 
@@ -68,8 +82,8 @@
 
   query(id: string): Promise<Answer> {
     if (!wire.isJobId(id)) return Promise.resolve(UNKNOWN);
-    return this.within(this.limits.pollMs, async () => {
-      const job = await this.fresh(id);
+    return this.within(this.limits.pollMs, async (signal) => {
+      const job = await this.fresh(id, signal);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
     });
   }
@@ -96,7 +110,7 @@
     if (!parsed.ok) {
       // A repeat of an accepted job is answered with its state, whatever else the body says.
       const id = wire.submissionId(body);
-      const job = id === null ? null : await this.fresh(id);
+      const job = id === null ? null : await this.fresh(id, signal);
       if (id !== null && job) return this.knownAnswer(id, job);
       return { status: 400, body: { error: parsed.reason } };
     }
@@ -104,7 +118,7 @@
     const types = this.catalogue.types.value;
     const never = types ? whyNever(spec, this.settings, types) : null;
     if (!types || never !== null) {
-      const job = await this.fresh(id);
+      const job = await this.fresh(id, signal);
       if (job) return this.knownAnswer(id, job);
       if (never === null) return BUSY;
       return { status: 422, body: { error: never } };
@@ -114,7 +128,7 @@
       const added = await this.add(id, spec, signal);
       if (added) return added;
     }
-    const job = await this.fresh(id);
+    const job = await this.fresh(id, signal);
     return job ? this.knownAnswer(id, job) : BUSY;
   }
 
@@ -162,27 +176,23 @@
   }
 
   /**
-   * A refusal for an outage is passed on at once, so that the user can be told when to come back;
-   * a refusal for the rate and a lost answer are tried again while there is time.
+   * A refusal, for an outage or for the rate, is passed on at once, and so is a long queue of writes:
+   * the user is told when to come back instead of being held. A lost answer leaves open whether the
+   * transaction was carried out; the same transaction once more tells, or carries it out.
    */
   private async commit(
     when: Parameters<Store['txn']>[0],
     then: Parameters<Store['txn']>[1],
     signal: AbortSignal,
   ): ReturnType<Store['txn']> {
-    const { clock, random } = this.runtime;
-    let wait = this.limits.pollMs / 40;
-    for (;;) {
-      try {
-        return await this.store.txn(when, then, 0, signal);
-      } catch (error) {
-        signal.throwIfAborted();
-        const again =
-          error instanceof NoAnswer || (error instanceof Refused && error.status === 429);
-        if (!again) throw error;
-      }
-      await clock.sleep(jitter(wait, random), signal);
-      wait = Math.min(wait * 2, this.limits.pollMs / 4);
+    const delayMs = this.store.writeDelayMs(then.length, 0);
+    if (delayMs > this.limits.submitMs * MOST_QUEUED_SHARE) throw new Overloaded(delayMs);
+    try {
+      return await this.store.txn(when, then, 0, signal);
+    } catch (error) {
+      signal.throwIfAborted();
+      if (!(error instanceof NoAnswer)) throw error;
+      return await this.store.txn(when, then, 0, signal);
     }
   }
 
@@ -204,17 +214,19 @@
   }
 
   /** The job's state at some time after this call; null: it was never accepted. */
-  private fresh(id: string): Promise<Known | null> {
+  private fresh(id: string, signal: AbortSignal | null = null): Promise<Known | null> {
     const known = this.known.get(id);
     if (known && known.phase !== 'open') return Promise.resolve(known);
     return new Promise((resolve, reject) => {
-      const waiters = this.asking.get(id);
-      if (waiters) waiters.push({ resolve, reject });
-      else this.asking.set(id, [{ resolve, reject }]);
+      this.ask(id, [{ signal, resolve, reject }]);
       if (!this.comparing) void this.compareAll();
     });
   }
 
+  private ask(id: string, waiters: Waiter[]): void {
+    this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
+  }
+
   private async compareAll(): Promise<void> {
     this.comparing = true;
     const most = this.settings.state.txnOps * 4;
@@ -226,16 +238,9 @@
       try {
         await this.compare(batch);
       } catch (error) {
-        // The store is down: whoever asks is told so at once, and when to come back.
-        if (error instanceof Refused && error.status === 503) {
-          for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
-          continue;
-        }
-        // The questions stay open until their own time is over; the next attempt serves them.
-        for (const [id, waiters] of batch) {
-          this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
-        }
-        await this.runtime.clock.sleep(jitter(this.limits.pollMs / 20, this.runtime.random));
+        // Whoever asks is told at once that there is no answer now, and when to come back: held until
+        // the store serves again, questions would pile up and come late all the same.
+        for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
       }
     }
     this.comparing = false;
@@ -247,7 +252,7 @@
       key: KEYS.job(id),
       version: job?.version ?? 0,
     }));
-    const outcome = await this.store.txn(when, [], 0);
+    const outcome = await this.compareVersions(when);
     const failed = new Set(outcome.ok ? [] : outcome.failed);
     await Promise.all(
       batch.map(async ([id, waiters]) => {
@@ -255,17 +260,48 @@
         // Of a failed comparison only the keys it names are known to differ; nothing is concluded
         // about the others.
         if (!outcome.ok && !changed) {
-          this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
+          const open = waiters.filter((w) => !w.signal?.aborted);
+          if (open.length > 0) this.ask(id, open);
           return;
         }
+        if (changed) return this.resolveReread(id, waiters);
         // What was compared is the answer also if the job has been dropped from memory since then:
         // an accepted job must never look as if it were unknown.
-        const job = changed ? await this.reread(id) : (this.known.get(id) ?? compared.get(id)!);
+        const job = this.known.get(id) ?? compared.get(id)!;
         for (const w of waiters) w.resolve(job);
       }),
     );
   }
 
+  /**
+   * A comparison changes nothing, so that a second copy of it may be sent while the first is still
+   * without an answer: where one answer is lost, all questions would otherwise wait it out.
+   */
+  private async compareVersions(when: Condition[]): ReturnType<Store['txn']> {
+    const first = this.store.txn(when, [], 0);
+    const hedge = new AbortController();
+    const late = this.runtime.clock
+      .sleep(this.limits.pollMs * HEDGE_SHARE, hedge.signal)
+      .then(() => 'late' as const);
+    try {
+      const outcome = await Promise.race([first, late]);
+      if (outcome !== 'late') return outcome;
+    } finally {
+      hedge.abort();
+    }
+    return Promise.any([first, this.store.txn(when, [], 0)]);
+  }
+
+  /** One job that cannot be read now leaves the other answers of its comparison alone. */
+  private async resolveReread(id: string, waiters: Waiter[]): Promise<void> {
+    try {
+      const job = await this.reread(id);
+      for (const w of waiters) w.resolve(job);
+    } catch (error) {
+      for (const w of waiters) w.reject(error);
+    }
+  }
+
   private async reread(id: string): Promise<Known | null> {
     const entry = await this.store.get(KEYS.job(id), 0);
     const record = entry && parseJob(entry.value);
@@ -302,7 +338,8 @@
       return await Promise.race([body(control.signal), late]);
     } catch (error) {
       this.runtime.log.debug({ error: String(error) }, 'request not served');
-      return BUSY;
+      if (!(error instanceof Overloaded)) return BUSY;
+      return { ...BUSY, retryAfter: Math.ceil(error.delayMs / 1000) };
     } finally {
       control.abort();
     }
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -59,6 +59,17 @@
     return this.queues.reduce((sum, q) => sum + q.length, 0);
   }
 
+  /** How long a caller of this urgency would wait for `cost`, in milliseconds. */
+  delayMs(cost: number, urgency: 0 | 1 | 2): number {
+    this.fill();
+    let ahead = 0;
+    for (const queue of this.queues.slice(0, urgency + 1)) {
+      for (const waiter of queue) ahead += waiter.cost;
+    }
+    const missing = ahead + Math.min(cost, this.burst) - this.tokens;
+    return Math.max(0, (missing / this.perSecond) * 1000);
+  }
+
   private fill(): void {
     const now = this.clock.now();
     this.tokens = Math.min(
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -53,6 +53,11 @@
     return this.writes.waiting;
   }
 
+  /** How long a transaction of so many puts and deletes would queue here, in milliseconds. */
+  writeDelayMs(changes: number, urgency: Urgency): number {
+    return Math.max(this.writes.delayMs(changes, urgency), this.requests.delayMs(1, urgency));
+  }
+
   /** When the store last answered anything but a refusal. */
   get answeredAt(): number {
     return this.contactAt;
