Late copies of reports do not make a machine look within reach

Cause: a copy that came late counted as hearing the machine. Work was placed on machines that were cut off; a lease that ran out behind a cut looked as if the machine did not hear answers, and it was given back; a machine that the cloud had taken back became a new one that got work. Change: only a report newer than all before counts as heard, while every copy still moves the time from which silence proves a lease over; a machine returned in this term never gets work again.

--- a/src/control/machine-reconciler.ts
+++ b/src/control/machine-reconciler.ts
@@ -68,7 +68,7 @@
   /** The cloud has confirmed that these machines are gone, and all that was on them. */
   returned(ids: string[], now: number): void {
     for (const id of ids) {
-      this.fleet.gone(id);
+      this.fleet.returnConfirmed(id);
       this.wentBack.set(id, now);
     }
     // No list is older than twice its lag.
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -25,6 +25,8 @@
  */
 export class Fleet {
   readonly machines = new Map<string, Machine>();
+  /** Machines that the cloud took back in this term: copies of their reports may still come. */
+  private readonly returned = new Set<string>();
 
   constructor(
     private readonly events: FleetEvents,
@@ -46,6 +48,8 @@
     let m = this.machines.get(id);
     if (!m) {
       m = new Machine(id, now);
+      // Names are never given out twice, so nothing is placed on what goes by this one.
+      m.returning = this.returned.has(id);
       this.machines.set(id, m);
     }
     return m;
@@ -63,12 +67,14 @@
    */
   report(r: Report, type: MachineType | null, now: number, act: boolean): Order[] {
     const m = this.machine(r.machine, now);
-    if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
-    m.firstHeardAt ??= now;
-    m.heardAt = now;
     // Counted even for an old copy: taking a machine for gone later than needed is always safe.
     m.answeredAt = now;
+    // But a late copy does not show that the machine is within reach: work placed on one that is cut
+    // off would wait for its lease, and a lease that runs out then would look as if it were deaf.
     if (!m.newer(r.session, r.seq)) return [];
+    if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
+    m.firstHeardAt ??= now;
+    m.heardAt = now;
     const before = m.session;
     if (act) m.session = r.session;
     m.seq = r.seq;
@@ -218,6 +224,12 @@
     this.machines.get(p.machine)?.unrecorded.delete(startKey(p.job.id, p.task, p.attempt));
   }
 
+  /** The cloud has confirmed that it took the machine back. */
+  returnConfirmed(id: string): void {
+    this.returned.add(id);
+    this.gone(id);
+  }
+
   /** The machine no longer exists, and with it all that was on it. */
   gone(id: string): void {
     const m = this.machines.get(id);
