Late copies of reports do not put off the proof that a machine is gone

Cause: every copy of an old report moved the time from which a machine's silence proves its lease over, so that work of machines that died while copies came late was held for up to that much longer. Change: only a report sent after the newest one that has come counts. A lease counts from when an answered report was sent, and an older one was sent before the newest arrived. A report that the answer to a direct command has overtaken still counts, and so does whatever a new leader hears first. The test of the former belief, that any copy moves the time, gives way to three that bound it from both sides.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -67,10 +67,14 @@
    */
   report(r: Report, type: MachineType | null, now: number, act: boolean): Order[] {
     const m = this.machine(r.machine, now);
-    // Counted even for an old copy: taking a machine for gone later than needed is always safe.
+    // A late copy changes nothing. It does not show that the machine is within reach: work placed on
+    // one that is cut off would wait for its lease, and a lease that runs out then would look as if
+    // it were deaf. Nor does its answer renew a lease beyond the one of the newest report: a lease
+    // counts from when a report was sent, and that one was sent later.
+    if (!m.newerReport(r.session, r.seq)) return [];
+    m.lastReport = { session: r.session, seq: r.seq };
     m.answeredAt = now;
-    // But a late copy does not show that the machine is within reach: work placed on one that is cut
-    // off would wait for its lease, and a lease that runs out then would look as if it were deaf.
+    // The answer to a direct command has overtaken it.
     if (!m.newer(r.session, r.seq)) return [];
     if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
     m.firstHeardAt ??= now;
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -18,6 +18,8 @@
   /** Session and sequence number of the newest report; -1: none yet. */
   session = -1;
   seq = -1;
+  /** Of the newest ordinary report, which the answer to a direct command may have overtaken. */
+  lastReport = { session: -1, seq: -1 };
   /** Its worker has reported with our token: our answers reach it. */
   confirmed = false;
   firstHeardAt: number | null = null;
@@ -148,4 +150,10 @@
   newer(session: number, seq: number): boolean {
     return session > this.session || (session === this.session && seq > this.seq);
   }
+
+  /** Whether an ordinary report was sent after the newest one that has come. */
+  newerReport(session: number, seq: number): boolean {
+    const { lastReport } = this;
+    return session > lastReport.session || (session === lastReport.session && seq > lastReport.seq);
+  }
 }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -51,23 +51,30 @@
   }
 
   report(at: number, r: Partial<Report>): string[] {
-    const report: Report = {
-      machine: 'host-1',
-      address: 'host-1:9000',
-      type: 'g8',
-      zone: 'a',
-      spot: false,
-      session: 1,
-      seq: 1,
-      token: TOKEN,
-      noticeMs: null,
-      tasks: [],
-      ...r,
-    };
-    return this.fleet.report(report, TYPE, at, true).map((o) => `${o.op} ${o.task}`);
+    return this.fleet.report(sample(r), TYPE, at, true).map((o) => `${o.op} ${o.task}`);
+  }
+
+  direct(r: Partial<Report>): void {
+    this.fleet.direct(sample(r));
   }
 }
 
+function sample(r: Partial<Report>): Report {
+  return {
+    machine: 'host-1',
+    address: 'host-1:9000',
+    type: 'g8',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq: 1,
+    token: TOKEN,
+    noticeMs: null,
+    tasks: [],
+    ...r,
+  };
+}
+
 const shows = (task: number, state: TaskReport['state']): TaskReport => ({
   job: 'req-1',
   task,
@@ -100,17 +107,40 @@
   assert.equal(story.machine.faulty, true);
 });
 
-test('a late copy does not shorten the time after which silence proves a lease over', () => {
+test('a late copy does not put off the proof that a silent machine is gone', () => {
+  const story = new Story();
+  story.place(0, 'recorded');
+  story.report(0, { seq: 5 });
+  story.report(6000, { seq: 5 });
+  story.report(7000, { seq: 3 });
+  story.fleet.sweep(LEASE_MS + 10);
+  assert.deepEqual(story.lost, []);
+  story.fleet.sweep(LEASE_MS + 100);
+  assert.deepEqual(story.lost, [0]);
+});
+
+test('a report that the answer to a direct command has overtaken renews the lease all the same', () => {
   const story = new Story();
   story.place(0, 'recorded');
   story.report(0, { seq: 5 });
-  story.report(6000, { seq: 3 });
-  story.fleet.sweep(LEASE_MS + 1000);
+  story.direct({ seq: 7 });
+  story.report(6000, { seq: 6 });
+  story.fleet.sweep(LEASE_MS + 5900);
   assert.deepEqual(story.lost, []);
   story.fleet.sweep(LEASE_MS + 6100);
   assert.deepEqual(story.lost, [0]);
 });
 
+test('to a new leader an old report that comes first puts off that proof', () => {
+  const story = new Story();
+  story.place(0, 'recovered');
+  story.report(8000, { seq: 3, token: 4 });
+  story.fleet.sweep(LEASE_MS + 7900);
+  assert.deepEqual(story.lost, []);
+  story.fleet.sweep(LEASE_MS + 8100);
+  assert.deepEqual(story.lost, [0]);
+});
+
 test('a machine that the cloud took back gets no work when a copy of its report comes', () => {
   const story = new Story();
   story.report(0, { seq: 5 });
