--- /dev/null
+++ b/src/jobs/acceptance.ts
@@ -0,0 +1,96 @@
+import type { Runtime } from '../runtime/duty.js';
+import type { Settings } from '../settings/deploy.js';
+import { KEYS } from '../state/keys.js';
+import { retryWhileServed, type RetryWaits } from '../state/retry.js';
+import type { Change, Condition, Store } from '../state/store.js';
+import type { Submission } from '../wire/submission.js';
+import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
+import type { JobStates } from './job-states.js';
+import type { JobRecord } from './records.js';
+
+/** What became of a submission that was not in the store when it came. */
+export type Accepted =
+  | { kind: 'added' }
+  /** It is in the store already: another node or an earlier try was first. */
+  | { kind: 'known' }
+  /** It names a job that was never accepted. */
+  | { kind: 'unknown dependency'; id: string };
+
+/**
+ * Puts new jobs into the store. The job's own record comes last and on condition that there is none:
+ * until it is there the job is not accepted, whatever else has been written, and two nodes that
+ * accept the same job at once end in one.
+ */
+export class Acceptance {
+  constructor(
+    private readonly store: Store,
+    private readonly states: JobStates,
+    private readonly settings: Settings,
+    private readonly runtime: Runtime,
+    private readonly waits: RetryWaits,
+  ) {}
+
+  async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
+    const unknown = await this.unknownDependency(id, dependencies, signal);
+    if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
+    const { clock, random } = this.runtime;
+    const { needs, pieces } = layOutDependencies(id, dependencies, this.writeLimits);
+    for (const group of groupPieces(pieces, this.writeLimits)) {
+      await this.addPieces(group, signal);
+    }
+    const record: JobRecord = {
+      w: random.unique(),
+      phase: 'open',
+      tasks: spec.tasks,
+      at: clock.wall(),
+      spec,
+      ...(needs ? { needs } : {}),
+    };
+    const key = KEYS.job(id);
+    const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value: record }], signal);
+    if (!outcome.ok) return { kind: 'known' };
+    const { tasks } = spec;
+    this.states.remember(id, { version: outcome.revision, phase: 'open', tasks, dependencies });
+    return { kind: 'added' };
+  }
+
+  /**
+   * That a job is in the store never changes: it needs no condition later on. A job that names
+   * itself was not accepted before.
+   */
+  private async unknownDependency(
+    id: string,
+    dependencies: readonly string[],
+    signal: AbortSignal,
+  ): Promise<string | null> {
+    if (dependencies.includes(id)) return id;
+    return retryWhileServed(this.runtime, this.waits, signal, () =>
+      this.states.firstUnknown(dependencies, signal),
+    );
+  }
+
+  /** Writes those of the pieces that are not there yet; which are there is as it should be. */
+  private async addPieces(group: readonly Piece[], signal: AbortSignal): Promise<void> {
+    let left = group;
+    while (left.length > 0) {
+      const outcome = await this.commit(
+        left.map((p) => ({ key: p.put, version: 0 })),
+        left.map(({ put, value }) => ({ put, value })),
+        signal,
+      );
+      if (outcome.ok) return;
+      const there = new Set(outcome.failed);
+      left = left.filter((p) => !there.has(p.put));
+    }
+  }
+
+  commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
+    return retryWhileServed(this.runtime, this.waits, signal, () =>
+      this.store.txn(when, then, 0, signal),
+    );
+  }
+
+  private get writeLimits(): WriteLimits {
+    return this.settings.state;
+  }
+}
--- /dev/null
+++ b/src/jobs/dependencies.ts
@@ -0,0 +1,121 @@
+import { createHash } from 'node:crypto';
+import { KEYS } from '../state/keys.js';
+import type { Change, Store } from '../state/store.js';
+import { parseNeedsPiece, type NeedsRecord } from './records.js';
+
+/**
+ * How the jobs that a job waits for are stored. A few of them go into the job's own record: no
+ * further write or read is needed then. A body may name thousands, which no value can hold; those
+ * are written in pieces before the job's record, which then names how many there are.
+ *
+ * The key of a piece carries a mark made of the whole list. So an acceptance that was cut off
+ * half-way leaves only pieces that a repeat, at any node, would write again just so: it uses what is
+ * there. Another list for the same job has another mark, and the two cannot mix. Pieces are removed
+ * only once the job is stored as over. So whoever adds the job's record on condition that there is
+ * none yet knows that the pieces seen or written before are all there.
+ */
+export interface StoredDependencies {
+  /** What the job's record says; undefined: it waits for nothing. */
+  needs: NeedsRecord | undefined;
+  /** What has to be in the store before the job's record is. */
+  pieces: Piece[];
+}
+
+export type Piece = Extract<Change, { put: string }> & { bytes: number };
+
+/** The store's limits, as far as they bound what is written here. */
+export interface WriteLimits {
+  valueBytes: number;
+  txnOps: number;
+}
+
+/** Which share of a value's limit dependencies may take in the job's own record. */
+const INLINE_SHARE = 1 / 8;
+
+/** Which share of a value's limit a piece fills; the rest leaves room for how a store counts. */
+const PIECE_SHARE = 0.8;
+
+/** What all changes of one transaction may hold together: the limit is 64 KiB with its conditions. */
+const TXN_BYTES = 48 * 1024;
+
+/** Quotes and a comma. */
+const BYTES_BESIDE_ID = 3;
+
+const bytesOf = (ids: readonly string[]): number =>
+  ids.reduce((sum, id) => sum + id.length + BYTES_BESIDE_ID, 0);
+
+export function layOutDependencies(
+  id: string,
+  dependencies: readonly string[],
+  limits: WriteLimits,
+): StoredDependencies {
+  if (dependencies.length === 0) return { needs: undefined, pieces: [] };
+  if (bytesOf(dependencies) <= limits.valueBytes * INLINE_SHARE) {
+    return { needs: { ids: [...dependencies] }, pieces: [] };
+  }
+  const lists = split(dependencies, limits.valueBytes * PIECE_SHARE);
+  const mark = createHash('sha256').update(JSON.stringify(lists)).digest('hex').slice(0, 32);
+  const pieces = lists.map((ids, i) => ({
+    put: KEYS.need(id, mark, i),
+    value: { ids },
+    bytes: bytesOf(ids),
+  }));
+  return { needs: { mark, pieces: pieces.length }, pieces };
+}
+
+function split(ids: readonly string[], mostBytes: number): string[][] {
+  const lists: string[][] = [];
+  let bytes = Infinity;
+  for (const id of ids) {
+    const size = id.length + BYTES_BESIDE_ID;
+    if (bytes + size > mostBytes) {
+      lists.push([]);
+      bytes = 0;
+    }
+    lists[lists.length - 1]!.push(id);
+    bytes += size;
+  }
+  return lists;
+}
+
+/** Groups of pieces that fit into one transaction each. */
+export function groupPieces(pieces: readonly Piece[], limits: WriteLimits): Piece[][] {
+  const groups: Piece[][] = [];
+  let bytes = 0;
+  for (const piece of pieces) {
+    const group = groups[groups.length - 1];
+    if (!group || group.length >= limits.txnOps || bytes + piece.bytes > TXN_BYTES) {
+      groups.push([piece]);
+      bytes = piece.bytes;
+    } else {
+      group.push(piece);
+      bytes += piece.bytes;
+    }
+  }
+  return groups;
+}
+
+/**
+ * The jobs that a record names as its dependencies; null if a piece is missing or unreadable. The
+ * pieces of an open job are never missing; where they are, the job has just ended and its record
+ * says so.
+ */
+export async function readDependencies(
+  store: Store,
+  id: string,
+  needs: NeedsRecord | undefined,
+  signal?: AbortSignal,
+): Promise<string[] | null> {
+  if (!needs) return [];
+  if ('ids' in needs) return needs.ids;
+  const { items } = await store.range(KEYS.needsOf(id, needs.mark), signal);
+  const values = new Map(items.map((e) => [e.key, e.value]));
+  const all: string[] = [];
+  for (let i = 0; i < needs.pieces; i++) {
+    const ids = parseNeedsPiece(values.get(KEYS.need(id, needs.mark, i)));
+    if (!ids) return null;
+    // One by one: spreading thousands of arguments has a limit.
+    for (const dependency of ids) all.push(dependency);
+  }
+  return all;
+}
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -1,14 +1,13 @@
-import { NoAnswer } from '../http/client.js';
 import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
-import { Refused, type Store } from '../state/store.js';
+import type { Store } from '../state/store.js';
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
-import type { JobPhase, JobSpec } from './job.js';
-import { parseJob, type JobRecord } from './records.js';
+import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
+import { JobStates, type JobState } from './job-states.js';
+import { parseJob, type JobRecord } from './records.js';
 
 export interface Answer {
   status: number;
@@ -22,35 +21,14 @@
   running: number;
 }
 
-interface Known {
-  version: number;
-  phase: JobPhase;
-  tasks: number;
-}
-
-interface Waiter {
-  resolve(job: Known | null): void;
-  reject(reason: unknown): void;
-}
-
-/**
- * How many jobs a node remembers for each MB of its memory, at some 200 bytes each; beyond it the
- * ones asked for least lately are read again.
- */
-const KNOWN_PER_MB = 50;
-
-/** For how small a share of a poll's time questions gather before they are compared together. */
-const GATHERINGS = 16;
-
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
- * the question came. One comparison serves all questions that wait for it.
+ * the question came, see `JobStates`.
  */
 export class JobApi {
-  private readonly known = new Map<string, Known>();
-  private asking = new Map<string, Waiter[]>();
-  private comparing = false;
+  private readonly states: JobStates;
+  private readonly acceptance: Acceptance;
 
   constructor(
     private readonly store: Store,
@@ -60,7 +38,12 @@
     private readonly counts: (id: string) => Counts | null,
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
-  ) {}
+  ) {
+    const { pollMs } = limits;
+    const waits = { firstMs: pollMs / 40, mostMs: pollMs / 4 };
+    this.states = new JobStates(store, settings, runtime, pollMs);
+    this.acceptance = new Acceptance(store, this.states, settings, runtime, waits);
+  }
 
   submit(body: unknown): Promise<Answer> {
     return this.within(this.limits.submitMs, (signal) => this.accept(body, signal));
@@ -69,7 +52,7 @@
   query(id: string): Promise<Answer> {
     if (!wire.isJobId(id)) return Promise.resolve(UNKNOWN);
     return this.within(this.limits.pollMs, async () => {
-      const job = await this.fresh(id);
+      const job = await this.states.current(id);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
     });
   }
@@ -84,7 +67,7 @@
     const found = new Set<string>();
     await Promise.all(
       [...ids].map(async (id) => {
-        const job = await this.fresh(id).catch(() => null);
+        const job = await this.states.current(id).catch(() => null);
         if (job?.phase === 'cancelled') found.add(id);
       }),
     );
@@ -96,46 +79,36 @@
     if (!parsed.ok) {
       // A repeat of an accepted job is answered with its state, whatever else the body says.
       const id = wire.submissionId(body);
-      const job = id === null ? null : await this.fresh(id);
-      if (id !== null && job) return this.knownAnswer(id, job);
-      return { status: 400, body: { error: parsed.reason } };
+      return this.knownOr(id, { status: 400, body: { error: parsed.reason } });
     }
     const { id, spec } = parsed.value;
     const types = this.catalogue.types.value;
-    const never = types ? whyNever(spec, this.settings, types) : null;
-    if (!types || never !== null) {
-      const job = await this.fresh(id);
-      if (job) return this.knownAnswer(id, job);
-      if (never === null) return BUSY;
-      return { status: 422, body: { error: never } };
-    }
-    const seen = this.known.get(id);
-    if (!seen) {
-      const added = await this.add(id, spec, signal);
-      if (added) return added;
+    if (!types) return this.knownOr(id, BUSY);
+    const never = whyNever(spec, this.settings, types);
+    if (never !== null) return this.knownOr(id, { status: 422, body: { error: never } });
+    if (this.states.has(id)) return this.knownOr(id, BUSY);
+    return this.add(parsed.value, signal);
+  }
+
+  private async add(submission: wire.Submission, signal: AbortSignal): Promise<Answer> {
+    const { id } = submission;
+    const accepted = await this.acceptance.add(submission, signal);
+    switch (accepted.kind) {
+      case 'added':
+        return { status: 201, body: this.answer(id, this.states.remembered(id)) };
+      case 'known':
+        return this.knownOr(id, BUSY);
+      case 'unknown dependency': {
+        const error = `waitsOn: ${accepted.id} was never accepted`;
+        return this.knownOr(id, { status: 422, body: { error } });
+      }
     }
-    const job = await this.fresh(id);
-    return job ? this.knownAnswer(id, job) : BUSY;
   }
 
-  /** Null if the job is in the store already. */
-  private async add(id: string, spec: JobSpec, signal: AbortSignal): Promise<Answer | null> {
-    const { clock, random } = this.runtime;
-    const record: JobRecord = {
-      w: random.unique(),
-      phase: 'open',
-      tasks: spec.tasks,
-      at: clock.wall(),
-      spec,
-    };
-    const outcome = await this.commit(
-      [{ key: KEYS.job(id), version: 0 }],
-      [{ put: KEYS.job(id), value: record }],
-      signal,
-    );
-    if (!outcome.ok) return null;
-    this.remember(id, { version: outcome.revision, phase: 'open', tasks: spec.tasks });
-    return { status: 201, body: wire.jobAnswer(id, 'pending') };
+  /** The state of a job that is in the store already; else `otherwise`. */
+  private async knownOr(id: string | null, otherwise: Answer): Promise<Answer> {
+    const job = id === null ? null : await this.states.current(id);
+    return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
@@ -144,154 +117,54 @@
       if (!entry) return UNKNOWN;
       const record = parseJob(entry.value);
       if (!record) return BUSY;
-      this.remember(id, { version: entry.version, phase: record.phase, tasks: record.tasks });
-      if (record.phase === 'done') return { status: 200, body: wire.jobAnswer(id, 'done') };
+      if (record.phase === 'done') {
+        this.rememberOver(id, entry.version, record);
+        return { status: 200, body: wire.jobAnswer(id, 'done') };
+      }
+      let { version } = entry;
       if (record.phase === 'open') {
         const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
-        const outcome = await this.commit(
-          [{ key: KEYS.job(id), version: entry.version }],
+        const outcome = await this.acceptance.commit(
+          [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
         );
         if (!outcome.ok) continue;
-        this.remember(id, { version: outcome.revision, phase: 'cancelled', tasks: record.tasks });
+        version = outcome.revision;
       }
+      this.rememberOver(id, version, { ...record, phase: 'cancelled' });
       this.cancelled(id);
-      return { status: 200, body: wire.jobAnswer(id, 'withdrawn') };
+      return { status: 200, body: wire.jobAnswer(id, this.tellWithdrawn(id)) };
     }
   }
 
-  /**
-   * A refusal for an outage is passed on at once, so that the user can be told when to come back;
-   * a refusal for the rate and a lost answer are tried again while there is time.
-   */
-  private async commit(
-    when: Parameters<Store['txn']>[0],
-    then: Parameters<Store['txn']>[1],
-    signal: AbortSignal,
-  ): ReturnType<Store['txn']> {
-    const { clock, random } = this.runtime;
-    let wait = this.limits.pollMs / 40;
-    for (;;) {
-      try {
-        return await this.store.txn(when, then, 0, signal);
-      } catch (error) {
-        signal.throwIfAborted();
-        const again =
-          error instanceof NoAnswer || (error instanceof Refused && error.status === 429);
-        if (!again) throw error;
-      }
-      await clock.sleep(jitter(wait, random), signal);
-      wait = Math.min(wait * 2, this.limits.pollMs / 4);
-    }
+  private rememberOver(id: string, version: number, { phase, tasks }: JobRecord): void {
+    this.states.remember(id, { version, phase, tasks, dependencies: [] });
+  }
+
+  private answer(id: string, job: JobState | null): object {
+    return wire.jobAnswer(id, job ? this.phaseName(id, job) : 'pending');
   }
 
-  private knownAnswer(id: string, job: Known): Answer {
-    return { status: 200, body: wire.jobAnswer(id, this.phaseName(id, job)) };
+  /** Whoever tells a user that a job is withdrawn does it here, whichever way it was cancelled. */
+  private tellWithdrawn(id: string): wire.PhaseName {
+    this.runtime.log.debug({ job: id }, 'told withdrawn');
+    return 'withdrawn';
   }
 
-  private phaseName(id: string, job: Known): wire.PhaseName {
+  private phaseName(id: string, job: JobState): wire.PhaseName {
     if (job.phase === 'done') return 'done';
-    if (job.phase === 'cancelled') return 'withdrawn';
+    if (job.phase === 'cancelled') return this.tellWithdrawn(id);
     return (this.counts(id)?.running ?? 0) > 0 ? 'running' : 'pending';
   }
 
-  private status(id: string, job: Known): object {
+  private status(id: string, job: JobState): object {
     const counts = this.counts(id);
     const done = job.phase === 'done' ? job.tasks : (counts?.done ?? 0);
     const running = job.phase === 'open' ? (counts?.running ?? 0) : 0;
     return wire.jobStatus(id, this.phaseName(id, job), done, running);
   }
 
-  /** The job's state at some time after this call; null: it was never accepted. */
-  private fresh(id: string): Promise<Known | null> {
-    const known = this.known.get(id);
-    if (known && known.phase !== 'open') return Promise.resolve(known);
-    return new Promise((resolve, reject) => {
-      const waiters = this.asking.get(id);
-      if (waiters) waiters.push({ resolve, reject });
-      else this.asking.set(id, [{ resolve, reject }]);
-      if (!this.comparing) void this.compareAll();
-    });
-  }
-
-  private async compareAll(): Promise<void> {
-    this.comparing = true;
-    const most = this.settings.state.txnOps * 4;
-    while (this.asking.size > 0) {
-      // Users can wait this long, and a comparison of one job costs as much as one of many.
-      await this.runtime.clock.sleep(this.limits.pollMs / GATHERINGS);
-      const batch = [...this.asking].slice(0, most);
-      for (const [id] of batch) this.asking.delete(id);
-      try {
-        await this.compare(batch);
-      } catch (error) {
-        // The store is down: whoever asks is told so at once, and when to come back.
-        if (error instanceof Refused && error.status === 503) {
-          for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
-          continue;
-        }
-        // The questions stay open until their own time is over; the next attempt serves them.
-        for (const [id, waiters] of batch) {
-          this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
-        }
-        await this.runtime.clock.sleep(jitter(this.limits.pollMs / 20, this.runtime.random));
-      }
-    }
-    this.comparing = false;
-  }
-
-  private async compare(batch: [string, Waiter[]][]): Promise<void> {
-    const compared = new Map(batch.map(([id]) => [id, this.known.get(id) ?? null]));
-    const when = [...compared].map(([id, job]) => ({
-      key: KEYS.job(id),
-      version: job?.version ?? 0,
-    }));
-    const outcome = await this.store.txn(when, [], 0);
-    const failed = new Set(outcome.ok ? [] : outcome.failed);
-    await Promise.all(
-      batch.map(async ([id, waiters]) => {
-        const changed = failed.has(KEYS.job(id));
-        // Of a failed comparison only the keys it names are known to differ; nothing is concluded
-        // about the others.
-        if (!outcome.ok && !changed) {
-          this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
-          return;
-        }
-        // What was compared is the answer also if the job has been dropped from memory since then:
-        // an accepted job must never look as if it were unknown.
-        const job = changed ? await this.reread(id) : (this.known.get(id) ?? compared.get(id)!);
-        for (const w of waiters) w.resolve(job);
-      }),
-    );
-  }
-
-  private async reread(id: string): Promise<Known | null> {
-    const entry = await this.store.get(KEYS.job(id), 0);
-    const record = entry && parseJob(entry.value);
-    if (!entry) return null;
-    if (!record) throw new Error(`unreadable record of ${id}`);
-    return this.remember(id, {
-      version: entry.version,
-      phase: record.phase,
-      tasks: record.tasks,
-    });
-  }
-
-  private remember(id: string, job: Known): Known {
-    const before = this.known.get(id);
-    // Answers may overtake one another: the newer version stands.
-    if (before && before.version > job.version) return before;
-    this.known.delete(id);
-    this.known.set(id, job);
-    if (this.known.size <= this.settings.machine.memoryMb * KNOWN_PER_MB) return job;
-    for (const oldest of this.known.keys()) {
-      this.known.delete(oldest);
-      break;
-    }
-    return job;
-  }
-
   private async within(
     ms: number,
     body: (signal: AbortSignal) => Promise<Answer>,
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -29,14 +29,27 @@
   deadlineMs: z.nullable(amount),
 });
 
+const needs = z.union([
+  z.object({ ids: z.array(z.string()) }),
+  z.object({ mark: z.string(), pieces: count }),
+]);
+
 const job = z.object({
   w: z.string(),
   phase: z.enum(['open', 'done', 'cancelled']),
   tasks: count,
   at: z.optional(z.number()),
   spec: z.optional(spec),
+  needs: z.optional(needs),
+  doneAt: z.optional(z.number()),
 });
 
+/**
+ * The jobs that a job waits for: in its own record while they are few, else in `pieces` values of
+ * their own below the key that `mark` gives.
+ */
+export type NeedsRecord = z.infer<typeof needs>;
+
 export interface JobRecord {
   w: string;
   phase: JobPhase;
@@ -44,6 +57,15 @@
   /** Time of day of the acceptance, and the job: left out once nothing can run any more. */
   at?: number;
   spec?: JobSpec;
+  /**
+   * Left out for a job that waits for none, and once the job is over. The version before this field
+   * drops it when it rewrites a record. That is sound: it rewrites a record only to end the job,
+   * never as open, and a job that is over waits for nothing. Such a version does not know how to
+   * wait either, so no job with dependencies may be submitted before all controllers are new.
+   */
+  needs?: NeedsRecord;
+  /** Time of day at which the job was stored as done: from then on those that need it are ready. */
+  doneAt?: number;
 }
 
 export function parseJob(value: unknown): JobRecord | null {
@@ -51,6 +73,14 @@
   return result.success ? (result.data as JobRecord) : null;
 }
 
+const needsPiece = z.object({ ids: z.array(z.string()) });
+
+/** One piece of a long list of dependencies; null if it cannot be read. */
+export function parseNeedsPiece(value: unknown): string[] | null {
+  const result = z.safeParse(needsPiece, value);
+  return result.success ? result.data.ids : null;
+}
+
 const run = z.object({
   w: z.string(),
   attempt: count,
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -91,9 +91,7 @@
     // Changes made while later pages are read are seen again by following from the first page on.
     let revision: number | null = null;
     for (;;) {
-      const path = wire.STORE_PATHS.range(prefix, after, wire.RANGE_PAGE);
-      const reply = await this.call('GET', path, null, 0, signal);
-      const page = wire.parseRange(expect(reply, 200, prefix));
+      const page: wire.RangePage = await this.page(prefix, after, wire.RANGE_PAGE, signal);
       revision ??= page.revision;
       items.push(...page.items);
       if (!page.more || page.items.length === 0) return { items, revision };
@@ -101,6 +99,18 @@
     }
   }
 
+  /** The first entries below `prefix` whose key sorts after `after`, at most `limit` of them. */
+  async page(
+    prefix: string,
+    after: string | null,
+    limit: number,
+    signal?: AbortSignal,
+  ): Promise<wire.RangePage> {
+    const path = wire.STORE_PATHS.range(prefix, after, limit);
+    const reply = await this.call('GET', path, null, 0, signal);
+    return wire.parseRange(expect(reply, 200, prefix));
+  }
+
   /** One try. Throws `Refused` if it was not executed, `NoAnswer` if that cannot be told. */
   async txn(
     when: wire.Condition[],
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -45,7 +45,14 @@
 
 export const parseEntry = (body: unknown): Entry => toEntry(z.parse(entry, body));
 
-export function parseRange(body: unknown): { items: Entry[]; more: boolean; revision: number } {
+/** A part of a range, in key order; `more`: it goes on after the last item. */
+export interface RangePage {
+  items: Entry[];
+  more: boolean;
+  revision: number;
+}
+
+export function parseRange(body: unknown): RangePage {
   const page = z.parse(rangePage, body);
   return { items: page.entries.map(toEntry), more: page.more, revision: page.ledgerRev };
 }
--- a/src/wire/submission.ts
+++ b/src/wire/submission.ts
@@ -6,8 +6,10 @@
 
 export const MAX_TASKS = 100_000;
 
+const jobId = z.string().check(z.regex(/^req-\d{1,20}$/));
+
 const schema = z.object({
-  ref: z.string().check(z.regex(/^req-\d{1,20}$/)),
+  ref: jobId,
   lane: name,
   crew: name,
   shape: z.enum(['array', 'gang', 'service']),
@@ -27,6 +29,7 @@
   snapshotEveryS: amount,
   stowS: amount,
   dueS: z.nullish(amount),
+  waitsOn: z.nullish(z.array(jobId)),
 });
 
 const PRIORITIES = {
@@ -39,6 +42,8 @@
 export interface Submission {
   id: string;
   spec: JobSpec;
+  /** Jobs that must be done before any task of this one starts, each named once. */
+  dependencies: readonly string[];
 }
 
 export type Parsed<T> = { ok: true; value: T } | { ok: false; reason: string };
@@ -74,6 +79,7 @@
         saveMs: d.stowS * 1000,
         deadlineMs: d.dueS == null ? null : d.dueS * 1000,
       },
+      dependencies: [...new Set(d.waitsOn ?? [])],
     },
   };
 }
--- /dev/null
+++ b/test/fakes/nodes.ts
@@ -0,0 +1,110 @@
+import type { Catalogue } from '../../src/fleet/catalogue.js';
+import { JobApi, type Answer } from '../../src/jobs/job-api.js';
+import type { Settings } from '../../src/settings/deploy.js';
+import { Store } from '../../src/state/store.js';
+import { FakeClock } from './clock.js';
+import { TYPE } from './samples.js';
+import { FakeStore, type Fate } from './store.js';
+import { fakeRandom, settings } from './world.js';
+
+const log = { error() {}, warn() {}, info() {}, debug() {} };
+
+interface Sent {
+  node: number;
+  path: string;
+  body: { when: { k: string }[]; then: { write?: string; value?: unknown }[] } | null;
+}
+
+/** Several nodes that answer users above one store, with no leader, workers or cloud. */
+export class Nodes {
+  readonly clock = new FakeClock();
+  readonly store = new FakeStore(this.clock);
+  readonly sent: Sent[] = [];
+  /** What happens to a request of a node on its way. */
+  fate: (sent: Sent) => Fate = () => 'serve';
+  private readonly apis: JobApi[] = [];
+  private lives = 0;
+
+  constructor(
+    count: number,
+    private readonly limits: Partial<Settings['state']> = {},
+  ) {
+    for (let i = 0; i < count; i++) this.restart(i);
+  }
+
+  /** The node begins anew, with nothing in memory. */
+  restart(node: number): void {
+    const base = settings();
+    const changed = { ...base, state: { ...base.state, ...this.limits } };
+    const random = fakeRandom(`node-${node}.${++this.lives}`);
+    const runtime = { clock: this.clock, random, log, startedAt: 0 };
+    const link = this.store.link((_method, path, body) => {
+      const sent = { node, path, body: body as Sent['body'] };
+      this.sent.push(sent);
+      return this.fate(sent);
+    });
+    const store = new Store(link, runtime, changed, 700);
+    const types = { value: new Map([[TYPE.name, TYPE]]) };
+    this.apis[node] = new JobApi(
+      store,
+      { types } as unknown as Catalogue,
+      changed,
+      runtime,
+      () => null,
+      () => undefined,
+      { submitMs: 4000, pollMs: 1600 },
+    );
+  }
+
+  submit(node: number, ref: string, waitsOn?: unknown, more: object = {}): Promise<Answer> {
+    const body = waitsOn === undefined ? { ...BODY, ref } : { ...BODY, ref, waitsOn };
+    return this.after(this.apis[node]!.submit({ ...body, ...more }));
+  }
+
+  abort(node: number, ref: string): Promise<Answer> {
+    return this.after(this.apis[node]!.abort(ref));
+  }
+
+  async phase(node: number, ref: string): Promise<string> {
+    const answer = await this.after(this.apis[node]!.query(ref));
+    return answer.status === 200 ? (answer.body as { phase: string }).phase : String(answer.status);
+  }
+
+  /** Writes a job's record as a leader does when the job is over. */
+  finish(ref: string, phase: 'done' | 'cancelled'): void {
+    this.put(`jobs/${ref}`, { w: 'leader', phase, tasks: 1 });
+  }
+
+  put(key: string, value: object): void {
+    this.store.write(key, value);
+  }
+
+  async after<T>(promise: Promise<T>): Promise<T> {
+    let over = false;
+    void promise.finally(() => (over = true)).catch(() => undefined);
+    while (!over) await this.clock.advance(20);
+    return promise;
+  }
+}
+
+const BODY = {
+  lane: 'train',
+  crew: 'vision',
+  shape: 'array',
+  urgency: 'standard',
+  pieces: 1,
+  vcpus: 1,
+  gpus: 1,
+  memoryGb: 4,
+  crate: 'img-1',
+  sizeGb: 4,
+  hulls: null,
+  yard: null,
+  samePlace: false,
+  apart: false,
+  driftwood: false,
+  guessS: 20,
+  snapshotEveryS: 10,
+  stowS: 1,
+  dueS: null,
+};
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -65,6 +65,11 @@
     return this.keys.get(key)?.value;
   }
 
+  /** A change by somebody who is no part of the story. */
+  write(key: string, value: unknown): void {
+    this.txn({ when: [], then: [{ write: key, value }] });
+  }
+
   /** After an outage every lease has its full time again. */
   restore(): void {
     this.down = false;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -97,6 +97,7 @@
   apart?: boolean;
   driftwood?: boolean;
   yard?: string;
+  waitsOn?: string[];
 }
 
 /** A small fleet with two or three controllers; it checks the rules at every step of every story. */
@@ -303,6 +304,7 @@
       guessS: (w.runMs ?? 20_000) / 1000,
       snapshotEveryS: 10,
       stowS: 1,
+      ...(w.waitsOn ? { waitsOn: w.waitsOn } : {}),
     };
     return { ref, body };
   }
