Priorities and deadlines travel up the chains of jobs; tasks without GPUs fill what is left beside them

Cause: users set priority and deadline on the last job of a pipeline only, so that its earlier steps would come after all other work and know no haste; and small tasks of processors alone were put on empty machines as readily as beside full GPUs, where gangs miss them. Change: scheduler/pipelines.ts passes both up by the longest path of what remains (linear time); decisions use a job's effective priority, its readiness in place of its age, and leave out jobs that wait for others; room for a step that will be ready within a boot is kept or rented ahead. Tasks without GPUs take what free GPUs leave of processors and memory first, then the fullest machine. Job has dependencies and readyAt, which nothing sets yet. Not measured yet.

--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,4 +1,6 @@
 import type { Machine } from '../fleet/machine.js';
+import type { Job } from '../jobs/live.js';
+import type { JobSpec } from '../jobs/job.js';
 import type { MachineType } from '../fleet/types.js';
 import type {
   JobView,
@@ -9,19 +11,24 @@
   TeamView,
   VictimView,
 } from '../scheduler/model.js';
-import { dueAt } from '../scheduler/order.js';
+import { pipelineUrgency, type PipelineStep, type StepUrgency } from '../scheduler/pipelines.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Leader } from './leader.js';
 
+/** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
+const START_REPORTS = 2;
+
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
+  const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
   return {
     machines: machineViews(leader, now),
-    jobs: jobViews(leader, now),
+    jobs: jobViews(leader, now, urgencies),
+    upcoming: upcoming(leader, now, urgencies),
     teams: teamViews(leader),
     types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
-    victims: victims(leader, now),
+    victims: victims(leader, now, urgencies),
     movable: movable(leader),
     gateShut: [...leader.jobs.values()].some((j) => j.gang?.holdsGate && j.phase === 'open'),
   };
@@ -83,31 +90,112 @@
   };
 }
 
-function jobViews(leader: Leader, now: number): JobView[] {
+/** Jobs that wait for others take no part in the decisions. */
+function jobViews(
+  leader: Leader,
+  now: number,
+  urgencies: ReadonlyMap<string, StepUrgency>,
+): JobView[] {
   const views: JobView[] = [];
+  for (const job of leader.jobs.values()) {
+    if (job.phase !== 'open' || job.readyAt === null) continue;
+    views.push(jobView(job, job.readyAt, now, urgencies));
+  }
+  return views;
+}
+
+function jobView(
+  job: Job,
+  readyAt: number,
+  now: number,
+  urgencies: ReadonlyMap<string, StepUrgency>,
+): JobView {
+  const zones = new Map<string, number>();
+  for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
+  const { gang } = job;
+  // A gang is placed anew only when nothing of its last attempt can be left.
+  const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
+  const urgency = urgencies.get(job.id);
+  return {
+    id: job.id,
+    spec: job.spec,
+    priority: urgency?.priority ?? job.spec.priority,
+    readyAt,
+    dueAt: urgency?.dueAt ?? readyAt,
+    waiting: job.waiting,
+    unfinished: job.spec.tasks - job.doneCount,
+    zones,
+    avoid: job.failedOn,
+    gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
+    admissible: gangMay && !job.blind && job.retryAt <= now,
+  };
+}
+
+/** Jobs that are expected to become ready before a machine that is rented now would be up. */
+function upcoming(
+  leader: Leader,
+  now: number,
+  urgencies: ReadonlyMap<string, StepUrgency>,
+): JobView[] {
+  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
+  const bootMs = Math.min(...types.map((t) => t.bootMs));
   const wall = leader.parts.runtime.clock.wall();
-  const steps = deadlineSteps(leader.parts.settings);
+  const views: JobView[] = [];
+  for (const job of leader.jobs.values()) {
+    if (job.phase !== 'open' || job.readyAt !== null || job.blind) continue;
+    const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
+    if (readyInMs > bootMs) continue;
+    views.push(jobView(job, wall + readyInMs, now, urgencies));
+  }
+  return views;
+}
+
+function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
+  const aims = deadlineSteps(leader.parts.settings);
+  const steps: PipelineStep[] = [];
   for (const job of leader.jobs.values()) {
     if (job.phase !== 'open') continue;
-    const zones = new Map<string, number>();
-    for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
-    const { gang } = job;
-    // A gang is placed anew only when nothing of its last attempt can be left.
-    const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
-    views.push({
+    steps.push({
       id: job.id,
       spec: job.spec,
       submittedAt: job.submittedAt,
-      dueAt: dueAt(job.spec, job.submittedAt, steps.get(job.spec.jobClass) ?? [], wall),
-      waiting: job.waiting,
-      unfinished: job.spec.tasks - job.doneCount,
-      zones,
-      avoid: job.failedOn,
-      gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
-      admissible: gangMay && !job.blind && job.retryAt <= now,
+      readyAt: job.readyAt,
+      dependencies: job.dependencies,
+      remainingMs: remainingMs(leader, job, now),
+      deadlineSteps: aims.get(job.spec.jobClass) ?? [],
     });
   }
-  return views;
+  return steps;
+}
+
+/**
+ * Expected time until a job is done once it is ready: its estimate and, if some of it is still to
+ * be started, the image's fetch and the time to record and send its starts.
+ */
+function remainingMs(leader: Leader, job: Job, now: number): number {
+  const { spec } = job;
+  // A service is never done, and nobody may wait for it.
+  if (spec.kind === 'service') return 0;
+  if (job.waiting > 0) return startMs(leader, spec) + spec.estimateMs;
+  let most = 0;
+  for (const p of job.live.values()) {
+    const left =
+      p.runningSince === null
+        ? startMs(leader, spec) + spec.estimateMs
+        : spec.estimateMs - (now - p.runningSince);
+    most = Math.max(most, left);
+  }
+  return most;
+}
+
+/** From when a job is ready until its tasks run, where there is room for them. */
+function startMs(leader: Leader, spec: JobSpec): number {
+  let fetchMs = 0;
+  for (const type of leader.parts.catalogue.types.value?.values() ?? []) {
+    if (spec.types !== null && !spec.types.includes(type.name)) continue;
+    fetchMs = Math.max(fetchMs, (spec.imageGb / type.fetchGbPerS) * 1000);
+  }
+  return fetchMs + leader.parts.settings.workers.reportMs * START_REPORTS;
 }
 
 /** By which multiples of their deadline the jobs of a class should be done, smallest first. */
@@ -152,10 +240,15 @@
   return list;
 }
 
-function victims(leader: Leader, now: number): VictimView[] {
+function victims(
+  leader: Leader,
+  now: number,
+  urgencies: ReadonlyMap<string, StepUrgency>,
+): VictimView[] {
   const list: VictimView[] = [];
   for (const job of leader.jobs.values()) {
     if (job.spec.kind === 'service') continue;
+    const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
     for (const p of job.live.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
       const { checkpointMs } = job.spec;
@@ -164,6 +257,7 @@
         task: p.task,
         machine: p.machine,
         spec: job.spec,
+        priority,
         lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
         wholeGang: job.gang !== null,
         stopping: p.stop !== null || job.phase !== 'open',
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -61,6 +61,10 @@
   phaseStored = true;
   /** A record of it cannot be read: all of its tasks count as running, and none is started. */
   blind = false;
+  /** Jobs that have to be done before any task of this one starts. */
+  dependencies: readonly string[] = [];
+  /** Time of day since when it could start; null: it waits for other jobs. */
+  readyAt: number | null;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
@@ -71,6 +75,7 @@
     public version: number,
     private readonly perChunk: number,
   ) {
+    this.readyAt = submittedAt;
     this.done = new Uint8Array(spec.tasks);
     this.chunks = Array.from({ length: Math.ceil(spec.tasks / perChunk) }, () => ({
       version: 0,
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -1,9 +1,9 @@
-import type { JobSpec, Priority } from '../jobs/job.js';
+import type { Priority } from '../jobs/job.js';
 import type { JobView, TeamView } from './model.js';
 
 /**
  * A job is within its team's guarantee if it fits into it together with the team's earlier
- * unfinished jobs.
+ * unfinished jobs. Jobs that wait for others take no part, and are as old as they are ready.
  */
 export function withinGuarantee(
   jobs: JobView[],
@@ -11,7 +11,7 @@
 ): Set<string> {
   const inside = new Set<string>();
   const sums = new Map<string, { cpus: number; gpus: number }>();
-  for (const job of [...jobs].sort((a, b) => a.submittedAt - b.submittedAt)) {
+  for (const job of [...jobs].sort((a, b) => a.readyAt - b.readyAt)) {
     const team = teams.get(job.spec.team);
     if (!team) continue;
     const sum = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
@@ -33,20 +33,28 @@
  * Smaller goes first. A guarantee is worth one and a half steps of priority, so that production
  * work beyond its guarantee still goes before batches within theirs.
  */
-export function rank(spec: JobSpec, guaranteed: boolean): number {
-  return spec.priority * 2 - (guaranteed ? 3 : 0);
+export function rank(priority: Priority, guaranteed: boolean): number {
+  return priority * 2 - (guaranteed ? 3 : 0);
 }
 
 /**
  * By when a job should be done, in steps of its deadline: the first that it can still meet, or, with
  * none left, twice the last. In a rush, what is late already would else go before all that could
  * still be in time, and make that late too; later on its turn comes all the same.
+ *
+ * @param deadlineMs counts from the submission, however long the job waits for others
+ * @param steps multiples of the deadline, smallest first; none: once
+ * @param remainingMs expected time until it is done, with all that has to be done before it
  */
-export function dueAt(spec: JobSpec, submittedAt: number, steps: number[], now: number): number {
-  const { deadlineMs } = spec;
-  if (deadlineMs === null) return submittedAt;
+export function dueAt(
+  deadlineMs: number,
+  submittedAt: number,
+  steps: readonly number[],
+  now: number,
+  remainingMs: number,
+): number {
   // Estimates are often wrong by half: only what even half of it cannot make is given up.
-  const atBest = now + spec.estimateMs / 2;
+  const atBest = now + remainingMs / 2;
   const times = steps.length > 0 ? steps : [1];
   const next = times.find((t) => submittedAt + deadlineMs * t >= atBest);
   return submittedAt + deadlineMs * (next ?? times[times.length - 1]! * 2);
@@ -54,14 +62,14 @@
 
 export function inOrder(jobs: JobView[], guaranteed: ReadonlySet<string>): JobView[] {
   const sameClass = (a: JobView, b: JobView): boolean =>
-    a.spec.priority === b.spec.priority && a.spec.kind === b.spec.kind;
+    a.priority === b.priority && a.spec.kind === b.spec.kind;
   return [...jobs].sort((a, b) => {
     // The gang that holds the gate goes before other standard work: all other gangs wait for it.
-    const byRank = rank(a.spec, guaranteed.has(a.id)) - rank(b.spec, guaranteed.has(b.id));
+    const byRank = rank(a.priority, guaranteed.has(a.id)) - rank(b.priority, guaranteed.has(b.id));
     if (byRank !== 0) return byRank;
     const gate = Number(b.gang?.holdsGate ?? false) - Number(a.gang?.holdsGate ?? false);
     if (gate !== 0) return gate;
-    return sameClass(a, b) ? a.dueAt - b.dueAt : a.submittedAt - b.submittedAt;
+    return sameClass(a, b) ? a.dueAt - b.dueAt : a.readyAt - b.readyAt;
   });
 }
 
--- /dev/null
+++ b/src/scheduler/pipelines.ts
@@ -0,0 +1,135 @@
+import type { JobSpec, Priority } from '../jobs/job.js';
+import { dueAt } from './order.js';
+
+/** An open job as a step of the pipelines that it belongs to; times of day in milliseconds. */
+export interface PipelineStep {
+  id: string;
+  spec: JobSpec;
+  submittedAt: number;
+  /** When the last job that it needs was done; null while it still waits for one. */
+  readyAt: number | null;
+  /** Jobs that have to be done before it starts; what is not open any more holds nothing up. */
+  dependencies: readonly string[];
+  /** Expected time from its first start, or from now if it has begun, until it is done. */
+  remainingMs: number;
+  /** Multiples of its deadline that the aims name, smallest first. */
+  deadlineSteps: readonly number[];
+}
+
+/** How one step is to be treated for the sake of all that need it. */
+export interface StepUrgency {
+  /** The highest priority of the step and of all that need it, directly or through others. */
+  priority: Priority;
+  /** By when it should be done so that what comes after it can be in time. */
+  dueAt: number;
+  /** In how many milliseconds it is expected to be ready; 0 if it is. */
+  readyInMs: number;
+}
+
+/** A step and its neighbours while the graph is walked. */
+interface Node {
+  step: PipelineStep;
+  before: Node[];
+  after: Node[];
+  /** How many of `before` are still to be walked. */
+  open: number;
+  /** In how many milliseconds it is expected to be ready, and done. */
+  readyInMs: number;
+  doneInMs: number;
+  priority: Priority;
+  /** Null: neither it nor anything that needs it has a deadline. */
+  dueAt: number | null;
+}
+
+/**
+ * Passes priorities and deadlines up the chains of jobs. Users set both on the last job of a
+ * pipeline only: a step takes the highest priority of all that need it, and has to be done as long
+ * before the last deadline as the longest path of steps after it is expected to take (critical path
+ * method). Takes time linear in the steps and their dependencies.
+ *
+ * @param now time of day, milliseconds
+ */
+export function pipelineUrgency(
+  steps: readonly PipelineStep[],
+  now: number,
+): Map<string, StepUrgency> {
+  const order = topological(connect(steps));
+  for (const node of order) expectTimes(node);
+  for (const node of order) setOwnDeadline(node, now);
+  for (const node of order.reverse()) inheritFromDependents(node);
+  return new Map(order.map((node) => [node.step.id, toUrgency(node)]));
+}
+
+function connect(steps: readonly PipelineStep[]): Node[] {
+  const nodes = new Map<string, Node>();
+  for (const step of steps) {
+    nodes.set(step.id, {
+      step,
+      before: [],
+      after: [],
+      open: 0,
+      readyInMs: 0,
+      doneInMs: 0,
+      priority: step.spec.priority,
+      dueAt: null,
+    });
+  }
+  for (const node of nodes.values()) {
+    for (const id of node.step.dependencies) {
+      const before = nodes.get(id);
+      if (!before) continue;
+      node.before.push(before);
+      before.after.push(node);
+      node.open++;
+    }
+  }
+  return [...nodes.values()];
+}
+
+/** Every step after all that it needs (Kahn). Steps in a cycle, which cannot be, come last. */
+function topological(nodes: Node[]): Node[] {
+  const order = nodes.filter((node) => node.open === 0);
+  // The list grows while it is walked.
+  for (const node of order) {
+    for (const after of node.after) {
+      after.open--;
+      if (after.open === 0) order.push(after);
+    }
+  }
+  if (order.length < nodes.length) {
+    const walked = new Set(order);
+    order.push(...nodes.filter((node) => !walked.has(node)));
+  }
+  return order;
+}
+
+function expectTimes(node: Node): void {
+  for (const before of node.before) node.readyInMs = Math.max(node.readyInMs, before.doneInMs);
+  node.doneInMs = node.readyInMs + node.step.remainingMs;
+}
+
+/** The multiple of its deadline that the whole of what remains before it can still meet. */
+function setOwnDeadline(node: Node, now: number): void {
+  const { spec, submittedAt, deadlineSteps } = node.step;
+  if (spec.deadlineMs === null) return;
+  node.dueAt = dueAt(spec.deadlineMs, submittedAt, deadlineSteps, now, node.doneInMs);
+}
+
+function inheritFromDependents(node: Node): void {
+  for (const after of node.after) {
+    node.priority = Math.min(node.priority, after.priority);
+    if (after.dueAt === null) continue;
+    const before = after.dueAt - after.step.remainingMs;
+    node.dueAt = node.dueAt === null ? before : Math.min(node.dueAt, before);
+  }
+}
+
+function toUrgency(node: Node): StepUrgency {
+  const { submittedAt, readyAt } = node.step;
+  return {
+    priority: node.priority,
+    // Without a deadline the oldest goes first, and a job's age counts from when it could start.
+    dueAt: node.dueAt ?? readyAt ?? submittedAt,
+    readyInMs: node.readyInMs,
+  };
+}
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -65,6 +65,9 @@
 /** What it is worth, in seconds of waiting, to leave a machine without replicas without any. */
 const PIN_SECONDS = 40;
 
+/** What it is worth, in seconds of waiting, to put a task without GPUs on the fullest machine. */
+const FULLEST_SECONDS = 4;
+
 /**
  * What it costs to put a task there, in seconds of waiting or their like: the image's fetch first;
  * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
@@ -74,6 +77,8 @@
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
   let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + scarcity;
+  // Beside what needs GPUs first, and then together, so that whole machines stay free for gangs.
+  if (spec.need.gpus === 0) cost += (m.free.cpus / m.type.room.cpus) * FULLEST_SECONDS;
   if (spec.kind === 'service') {
     cost += (m.tasksOf.get(job.id) ?? 0) * 20;
     // It would keep this machine from being given back for as long as it runs.
@@ -176,6 +181,17 @@
   count: number;
 }
 
+/** What is left of a machine when each of its free GPUs has its share of processors and memory. */
+function besideGpus(m: MachineView): Need {
+  const { room } = m.type;
+  const share = room.gpus > 0 ? m.free.gpus / room.gpus : 0;
+  return {
+    cpus: m.free.cpus - room.cpus * share,
+    gpus: m.free.gpus,
+    memoryGb: m.free.memoryGb - room.memoryGb * share,
+  };
+}
+
 /** Puts up to `count` tasks on machines, taking their room; answers where they went. */
 export function place(
   job: JobView,
@@ -207,6 +223,13 @@
   };
   // Replicas of one service go to different machines as far as there are any.
   if (spec.kind === 'service') for (const { machine } of candidates) put(machine, 1);
+  // Where no GPU is left without its processors, they are nobody else's: a scarce type too.
+  if (spec.need.gpus === 0) {
+    const beside = candidates
+      .map(({ machine, cost }) => ({ machine, cost: cost - price(machine) }))
+      .sort((a, b) => a.cost - b.cost);
+    for (const { machine } of beside) put(machine, howMany(spec.need, besideGpus(machine)));
+  }
   for (const { machine } of candidates) put(machine, Infinity);
   return [...placed].map(([machine, n]) => ({ machine, count: n }));
 }
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -83,6 +83,7 @@
         }
       }
     }
+    for (const job of inOrder(this.s.upcoming, this.guaranteed)) this.prepare(job);
     this.result.stops = this.preemption.stops;
     // Only while nothing waits: what is stopped has to start again at once.
     if (waiting.length === 0) {
@@ -95,6 +96,19 @@
     return this.result;
   }
 
+  /**
+   * Room for a job whose predecessors are nearly done. What is free is kept, what is missing is
+   * rented: it would else wait for a boot after having waited for others.
+   */
+  private prepare(job: JobView): void {
+    const team = this.s.teams.get(job.spec.team);
+    if (!team) return;
+    const count = Math.min(job.waiting, limitRoom(team, job.spec));
+    const rules = new ZoneRules(job.spec, job.zones);
+    this.reserve(job, count - this.setAside(job, count, this.up, rules), rules);
+    this.charge(team, job.spec, count);
+  }
+
   private charge(team: TeamView, spec: JobSpec, count: number): void {
     team.used.cpus += spec.need.cpus * count;
     team.used.gpus += spec.need.gpus * count;
@@ -184,7 +198,7 @@
     const guaranteed = this.guaranteed.has(job.id);
     // Room only shrinks while a round goes on: where a gang found none, one of its kind that is no
     // smaller finds none either.
-    const kind = `${shapeOf(spec)}|${spec.oneZone}|${rank(spec, guaranteed)}`;
+    const kind = `${shapeOf(spec)}|${spec.oneZone}|${rank(job.priority, guaranteed)}`;
     const usual = job.avoid.size === 0 && job.zones.size === 0;
     if (usual && spec.tasks >= (this.tooLarge.get(kind) ?? Infinity)) return false;
     let best: { zone: string | null; missing: number } | null = null;
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -37,12 +37,12 @@
         const list = this.byMachine.get(v.machine);
         if (list) list.push(v);
         else this.byMachine.set(v.machine, [v]);
-        this.lowest = Math.max(this.lowest, v.spec.priority);
+        this.lowest = Math.max(this.lowest, v.priority);
       }
     }
     // The least important first, and of these the cheapest loss.
     for (const list of this.byMachine.values()) {
-      list.sort((a, b) => b.spec.priority - a.spec.priority || a.lossMs - b.lossMs);
+      list.sort((a, b) => b.priority - a.priority || a.lossMs - b.lossMs);
     }
   }
 
@@ -59,11 +59,11 @@
   /** What there would be if all work of lower priority that comes after this job had left. */
   potential(job: JobView, m: MachineView, guaranteed: boolean): Need {
     const room = this.coming(m);
-    const own = rank(job.spec, guaranteed);
+    const own = rank(job.priority, guaranteed);
     for (const v of this.byMachine.get(m.id) ?? []) {
       if (this.chosen.has(v)) continue;
-      if (!outranks(job.spec.priority, v.spec.priority)) continue;
-      if (rank(v.spec, this.guaranteed.has(v.job)) > own) take(room, v.spec.need, -1);
+      if (!outranks(job.priority, v.priority)) continue;
+      if (rank(v.priority, this.guaranteed.has(v.job)) > own) take(room, v.spec.need, -1);
     }
     return room;
   }
@@ -81,7 +81,7 @@
     rules: ZoneRules,
   ): number {
     // Room only shrinks within a round, but for what stops make: what was in vain once stays so.
-    const key = `${shapeOf(job.spec)}|${job.spec.priority}|${guaranteed ? job.spec.team : ''}`;
+    const key = `${shapeOf(job.spec)}|${job.priority}|${guaranteed ? job.spec.team : ''}`;
     const { spread, oneZone } = job.spec;
     const whole = among === this.up && job.avoid.size === 0 && !spread && !oneZone;
     if (whole && this.inVain.get(key) === this.stops.length) return 0;
@@ -113,7 +113,7 @@
     rules: ZoneRules,
   ): number {
     // Where nothing less important runs, only a guarantee could take room from others.
-    if (!guaranteed && !outranks(job.spec.priority, this.lowest)) return 0;
+    if (!guaranteed && !outranks(job.priority, this.lowest)) return 0;
     let choices: Choice[] = [];
     for (const machine of suitable) {
       if (!this.byMachine.has(machine.id)) continue;
@@ -183,16 +183,16 @@
     const victims: VictimView[] = [];
     const room = this.coming(machine);
     const { need } = job.spec;
-    const own = rank(job.spec, guaranteed);
+    const own = rank(job.priority, guaranteed);
     let loss = 0;
     for (const v of this.byMachine.get(machine.id) ?? []) {
       if (victims.length > 0 && fits(need, room)) break;
       if (this.chosen.has(v)) continue;
       // What goes before this job in the order would take the room back in the next round, and be
       // stopped again in the one after.
-      if (rank(v.spec, this.guaranteed.has(v.job)) <= own) continue;
+      if (rank(v.priority, this.guaranteed.has(v.job)) <= own) continue;
       const may =
-        outranks(job.spec.priority, v.spec.priority) ||
+        outranks(job.priority, v.priority) ||
         (guaranteed && v.spec.team !== job.spec.team && this.overGuarantee(v.spec.team));
       if (!may) continue;
       victims.push(v);
