The leader starts a job only when all that it needs are stored as done, and writes the cascade

A tracker holds which jobs wait for which; a job gets its readyAt from stored final states alone, a done job's record says when it was done so that a new leader knows it too. Where dependencies can't be read the job waits and says so. A job whose dependency is stored as cancelled is closed as cancelled with all that wait for it, behind other writes: users are told so already.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -164,6 +164,8 @@
     const touched = new Set<Job>();
     for (const start of result.starts) {
       const job = this.leader.jobs.get(start.job)!;
+      // Such a job is in no snapshot; should it ever get here, its tasks still must not start.
+      if (job.readyAt === null) continue;
       this.place(job, start.on, now);
       touched.add(job);
     }
@@ -215,7 +217,7 @@
         job: job.id,
         class: job.spec.jobClass,
         attempt: job.attempt,
-        waitedMs: Math.round(clock.wall() - job.submittedAt),
+        waitedMs: Math.round(clock.wall() - (job.readyAt ?? job.submittedAt)),
         on,
       },
       'placed',
--- /dev/null
+++ b/src/control/dependency-tracker.ts
@@ -0,0 +1,267 @@
+import { readDependencies } from '../jobs/dependencies.js';
+import type { JobPhase } from '../jobs/job.js';
+import { readJobEntries } from '../jobs/job-reader.js';
+import type { Job } from '../jobs/live.js';
+import type { NeedsRecord } from '../jobs/records.js';
+import { jitter } from '../runtime/random.js';
+import { KEYS } from '../state/keys.js';
+import type { Leader } from './leader.js';
+
+type NeedsPieces = Extract<NeedsRecord, { mark: string }>;
+
+/** The stored final state of a job. */
+interface Over {
+  phase: Exclude<JobPhase, 'open'>;
+  /** Time of day at which it was stored as done; null where no record says so. */
+  doneAt: number | null;
+}
+
+interface Wait {
+  /** Jobs that are not known to be stored as done. */
+  missing: Set<string>;
+  /** Time of day at which the last of the others was done; at first that of the submission. */
+  since: number;
+}
+
+/**
+ * How many jobs that are over the leader remembers for each MB of its memory, at some 100 bytes
+ * each; it reads the others from the store when a new job names them.
+ */
+const OVER_PER_MB = 50;
+
+/** A read that failed is repeated after waits that double up to this many times the first. */
+const MOST_BACKOFF = 32;
+
+/**
+ * Which jobs still wait for others, at the leader. A job that waits has no `readyAt`, and so takes
+ * no part in the rounds of decisions. It gets one only when every job that it needs is known to be
+ * *stored* as done: from a record read from the store, or from the store's answer to our own write.
+ * That state is final, so what is known of it never has to be taken back; a new leader reads it
+ * again. Where anything cannot be read, the job waits.
+ *
+ * A job whose dependency is stored as cancelled is cancelled too, with all that wait for it. Users are
+ * told so by every node as soon as the first cancellation is stored; here the records follow.
+ */
+export class DependencyTracker {
+  private readonly waits = new Map<Job, Wait>();
+  /** The jobs that wait for a job, by its id. */
+  private readonly dependents = new Map<string, Set<Job>>();
+  private readonly over = new Map<string, Over>();
+  private readonly pieces = new Map<string, NeedsPieces>();
+  /** Jobs read during recovery: what they need is looked at when all records have been read. */
+  private recovering: [Job, NeedsRecord][] | null = [];
+
+  constructor(private readonly leader: Leader) {}
+
+  /** Recovery begins anew. */
+  clear(): void {
+    this.waits.clear();
+    this.dependents.clear();
+    this.over.clear();
+    this.pieces.clear();
+    this.recovering = [];
+  }
+
+  /** All job records have been read. */
+  recovered(): void {
+    const jobs = this.recovering ?? [];
+    this.recovering = null;
+    for (const [job, needs] of jobs) this.begin(job, needs);
+    this.trim();
+  }
+
+  /** A job whose record names dependencies: it waits until they are known to be done. */
+  add(job: Job, needs: NeedsRecord): void {
+    if ('mark' in needs) this.pieces.set(job.id, needs);
+    if (job.phase !== 'open') return;
+    job.readyAt = null;
+    if (this.recovering) this.recovering.push([job, needs]);
+    else this.begin(job, needs);
+  }
+
+  /** The store holds the final state of this job. */
+  ended(id: string, phase: JobPhase, doneAt: number | null): void {
+    if (phase === 'open') return;
+    this.over.delete(id);
+    this.over.set(id, { phase, doneAt });
+    if (this.recovering) return;
+    this.trim();
+    const own = this.leader.jobs.get(id);
+    if (own) this.forget(own);
+    this.removePieces(id);
+    const waiting = this.dependents.get(id);
+    this.dependents.delete(id);
+    for (const job of waiting ?? []) {
+      if (phase === 'done') this.oneDone(job, id, doneAt);
+      else this.cancel(job, id);
+    }
+  }
+
+  private trim(): void {
+    const most = this.leader.parts.settings.machine.memoryMb * OVER_PER_MB;
+    for (const id of this.over.keys()) {
+      if (this.over.size <= most) return;
+      this.over.delete(id);
+    }
+  }
+
+  private begin(job: Job, needs: NeedsRecord): void {
+    if ('ids' in needs) this.resolve(job, needs.ids);
+    else void this.load(job, needs);
+  }
+
+  /** Reads the pieces of a long list, however long it takes. */
+  private async load(job: Job, needs: NeedsPieces): Promise<void> {
+    const { store } = this.leader.parts;
+    const { signal } = this.leader.term;
+    await this.repeat(job, 'dependencies cannot be read, the job waits', async () => {
+      const ids = await readDependencies(store, job.id, needs, signal);
+      if (ids && job.phase === 'open') this.resolve(job, ids);
+      return ids !== null;
+    });
+  }
+
+  private resolve(job: Job, ids: readonly string[]): void {
+    job.dependencies = ids.map((id) => this.leader.jobs.get(id)?.id ?? id);
+    const wait: Wait = { missing: new Set(), since: job.submittedAt };
+    const unknown: string[] = [];
+    for (const id of job.dependencies) {
+      const over = this.over.get(id);
+      if (over?.phase === 'cancelled') return this.cancel(job, id);
+      if (over?.phase === 'done') {
+        wait.since = Math.max(wait.since, over.doneAt ?? 0);
+        continue;
+      }
+      wait.missing.add(id);
+      const known = this.leader.jobs.get(id);
+      if (known) known.awaited = true;
+      else unknown.push(id);
+    }
+    this.waits.set(job, wait);
+    for (const id of wait.missing) {
+      const waiting = this.dependents.get(id);
+      if (waiting) waiting.add(job);
+      else this.dependents.set(id, new Set([job]));
+    }
+    this.startIfReady(job, wait);
+    if (wait.missing.size > 0) this.logWait(job, wait);
+    if (unknown.length > 0) void this.lookUp(job, unknown);
+  }
+
+  private logWait(job: Job, { missing }: Wait): void {
+    const [first] = missing;
+    this.leader.parts.runtime.log.info(
+      { job: job.id, class: job.spec.jobClass, waitsFor: first, dependencies: missing.size },
+      'waits for other jobs to be done',
+    );
+  }
+
+  /** Jobs that are over since long, or that the store's news have not shown yet. */
+  private async lookUp(job: Job, ids: readonly string[]): Promise<void> {
+    const { store } = this.leader.parts;
+    const { signal } = this.leader.term;
+    await this.repeat(job, 'a dependency has no record, the job waits', async () => {
+      const open = ids.filter((id) => this.waits.get(job)?.missing.has(id));
+      const entries = await readJobEntries(store, open, signal);
+      for (const [id, entry] of entries) {
+        if (!this.over.has(id)) this.leader.records.onJobEntry(entry);
+      }
+      return entries.size === open.length;
+    });
+  }
+
+  /** Repeats `attempt` while the job waits and the term lasts, until it says that it is done. */
+  private async repeat(
+    job: Job,
+    complaint: string,
+    attempt: () => Promise<boolean>,
+  ): Promise<void> {
+    const { clock, log, random } = this.leader.parts.runtime;
+    const { signal } = this.leader.term;
+    let complained = false;
+    let backoff = 1;
+    while (!signal.aborted && job.phase === 'open') {
+      try {
+        if (await attempt()) return;
+        if (!complained) log.error({ job: job.id }, complaint);
+        complained = true;
+      } catch (error) {
+        if (signal.aborted) return;
+        log.debug({ job: job.id, error: String(error) }, 'dependencies are read again');
+      }
+      await clock.sleep(jitter(this.leader.retryMs * backoff, random), signal);
+      backoff = Math.min(backoff * 2, MOST_BACKOFF);
+    }
+  }
+
+  private oneDone(job: Job, id: string, doneAt: number | null): void {
+    const wait = this.waits.get(job);
+    if (!wait) return;
+    wait.missing.delete(id);
+    wait.since = Math.max(wait.since, doneAt ?? 0);
+    this.startIfReady(job, wait);
+  }
+
+  private startIfReady(job: Job, wait: Wait): void {
+    if (wait.missing.size > 0 || job.phase !== 'open') return;
+    this.waits.delete(job);
+    job.readyAt = wait.since;
+    this.leader.parts.runtime.log.debug({ job: job.id }, 'all jobs that it needs are done');
+    this.leader.touch();
+  }
+
+  /** Cancels a job that waits, and all that wait for it. */
+  private cancel(first: Job, because: string): void {
+    const left: [Job, string][] = [[first, because]];
+    for (let next = left.pop(); next; next = left.pop()) {
+      const [job, cause] = next;
+      if (job.phase !== 'open') continue;
+      this.leader.parts.runtime.log.info(
+        { job: job.id, class: job.spec.jobClass, cancelled: cause },
+        'cancelled with a job that it needs',
+      );
+      job.phase = 'cancelled';
+      job.phaseStored = false;
+      job.cancelledWith = cause;
+      this.forget(job);
+      this.leader.ledger.flush(job);
+      for (const after of this.dependents.get(job.id) ?? []) left.push([after, job.id]);
+    }
+    this.leader.touch();
+  }
+
+  private forget(job: Job): void {
+    for (const id of this.waits.get(job)?.missing ?? []) {
+      const waiting = this.dependents.get(id);
+      waiting?.delete(job);
+      if (waiting?.size === 0) this.dependents.delete(id);
+    }
+    this.waits.delete(job);
+  }
+
+  /**
+   * Of a job that is stored as over nobody reads the dependencies any more. If this leader ends
+   * before they are removed they stay, and nothing ever looks at them.
+   */
+  private removePieces(id: string): void {
+    const needs = this.pieces.get(id);
+    if (!needs) return;
+    this.pieces.delete(id);
+    void this.deletePieces(id, needs).catch((error: unknown) => {
+      if (this.leader.term.signal.aborted) return;
+      this.leader.parts.runtime.log.warn({ job: id, error: String(error) }, 'pieces are left');
+    });
+  }
+
+  private async deletePieces(id: string, { mark, pieces }: NeedsPieces): Promise<void> {
+    const { store, settings } = this.leader.parts;
+    const { term } = this.leader;
+    const when = [{ key: KEYS.leader, version: term.token }];
+    const keys = Array.from({ length: pieces }, (_, i) => KEYS.need(id, mark, i));
+    while (keys.length > 0) {
+      const then = keys.splice(0, settings.state.txnOps).map((key) => ({ delete: key }));
+      const outcome = await store.commit(when, then, 2, term.signal);
+      if (!outcome.ok) return;
+    }
+  }
+}
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -20,6 +20,7 @@
         const rentals = await store.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.look(signal);
         this.leader.jobs.clear();
+        this.leader.dependencies.clear();
         for (const e of jobs.items) this.onJobEntry(e);
         for (const e of runs.items) this.restoreRun(e);
         for (const e of rentals.items) {
@@ -27,6 +28,7 @@
         }
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         this.ready = true;
+        this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
         runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
         return jobs.revision;
@@ -79,7 +81,7 @@
     }
   }
 
-  private onJobEntry(e: Entry): void {
+  onJobEntry(e: Entry): void {
     const record = parseJob(e.value);
     if (!record) {
       this.leader.parts.runtime.log.error({ key: e.key }, 'unreadable job record');
@@ -91,7 +93,10 @@
   onJobRecord(id: string, version: number, record: JobRecord): void {
     const known = this.leader.jobs.get(id);
     if (!known) {
-      if (!record.spec || record.at === undefined) return;
+      if (!record.spec || record.at === undefined) {
+        this.leader.dependencies.ended(id, record.phase, record.doneAt ?? null);
+        return;
+      }
       const job = new Job(
         id,
         record.spec,
@@ -100,7 +105,10 @@
         tasksPerRecord(this.leader.parts.settings.state.valueBytes),
       );
       job.phase = record.phase;
+      job.doneAt = record.doneAt ?? null;
       this.leader.jobs.set(id, job);
+      if (record.needs) this.leader.dependencies.add(job, record.needs);
+      this.leader.dependencies.ended(id, record.phase, job.doneAt);
       // Before the run records are read a cancelled job looks as if nothing of it could run.
       if (this.ready) this.leader.ledger.flush(job);
       this.leader.touch();
@@ -110,6 +118,8 @@
     known.version = version;
     known.phase = record.phase;
     known.phaseStored = true;
+    known.doneAt ??= record.doneAt ?? null;
+    this.leader.dependencies.ended(id, record.phase, known.doneAt);
     if (record.phase !== 'open') this.leader.stops.stopAll(known, 0);
     this.leader.ledger.flush(known);
     this.leader.touch();
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -14,6 +14,7 @@
 import type { Operator } from '../settings/operator.js';
 import type { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
+import { DependencyTracker } from './dependency-tracker.js';
 import { DecisionRounds } from './decision-rounds.js';
 import { GangGate } from './gang-gate.js';
 import { JobRecords } from './job-records.js';
@@ -52,6 +53,7 @@
   readonly longPoll: LongPoll;
   readonly stopCommands: StopCommands;
   readonly records = new JobRecords(this);
+  readonly dependencies = new DependencyTracker(this);
   readonly reports = new ReportHandler(this);
   readonly progress = new TaskProgress(this);
   readonly stops = new TaskStops(this);
@@ -95,6 +97,7 @@
         runtime.log.error({ what }, 'giving up leadership');
         term.end();
       },
+      ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
       settled: (job) => this.jobs.delete(job.id),
     });
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -1,7 +1,8 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Term } from '../election/term.js';
 import { KEYS } from '../state/keys.js';
-import type { Change, Condition, Store } from '../state/store.js';
+import type { Change, Condition, Store, Urgency } from '../state/store.js';
+import type { JobPhase } from './job.js';
 import type { Job, Placement } from './live.js';
 import { parseJob, type JobRecord } from './records.js';
 
@@ -17,6 +18,8 @@
   forgotten(placements: Placement[]): void;
   /** The store holds something that only another leader could have written. */
   contradiction(what: string): void;
+  /** The store holds the job's final state. */
+  ended(job: Job, phase: JobPhase): void;
   /** Nothing of the job is left to be written. */
   settled(job: Job): void;
 }
@@ -125,14 +128,12 @@
     const final = phase !== 'open' && (close ? all : !job.phaseStored);
     if (final || starts.length > 0) when.push({ key: KEYS.job(job.id), version: job.version });
     if (final) {
-      const value: JobRecord = { w, phase, tasks: job.spec.tasks };
+      const value: JobRecord = { w, phase, tasks: job.spec.tasks, ...this.doneAt(job, phase) };
       if (!close) Object.assign(value, { at: job.submittedAt, spec: job.spec });
       then.push({ put: KEYS.job(job.id), value });
     }
 
-    // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
-    const urgency = phase === 'open' && job.spec.kind === 'array' ? 2 : 1;
-    const outcome = await this.store.commit(when, then, urgency, this.term.signal);
+    const outcome = await this.store.commit(when, then, urgencyOf(job, phase), this.term.signal);
     let revision: number;
     if (outcome.ok) revision = outcome.revision;
     else {
@@ -149,6 +150,7 @@
       job.version = revision;
       if (phase === job.phase) job.phaseStored = true;
       if (close) job.closed = true;
+      this.events.ended(job, phase);
     }
     job.exited = job.exited.filter((p) => !ends.includes(p));
     this.events.recorded(starts);
@@ -156,6 +158,13 @@
     if (job.closed) this.events.settled(job);
   }
 
+  /** When the job was done: those that need it are ready from then on, also for a new leader. */
+  private doneAt(job: Job, phase: JobPhase): { doneAt?: number } {
+    if (phase !== 'done') return {};
+    job.doneAt ??= Math.round(this.runtime.clock.wall());
+    return { doneAt: job.doneAt };
+  }
+
   /** The version of our own write, if an unanswered copy of it was applied after all. */
   private async appliedAt(then: Change[], w: string): Promise<number | null> {
     // All keys of a transaction change together, so that one tells of all.
@@ -180,3 +189,14 @@
     throw new Error(`unexpected versions of ${failed.join(', ')}`);
   }
 }
+
+/**
+ * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
+ * job that others wait for holds up all their tasks. What was cancelled with another job is known to
+ * be cancelled already, and no task of it runs.
+ */
+function urgencyOf(job: Job, phase: JobPhase): Urgency {
+  if (phase === 'done' && job.awaited) return 0;
+  if (phase === 'cancelled' && job.cancelledWith !== null) return 2;
+  return phase === 'open' && job.spec.kind === 'array' ? 2 : 1;
+}
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -65,6 +65,12 @@
   dependencies: readonly string[] = [];
   /** Time of day since when it could start; null: it waits for other jobs. */
   readyAt: number | null;
+  /** Others wait for it: what keeps them is that its end is stored. */
+  awaited = false;
+  /** The job that it needs and that was cancelled; null if it was not cancelled for another's sake. */
+  cancelledWith: string | null = null;
+  /** Time of day at which its end was written as done; null until then. */
+  doneAt: number | null = null;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -32,6 +32,7 @@
       recorded: nothing,
       forgotten: nothing,
       contradiction: (what) => assert.fail(what),
+      ended: nothing,
       settled: nothing,
     },
   );
