--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -100,6 +100,13 @@
   waitsOn?: string[];
 }
 
+interface WorldFacts extends JobFacts {
+  gpus: number;
+  crew: string;
+  samePlace: boolean;
+  waitsOn: string[];
+}
+
 /** A small fleet with two or three controllers; it checks the rules at every step of every story. */
 export class World {
   readonly clock = new FakeClock();
@@ -108,7 +115,7 @@
   readonly wire = new FakeWire(this.clock);
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes: Node[] = [];
-  readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
+  readonly facts = new Map<string, WorldFacts>();
   readonly starts: string[] = [];
   readonly broken: string[] = [];
   /** Whether commands reach the workers' own addresses. */
@@ -284,6 +291,7 @@
       gpus: w.gpus ?? 1,
       crew: w.crew ?? 'vision',
       samePlace: w.samePlace ?? false,
+      waitsOn: w.waitsOn ?? [],
     });
     const body = {
       ref,
@@ -392,6 +400,9 @@
   private onMachine(worker: FakeWorker, piece: Piece): void {
     const name = `${piece.job}/${piece.task}`;
     this.starts.push(name);
+    for (const needed of this.facts.get(piece.job)!.waitsOn) {
+      if (this.stored(needed) !== 'done') this.broken.push(`too_early ${name}, needs ${needed}`);
+    }
     for (const other of this.workers.values()) {
       if (other === worker || other.dead) continue;
       const twin = other.pieces.find(
@@ -411,6 +422,11 @@
     }
   }
 
+  /** The phase that a job's record says. */
+  stored(ref: string): string | undefined {
+    return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
+  }
+
   private check(): void {
     const used = new Map<string, number>();
     for (const worker of this.workers.values()) {
