A refused write stops its own job, and the limits of the store can shrink

Cause: a definite 400 of one job's transaction (value too large, too many changes) was taken for a contradiction, and every leader in turn gave up office. Now the job alone waits, logged once with keys and sizes, and is tried again with back-off.

state.next in the settings announces limits that the store will have later (src/state/limits.ts). They come into force for all requests of a controller at its first 400, or after several refusals for the rate in a row. The fake store can enforce limits on values, changes and rate.

--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -3,6 +3,7 @@
 import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
+import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
 import { Refused, type Store } from '../state/store.js';
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
@@ -217,10 +218,11 @@
 
   private async compareAll(): Promise<void> {
     this.comparing = true;
-    const most = this.settings.state.txnOps * 4;
     while (this.asking.size > 0) {
       // Users can wait this long, and a comparison of one job costs as much as one of many.
       await this.runtime.clock.sleep(this.limits.pollMs / GATHERINGS);
+      // Looked up each time: a refusal of the last comparison may have lowered it.
+      const most = this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
       const batch = [...this.asking].slice(0, most);
       for (const [id] of batch) this.asking.delete(id);
       try {
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -1,10 +1,31 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Term } from '../election/term.js';
 import { KEYS } from '../state/keys.js';
-import type { Change, Condition, Store } from '../state/store.js';
+import { jsonBytes } from '../state/limits.js';
+import {
+  Refused,
+  type Change,
+  type Condition,
+  type Outcome,
+  type Store,
+  type Urgency,
+} from '../state/store.js';
 import type { Job, Placement } from './live.js';
 import { parseJob, type JobRecord } from './records.js';
 
+/**
+ * A refused write of a job is tried again after this share of the time for which ends wait, doubled
+ * with every refusal up to that time.
+ */
+const FIRST_RETRY_SHARE = 1 / 50;
+
+/** A write of one job that the store refused for good: too large, say. */
+interface Refusal {
+  waitMs: number;
+  /** No write of the job is tried before this time. */
+  until: number;
+}
+
 /** How many times the ends of a job's tasks wait while writes queue. */
 const MOST_ENDS_WAITS = 4;
 
@@ -28,6 +49,7 @@
  */
 export class Ledger {
   private writes = 0;
+  private readonly refusals = new WeakMap<Job, Refusal>();
 
   constructor(
     private readonly store: Store,
@@ -40,6 +62,7 @@
 
   flush(job: Job): void {
     if (job.writing || job.blind || this.term.signal.aborted || !this.needsWrite(job)) return;
+    if ((this.refusals.get(job)?.until ?? 0) > this.runtime.clock.now()) return;
     job.writing = true;
     void this.write(job)
       .catch((error: unknown) => {
@@ -132,7 +155,11 @@
 
     // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
     const urgency = phase === 'open' && job.spec.kind === 'array' ? 2 : 1;
-    const outcome = await this.store.commit(when, then, urgency, this.term.signal);
+    const outcome = await this.commit(job, w, when, then, urgency);
+    if (outcome === null) {
+      for (const i of written) job.chunks[i]!.dirty = true;
+      return;
+    }
     let revision: number;
     if (outcome.ok) revision = outcome.revision;
     else {
@@ -156,6 +183,42 @@
     if (job.closed) this.events.settled(job);
   }
 
+  /** Null if the store refuses this write for good, which stops the progress of this job alone. */
+  private async commit(
+    job: Job,
+    w: string,
+    when: Condition[],
+    then: Change[],
+    urgency: Urgency,
+  ): Promise<Outcome | null> {
+    try {
+      return await this.store.commit(when, then, urgency, this.term.signal);
+    } catch (error) {
+      if (!(error instanceof Refused)) throw error;
+      // A copy of it that got no answer may have been applied before the limits fell.
+      const applied = error.doubtful ? await this.appliedAt(then, w) : null;
+      if (applied !== null) return { ok: true, revision: applied };
+      this.refuse(job, then, error);
+      return null;
+    }
+  }
+
+  private refuse(job: Job, then: Change[], error: Refused): void {
+    const { clock, log } = this.runtime;
+    const before = this.refusals.get(job);
+    const waitMs = before
+      ? Math.min(before.waitMs * 2, this.endsWaitMs)
+      : this.endsWaitMs * FIRST_RETRY_SHARE;
+    this.refusals.set(job, { waitMs, until: clock.now() + waitMs });
+    if (!before) {
+      const changes = then.map((c) =>
+        'put' in c ? { key: c.put, bytes: jsonBytes(c.value) } : { key: c.delete },
+      );
+      log.error({ job: job.id, error: String(error), changes }, 'job cannot be written');
+    }
+    void clock.sleep(waitMs, this.term.signal).then(() => this.flush(job));
+  }
+
   /** The version of our own write, if an unanswered copy of it was applied after all. */
   private async appliedAt(then: Change[], w: string): Promise<number | null> {
     // All keys of a transaction change together, so that one tells of all.
--- a/src/settings/deploy.ts
+++ b/src/settings/deploy.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import { z } from 'zod/mini';
+import type { Limits } from '../state/limits.js';
 import { SettingsError } from './error.js';
 
 const positive = z.number().check(z.positive());
@@ -59,6 +60,14 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: z.int().check(z.minimum(2)),
+      next: z.optional(
+        z.object({
+          rps: z.optional(positive),
+          write_rps: z.optional(positive),
+          value_kb: z.optional(positive),
+          txn_ops: z.optional(z.int().check(z.minimum(2))),
+        }),
+      ),
     }),
     cloud: z.object({ rps: positive, list_lag_s: positive }),
     resources: z.object({ core_share: positive, ram_mb: positive, sockets: positive }),
@@ -102,7 +111,8 @@
     gangPeerMs: number;
     cancelMs: number;
   };
-  state: { rps: number; writeRps: number; valueBytes: number; txnOps: number };
+  /** `next`: limits that the store will have from some later moment on; null: none announced. */
+  state: Limits & { next: Partial<Limits> | null };
   cloud: { rps: number; listLagMs: number };
   machine: { coreShare: number; memoryMb: number; sockets: number };
 }
@@ -136,6 +146,17 @@
   return (error instanceof Error ? error.message : String(error)).split('\n')[0] ?? '';
 }
 
+type Announced = NonNullable<z.infer<typeof schema>['facts']['state']['next']>;
+
+function announcedLimits(next: Announced): Partial<Limits> {
+  return {
+    ...(next.rps === undefined ? {} : { rps: next.rps }),
+    ...(next.write_rps === undefined ? {} : { writeRps: next.write_rps }),
+    ...(next.value_kb === undefined ? {} : { valueBytes: next.value_kb * 1024 }),
+    ...(next.txn_ops === undefined ? {} : { txnOps: next.txn_ops }),
+  };
+}
+
 function toSettings(d: z.infer<typeof schema>): Settings {
   const { facts } = d;
   const noLimit = (limit: number): number => (limit === 0 ? Infinity : limit);
@@ -179,6 +200,7 @@
       writeRps: facts.state.write_rps,
       valueBytes: facts.state.value_kb * 1024,
       txnOps: facts.state.txn_ops,
+      next: facts.state.next ? announcedLimits(facts.state.next) : null,
     },
     cloud: { rps: facts.cloud.rps, listLagMs: facts.cloud.list_lag_s * 1000 },
     machine: {
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -17,8 +17,8 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
-    private readonly burst: number,
+    private perSecond: number,
+    private burst: number,
   ) {
     this.tokens = burst;
     this.filledAt = clock.now();
@@ -54,6 +54,14 @@
     });
   }
 
+  /** Another rate from now on; whoever waits is served at it. */
+  setRate(perSecond: number, burst: number): void {
+    this.fill();
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
   /** How many callers wait: callers widen their batches by it. */
   get waiting(): number {
     return this.queues.reduce((sum, q) => sum + q.length, 0);
@@ -79,12 +87,13 @@
       if (!queue) break;
       const next = queue[0]!;
       // The small allowance keeps rounding from turning into a wait of no length.
-      if (this.tokens + 1e-6 >= next.cost) {
-        this.tokens -= next.cost;
+      const cost = Math.min(next.cost, this.burst);
+      if (this.tokens + 1e-6 >= cost) {
+        this.tokens -= cost;
         queue.shift();
         next.grant();
       } else {
-        await this.clock.sleep(((next.cost - this.tokens) / this.perSecond) * 1000 + 1);
+        await this.clock.sleep(((cost - this.tokens) / this.perSecond) * 1000 + 1);
       }
     }
     this.serving = false;
--- /dev/null
+++ b/src/state/limits.ts
@@ -0,0 +1,72 @@
+import { Subject } from 'rxjs';
+
+/** What the store allows. Rates hold for all controllers together; sizes for each value or transaction. */
+export interface Limits {
+  /** Requests a second. */
+  rps: number;
+  /** Puts and deletes a second. */
+  writeRps: number;
+  /** Bytes of one value, as JSON. */
+  valueBytes: number;
+  /** Puts and deletes in one transaction; conditions may be four times as many. */
+  txnOps: number;
+}
+
+/** How many conditions a transaction may have for each put or delete that it may have. */
+export const CONDITIONS_PER_OPERATION = 4;
+
+/**
+ * The limits of the store as this controller knows them. The settings may announce smaller ones
+ * that the store will have from some unknown moment on (`state.next`). The announced limits are
+ * planned for from the moment an upgrade is complete, or as soon as a refusal shows that they hold;
+ * from then on they hold for everything on this controller.
+ */
+export class StoreLimits {
+  /** Emits when the limits in force have changed. */
+  readonly changed = new Subject<void>();
+  private readonly announced: Limits;
+  private lowered = false;
+
+  constructor(
+    private readonly current: Limits,
+    next: Partial<Limits> | null = null,
+  ) {
+    const smaller = (name: keyof Limits): number =>
+      Math.min(current[name], next?.[name] ?? current[name]);
+    this.announced = {
+      rps: smaller('rps'),
+      writeRps: smaller('writeRps'),
+      valueBytes: smaller('valueBytes'),
+      txnOps: smaller('txnOps'),
+    };
+  }
+
+  /** The limits to keep within now. */
+  effective(): Limits {
+    return this.lowered ? this.announced : this.current;
+  }
+
+  /** The smaller of the current and the announced limits: for what must be rewritten later on. */
+  smallest(): Limits {
+    return this.announced;
+  }
+
+  /** True if values or transactions will have to be smaller than now. */
+  get recordsMustShrink(): boolean {
+    return (
+      this.announced.valueBytes < this.current.valueBytes ||
+      this.announced.txnOps < this.current.txnOps
+    );
+  }
+
+  /** From now on the announced limits are in force; false if they were already. */
+  lower(): boolean {
+    if (this.lowered) return false;
+    this.lowered = true;
+    this.changed.next();
+    return true;
+  }
+}
+
+/** The size of a value as the store counts it. */
+export const jsonBytes = (value: object): number => Buffer.byteLength(JSON.stringify(value));
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -4,11 +4,15 @@
 import type { Settings } from '../settings/deploy.js';
 import * as wire from '../wire/store.js';
 import { Budget } from './budget.js';
+import { StoreLimits } from './limits.js';
 
 export type { Change, Condition, Entry, StoreEvent } from '../wire/store.js';
 
 /** The store did not execute the request; `status` says why. */
 export class Refused extends Error {
+  /** An earlier copy of the same transaction got no answer and may have been applied. */
+  doubtful = false;
+
   constructor(
     readonly status: number,
     what: string,
@@ -26,11 +30,26 @@
 
 export type Urgency = 0 | 1 | 2;
 
+interface Rate {
+  perSecond: number;
+  burst: number;
+}
+
+/**
+ * Bursts of several controllers together are refused now and then; so many refusals in a row, each
+ * after a wait, mean that the store allows a lower rate than before.
+ */
+const PERSISTENT_RATE_REFUSALS = 5;
+
 export class Store {
   private readonly requests: Budget;
   private readonly writes: Budget;
   private contactAt = -Infinity;
   private refusedSince: number | null = null;
+  /** Transactions refused for the rate since the last one that was applied. */
+  private rateRefusals = 0;
+  /** What the store allows, as far as this controller knows. */
+  readonly limits: StoreLimits;
 
   constructor(
     private readonly transport: Transport,
@@ -38,14 +57,27 @@
     settings: Settings,
     private readonly timeoutMs: number,
   ) {
-    // The limits hold for all nodes together. One node does nearly all of the writing, so each may
-    // take half; what is refused all the same is tried again after a wait.
-    this.requests = new Budget(runtime.clock, settings.state.rps / 2, settings.state.rps / 4);
-    this.writes = new Budget(
-      runtime.clock,
-      settings.state.writeRps * 0.85,
-      settings.state.writeRps * 0.5,
-    );
+    this.limits = new StoreLimits(settings.state, settings.state.next);
+    const { requests, writes } = this.rates();
+    this.requests = new Budget(runtime.clock, requests.perSecond, requests.burst);
+    this.writes = new Budget(runtime.clock, writes.perSecond, writes.burst);
+    this.limits.changed.subscribe(() => {
+      const lower = this.rates();
+      this.requests.setRate(lower.requests.perSecond, lower.requests.burst);
+      this.writes.setRate(lower.writes.perSecond, lower.writes.burst);
+    });
+  }
+
+  /**
+   * The limits hold for all nodes together. One node does nearly all of the writing, so each may
+   * take half of the requests; what is refused all the same is tried again after a wait.
+   */
+  private rates(): { requests: Rate; writes: Rate } {
+    const { rps, writeRps } = this.limits.effective();
+    return {
+      requests: { perSecond: rps / 2, burst: rps / 4 },
+      writes: { perSecond: writeRps * 0.85, burst: writeRps * 0.5 },
+    };
   }
 
   /** How many callers wait for their share of the writes. */
@@ -110,12 +142,41 @@
   ): Promise<{ ok: true; revision: number } | { ok: false; failed: string[] }> {
     if (then.length > 0) await this.writes.take(then.length, urgency, signal);
     const body = wire.txnBody(when, then);
-    const reply = await this.call('POST', wire.STORE_PATHS.txn, body, urgency, signal);
+    const reply = await this.sendTxn(body, then.length > 0, urgency, signal);
     if (reply.status === 409) return { ok: false, failed: wire.parseConflict(reply.body) };
     if (reply.status === 400 && isLeaseGone(reply.body)) throw new LeaseGone('no such lease');
+    // Too large a value or too many changes: the announced limits hold by now, for every writer.
+    if (reply.status === 400 && this.limits.lower()) {
+      this.runtime.log.warn(
+        { changes: then.length },
+        'store refused a size, lower limits in force',
+      );
+    }
     return { ok: true, revision: wire.parseCommitted(expect(reply, 200, 'txn')) };
   }
 
+  private async sendTxn(
+    body: object,
+    changes: boolean,
+    urgency: Urgency,
+    signal?: AbortSignal,
+  ): Promise<Reply> {
+    try {
+      const reply = await this.call('POST', wire.STORE_PATHS.txn, body, urgency, signal);
+      if (changes && reply.status === 200) this.rateRefusals = 0;
+      return reply;
+    } catch (error) {
+      if (changes && error instanceof Refused && error.status === 429) this.noteRateRefusal();
+      throw error;
+    }
+  }
+
+  private noteRateRefusal(): void {
+    this.rateRefusals++;
+    if (this.rateRefusals < PERSISTENT_RATE_REFUSALS || !this.limits.lower()) return;
+    this.runtime.log.warn({}, 'store refuses the rate again and again, lower limits in force');
+  }
+
   /**
    * Repeats one transaction until the store gives a definite answer. A copy that got no answer may
    * still be applied later; since all copies carry the same conditions on the keys they write,
@@ -136,7 +197,11 @@
         return result.ok ? result : { ...result, doubtful };
       } catch (error) {
         if (error instanceof NoAnswer) doubtful = true;
-        else if (!(error instanceof Refused) || !isRetryable(error.status)) throw error;
+        else if (!(error instanceof Refused)) throw error;
+        else if (!isRetryable(error.status)) {
+          error.doubtful = doubtful;
+          throw error;
+        }
       }
       await this.runtime.clock.sleep(jitter(wait, this.runtime.random), signal);
       wait = Math.min(wait * 2, this.timeoutMs / 2);
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -19,6 +19,16 @@
   delete?: string;
 }
 
+/** What the store takes; without a figure it takes anything. */
+export interface StoreLimits {
+  valueBytes?: number;
+  txnOps?: number;
+  /** Puts and deletes a second, with bursts of one second's worth. */
+  writeRps?: number;
+}
+
+const MOST_TXN_BYTES = 64 * 1024;
+
 /** What happens to a request on its way: answered, refused, lost before or after it was executed. */
 export type Fate = 'serve' | 'refuse' | 'lose request' | 'lose answer' | 'apply late';
 
@@ -26,6 +36,14 @@
 export class FakeStore {
   readonly keys = new Map<string, Stored>();
   down = false;
+  /** May be changed at any moment, as by the store's operators. */
+  limits: StoreLimits = {};
+  /** Transactions refused for their size or number of changes. */
+  rejected = 0;
+  /** Transactions refused for the rate. */
+  rateRefused = 0;
+  private writeTokens = Infinity;
+  private writeTokensAt = 0;
   private revision = 0;
   private nextLease = 1;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -115,6 +133,14 @@
   }
 
   private txn({ when, then }: { when: Condition[]; then: Change[] }): Reply {
+    if (this.tooLarge(when, then)) {
+      this.rejected++;
+      return { status: 400, body: { error: 'too large' } };
+    }
+    if (!this.withinRate(then.length)) {
+      this.rateRefused++;
+      return { status: 429, body: { error: 'too many changes' } };
+    }
     const failed = when.filter((c) => (this.keys.get(c.k)?.stamp ?? 0) !== c.stamp).map((c) => c.k);
     if (then.some((c) => c.hold !== undefined && !this.leases.has(c.hold))) {
       return { status: 400, body: { error: 'no such lease' } };
@@ -131,6 +157,30 @@
     return { status: 200, body: { ledgerRev: this.revision } };
   }
 
+  private tooLarge(when: Condition[], then: Change[]): boolean {
+    const { valueBytes = Infinity, txnOps = Infinity } = this.limits;
+    const bytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value ?? null));
+    return (
+      then.length > txnOps ||
+      when.length > txnOps * 4 ||
+      then.some((c) => c.write !== undefined && bytes(c.value) > valueBytes) ||
+      bytes({ when, then }) > MOST_TXN_BYTES
+    );
+  }
+
+  /** Transactions with failing conditions count as well. */
+  private withinRate(changes: number): boolean {
+    const { writeRps } = this.limits;
+    if (writeRps === undefined) return true;
+    const now = this.clock.now();
+    const filled = this.writeTokens + ((now - this.writeTokensAt) / 1000) * writeRps;
+    this.writeTokens = Math.min(writeRps, filled);
+    this.writeTokensAt = now;
+    if (changes > this.writeTokens) return false;
+    this.writeTokens -= changes;
+    return true;
+  }
+
   private range(url: URL): Reply {
     const prefix = url.searchParams.get('starts') ?? '';
     const since = url.searchParams.get('since');
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -5,9 +5,11 @@
 import { Ledger } from '../src/jobs/ledger.js';
 import { Job } from '../src/jobs/live.js';
 import type { Runtime } from '../src/runtime/duty.js';
-import type { Store } from '../src/state/store.js';
+import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { SPEC } from './fakes/samples.js';
+import { FakeStore } from './fakes/store.js';
+import { fakeRandom, settings } from './fakes/world.js';
 
 /** A ledger above a store whose queue of writes never empties. */
 function busyLedger(): { clock: FakeClock; ledger: Ledger; urgencies: number[] } {
@@ -38,6 +40,73 @@
   return { clock, ledger, urgencies };
 }
 
+/** Above a store of its own whose limits a test can change. */
+function realLedger(jobs: Job[]) {
+  const clock = new FakeClock();
+  const fakeStore = new FakeStore(clock);
+  fakeStore.keys.set('leader', { value: {}, stamp: 1, hold: null });
+  for (const one of jobs) {
+    fakeStore.keys.set(`jobs/${one.id}`, { value: {}, stamp: 1, hold: null });
+  }
+  const errors: object[] = [];
+  const log = { error: (e: object) => errors.push(e), warn() {}, info() {}, debug() {} };
+  const runtime = { clock, random: fakeRandom('r'), log, startedAt: 0 } as unknown as Runtime;
+  const store = new Store(
+    fakeStore.link(() => 'serve'),
+    runtime,
+    settings(),
+    1000,
+  );
+  const term = new Term('t', 1, 0, Infinity);
+  const started: string[] = [];
+  const ledger = new Ledger(store, runtime, term, 12, 10_000, {
+    jobChanged: () => undefined,
+    recorded: (placements) => started.push(...placements.map((p) => `${p.job.id}/${p.task}`)),
+    forgotten: () => undefined,
+    contradiction: (what) => assert.fail(what),
+    settled: () => undefined,
+  });
+  return { clock, fakeStore, ledger, term, errors, started };
+}
+
+function place(one: Job, task: number, machine = 'host-000001'): void {
+  one.live.set(task, {
+    job: one,
+    task,
+    attempt: ++one.attempt,
+    machine,
+    session: 1,
+    zone: 'a',
+    stage: 'recording',
+    state: null,
+    placedAt: 0,
+    runningSince: null,
+    stop: null,
+  });
+  one.touch(task);
+}
+
+test('a value that the store calls too large stops its own job, and not the term', async () => {
+  const large = new Job('req-1', { ...SPEC, tasks: 100 }, 0, 1, 100);
+  const small = new Job('req-2', SPEC, 0, 1, 100);
+  const { clock, fakeStore, ledger, term, errors, started } = realLedger([large, small]);
+  fakeStore.limits = { valueBytes: 2048, txnOps: 4 };
+  for (let t = 0; t < 100; t++) place(large, t);
+  place(small, 0);
+  ledger.flush(large);
+  ledger.flush(small);
+  await clock.advance(60_000);
+  assert.equal(term.signal.aborted, false);
+  assert.deepEqual(started, ['req-2/0']);
+  assert.equal(errors.length, 1, 'told once, not with every try');
+  assert.match(JSON.stringify(errors[0]), /"key":"runs\/req-1\/0","bytes":\d{4}/);
+  assert.ok(fakeStore.rejected <= 20, `${fakeStore.rejected} tries in a minute`);
+  // Once it fits it goes on by itself.
+  fakeStore.limits = { valueBytes: 16_384, txnOps: 4 };
+  await clock.advance(20_000);
+  assert.equal(started.length, 101);
+});
+
 const job = (spec: Partial<JobSpec> = {}): Job => new Job('req-1', { ...SPEC, ...spec }, 0, 1, 100);
 
 test('ends wait while writes queue, but not for ever', async () => {
