Run records that fit smaller limits, and membership records that say who reads them

Cause: a record of the old layout holds a fixed number of tasks, which follows from the limit for a value; it cannot be written once the store takes less, and an old controller cannot read any other layout.

- members/NAME says which program each controller runs.
Once all have one the upgrade is complete (src/membership/); silence proves nothing.
- From then on, if state.next announces smaller sizes, run records are ranged (src/jobs/run-layout.ts): each says which tasks it holds, its true size is measured, and it is split until it fits.
A ranged record stands above the indexed one for its tasks, so nothing has to be rewritten before the limits fall.
The rest is rewritten in the background while no other write waits.
- Before that a refused job alone changes its layout.
An old controller that meets a ranged key takes the job as one that may run and leaves it alone.
- A job whose records do not fit into one closing transaction says first that it is over; a deletion without an answer is told from another's write.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -8,6 +8,7 @@
 import type { ReportOutcome } from '../http/workers.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { heartbeats, type Message } from '../peer/frames.js';
+import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
@@ -27,6 +28,9 @@
 /** The leader speaks once a report interval; after so many of them without a word it is mute. */
 const HEARTBEATS_MISSED = 1.2;
 
+/** How many report intervals pass between two looks at who has been upgraded. */
+const REPORTS_PER_LOOK = 2;
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly jobApi: JobApi;
@@ -34,6 +38,7 @@
   private readonly election: Election;
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
+  readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly zoneDelegate: ZoneDelegate;
   /** When the leader was last heard; a controller that has just started may find none alive. */
@@ -59,6 +64,16 @@
       settings.member,
       lifetimeMs,
     );
+    this.membership = new Membership(
+      this.store,
+      runtime,
+      {
+        self: settings.member,
+        peers: settings.peers.map((p) => p.member),
+        size: settings.size,
+      },
+      workers.reportMs * REPORTS_PER_LOOK,
+    );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
     this.zoneDelegate = new ZoneDelegate(
       this.store,
@@ -138,6 +153,7 @@
           cloud: this.links.cloud,
           workers: this.links.workers,
           catalogue: this.catalogue,
+          membership: this.membership,
           settings: this.settings,
           operator: this.operator,
           runtime: this.runtime,
@@ -170,6 +186,10 @@
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
         }),
+        duty(this.runtime, 'membership', signal, restartMs, async (s) => {
+          await this.membership.run(s);
+          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+        }),
         duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
       ]);
     } finally {
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -10,8 +10,11 @@
 import type { Transport } from '../http/client.js';
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
-import { Job, type Placement } from '../jobs/live.js';
-import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { Job, type Placement, type StoredRuns } from '../jobs/live.js';
+import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { readRuns } from '../jobs/run-reader.js';
+import { RunRewriter } from '../jobs/run-rewriter.js';
+import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
@@ -30,6 +33,7 @@
   cloud: Transport;
   workers: Callers;
   catalogue: Catalogue;
+  membership: Membership;
   settings: Settings;
   operator: Operator;
   runtime: Runtime;
@@ -69,6 +73,7 @@
   readonly gate: GangGate;
   readonly reconciler: MachineReconciler;
   private readonly ledger: Ledger;
+  private readonly rewriter: RunRewriter;
   private readonly zoneDelegates: ZoneDelegateWatch;
   private readonly longPoll: LongPoll;
   private readonly stopCommands: StopCommands;
@@ -101,7 +106,9 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
+    const mayUseRanges = (): boolean =>
+      parts.membership.allCurrent && store.limits.recordsMustShrink;
+    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -116,6 +123,7 @@
       },
       settled: (job) => this.jobs.delete(job.id),
     });
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
@@ -186,6 +194,7 @@
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.followJobs(revision, s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds(s)),
+      duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
     ]);
@@ -201,9 +210,10 @@
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
         await this.zoneDelegates.look(signal);
+        await this.parts.membership.look(signal);
         this.jobs.clear();
         for (const e of jobs.items) this.onJobEntry(e);
-        for (const e of runs.items) this.restoreRun(e);
+        this.restoreRuns(runs.items);
         for (const e of rentals.items) {
           this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
@@ -220,20 +230,21 @@
     }
   }
 
-  private restoreRun(e: Entry): void {
-    const rest = e.key.slice(KEYS.runs.length);
-    const slash = rest.lastIndexOf('/');
-    const job = this.jobs.get(rest.slice(0, slash));
-    const record = parseRun(e.value);
-    const chunk = Number(rest.slice(slash + 1));
-    if (!job || !record || !job.chunks[chunk]) {
+  private restoreRuns(entries: Entry[]): void {
+    const { runtime, store } = this.parts;
+    const perRange = tasksPerRange(store.limits.smallest().valueBytes);
+    const { runs, unreadable } = readRuns(entries, (id) => this.jobs.get(id) ?? null);
+    for (const { key, job } of unreadable) {
       // What cannot be read may still run: the job is left alone rather than started again.
-      this.parts.runtime.log.error({ key: e.key }, 'unreadable run record, left as occupied');
+      runtime.log.error({ key }, 'unreadable run record, left as occupied');
       if (job) job.blind = true;
-      return;
     }
+    for (const [job, stored] of runs) this.restoreJob(job, stored, perRange);
+  }
+
+  private restoreJob(job: Job, stored: StoredRuns, perRange: number): void {
     const { clock } = this.parts.runtime;
-    for (const p of job.restore(chunk, e.version, record, clock.now(), clock.wall())) {
+    for (const p of job.restore(stored, perRange, clock.now(), clock.wall())) {
       this.fleet.add(p, clock.now());
       if (job.phase !== 'open') p.stop = { graceMs: 0 };
     }
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -1,17 +1,17 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Term } from '../election/term.js';
 import { KEYS } from '../state/keys.js';
-import { jsonBytes } from '../state/limits.js';
-import {
-  Refused,
-  type Change,
-  type Condition,
-  type Outcome,
-  type Store,
-  type Urgency,
-} from '../state/store.js';
+import { jsonBytes, type StoreLimits } from '../state/limits.js';
+import { Refused, type Change, type Condition, type Store } from '../state/store.js';
 import type { Job, Placement } from './live.js';
-import { parseJob, type JobRecord } from './records.js';
+import {
+  parseJob,
+  tasksPerRange,
+  type JobRecord,
+  type RangedRunRecord,
+  type RunRecord,
+} from './records.js';
+import type { Section, StoredSection } from './run-layout.js';
 
 /**
  * A refused write of a job is tried again after this share of the time for which ends wait, doubled
@@ -19,9 +19,42 @@
  */
 const FIRST_RETRY_SHARE = 1 / 50;
 
+/** How often a transaction is made half as large before it is left at that. */
+const MOST_HALVINGS = 3;
+
+/** How much of the limit for a value is used: the store may count some more bytes than we do. */
+const VALUE_SHARE = 0.9;
+
+/** The store takes 64 KiB in one transaction; some are left for its frame and conditions. */
+const MOST_TXN_BYTES = 56 * 1024;
+/** The key and the condition that go with a value. */
+const BYTES_PER_OPERATION = 200;
+
+interface SectionRecord {
+  section: Section;
+  record: RunRecord | RangedRunRecord;
+}
+
+/** One transaction of a job, and what it does. */
+interface Draft {
+  when: Condition[];
+  then: Change[];
+  /** What is written. */
+  sections: Section[];
+  /** What is deleted. */
+  removed: StoredSection[];
+  jobRecord: JobRecord | null;
+  /** True if only the final state is left after it. */
+  closes: boolean;
+  /** It changes nothing: records are moved to another layout. */
+  background: boolean;
+}
+
 /** A write of one job that the store refused for good: too large, say. */
 interface Refusal {
   waitMs: number;
+  /** How many times its transactions have been made half as large. */
+  halvings: number;
   /** No write of the job is tried before this time. */
   until: number;
 }
@@ -55,7 +88,9 @@
     private readonly store: Store,
     private readonly runtime: Runtime,
     private readonly term: Term,
-    private readonly txnOps: number,
+    private readonly limits: StoreLimits,
+    /** True once every controller reads ranged run records, and they are wanted. */
+    private readonly mayUseRanges: () => boolean,
     private readonly endsWaitMs: number,
     private readonly events: LedgerEvents,
   ) {}
@@ -90,6 +125,16 @@
     });
   }
 
+  /**
+   * Rewrites the job's superseded records as ranged ones, when nothing else waits to be written.
+   * `rewriting` is false again once it is done.
+   */
+  rewrite(job: Job): void {
+    if (job.phase !== 'open' || job.blind || job.closed) return;
+    job.rewriting = true;
+    this.flush(job);
+  }
+
   private async gatherEnds(job: Job): Promise<void> {
     for (let i = 0; i < MOST_ENDS_WAITS; i++) {
       await this.runtime.clock.sleep(this.endsWaitMs, this.term.signal);
@@ -100,7 +145,7 @@
   private needsWrite(job: Job): boolean {
     // Of a closed job nothing is written again: its records would come back without their job.
     if (job.closed) return false;
-    if (job.phase === 'open') return job.dirty;
+    if (job.phase === 'open') return job.dirty || job.rewriting;
     // Of a job that is over, what still runs is recorded already, and more than that does no harm.
     return !job.phaseStored || this.canClose(job);
   }
@@ -115,67 +160,45 @@
   }
 
   private async write(job: Job): Promise<void> {
-    const { clock } = this.runtime;
     const w = this.tag();
-    const when: Condition[] = [{ key: KEYS.leader, version: this.term.token }];
-    const then: Change[] = [];
-    const close = this.canClose(job);
-    const written: number[] = [];
-    const exited = job.exited;
-    const phase = job.phase;
+    this.chooseLayout(job);
+    const draft = this.canClose(job) ? this.closing(job, w) : this.progress(job, w);
+    const { phase } = job;
+    const { exited } = job;
     const fresh = [...job.live.values()].filter((p) => p.stage === 'recording');
-    const wall = (steady: number): number => Math.round(clock.wall() + steady - clock.now());
-
-    for (let i = 0; i < job.chunks.length && then.length < this.txnOps - 1; i++) {
-      const chunk = job.chunks[i]!;
-      if (close ? chunk.version === 0 : !chunk.dirty || phase !== 'open') continue;
-      const key = KEYS.run(job.id, i);
-      when.push({ key, version: chunk.version });
-      if (close) then.push({ delete: key });
-      else then.push({ put: key, value: job.toRecord(i, w, wall) });
-      written.push(i);
-      chunk.dirty = false;
-    }
-    // Starts in chunks that did not fit into this transaction stay unsent until theirs is written.
+    // Starts in sections that did not fit into this transaction stay unsent until theirs is written.
     const inside = (p: Placement): boolean =>
-      written.some((i) => {
-        const [from, to] = job.range(i);
-        return p.task >= from && p.task < to;
-      });
+      draft.sections.some((s) => p.task >= s.from && p.task < s.to);
     const starts = fresh.filter(inside);
-    const ends = exited.filter(inside);
-    const all = !close || written.length === job.chunks.filter((c) => c.version > 0).length;
-    const final = phase !== 'open' && (close ? all : !job.phaseStored);
-    if (final || starts.length > 0) when.push({ key: KEYS.job(job.id), version: job.version });
-    if (final) {
-      const value: JobRecord = { w, phase, tasks: job.spec.tasks };
-      if (!close) Object.assign(value, { at: job.submittedAt, spec: job.spec });
-      then.push({ put: KEYS.job(job.id), value });
+    const ends = draft.closes ? exited : exited.filter(inside);
+    if (draft.jobRecord !== null || starts.length > 0) {
+      draft.when.push({ key: KEYS.job(job.id), version: job.version });
+    }
+    if (draft.jobRecord !== null) {
+      draft.then.push({ put: KEYS.job(job.id), value: draft.jobRecord });
+    }
+    if (draft.then.length === 0) {
+      job.rewriting = false;
+      return;
     }
 
-    // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
-    const urgency = phase === 'open' && job.spec.kind === 'array' ? 2 : 1;
-    const outcome = await this.commit(job, w, when, then, urgency);
-    if (outcome === null) {
-      for (const i of written) job.chunks[i]!.dirty = true;
+    const wasDirty = draft.sections.filter((s) => s.dirty);
+    draft.background = job.rewriting && wasDirty.length === 0;
+    for (const section of draft.sections) section.dirty = false;
+    const revision = await this.commit(job, w, draft);
+    if (revision === null) {
+      for (const section of wasDirty) section.dirty = true;
       return;
     }
-    let revision: number;
-    if (outcome.ok) revision = outcome.revision;
-    else {
-      const applied = outcome.doubtful ? await this.appliedAt(then, w) : null;
-      if (applied === null) {
-        for (const i of written) job.chunks[i]!.dirty = true;
-        await this.refused(job, outcome.failed);
-        return;
-      }
-      revision = applied;
+    for (const section of draft.sections) {
+      section.version = revision;
+      section.inherited = false;
     }
-    for (const i of written) job.chunks[i]!.version = close ? 0 : revision;
-    if (final) {
+    for (const record of draft.removed) this.removed(job, record);
+    if (draft.jobRecord !== null) {
       job.version = revision;
       if (phase === job.phase) job.phaseStored = true;
-      if (close) job.closed = true;
+      if (draft.closes) job.closed = true;
     }
     job.exited = job.exited.filter((p) => !ends.includes(p));
     this.events.recorded(starts);
@@ -183,33 +206,155 @@
     if (job.closed) this.events.settled(job);
   }
 
-  /** Null if the store refuses this write for good, which stops the progress of this job alone. */
-  private async commit(
-    job: Job,
-    w: string,
-    when: Condition[],
-    then: Change[],
-    urgency: Urgency,
-  ): Promise<Outcome | null> {
+  /** Ranged records where all controllers can read them, or where the others are refused. */
+  private chooseLayout(job: Job): void {
+    if (job.layout.kind === 'ranged' || job.phase !== 'open') return;
+    if (!this.mayUseRanges() && !this.refusals.has(job)) return;
+    const perRange = tasksPerRange(this.limitsFor(job).valueBytes);
+    job.useRangedRecords(perRange);
+    this.runtime.log.debug({ job: job.id, perRange }, 'run records are ranged from now on');
+  }
+
+  /** Limits for one job's transaction: smaller ones after the store has refused it. */
+  private limitsFor(job: Job): { valueBytes: number; txnOps: number } {
+    const { valueBytes, txnOps } = this.limits.effective();
+    const halvings = this.refusals.get(job)?.halvings ?? 0;
+    return {
+      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** halvings),
+      txnOps: Math.max(2, Math.floor(txnOps / 2 ** halvings)),
+    };
+  }
+
+  private emptyDraft(): Draft {
+    return {
+      when: [{ key: KEYS.leader, version: this.term.token }],
+      then: [],
+      sections: [],
+      removed: [],
+      jobRecord: null,
+      closes: false,
+      background: false,
+    };
+  }
+
+  /**
+   * Deletes the records of a job that is over and leaves its final state. Where that takes several
+   * transactions the job's own record says first that it is over: with some of its records gone and
+   * its own still open, a successor would run tasks again.
+   */
+  private closing(job: Job, w: string): Draft {
+    const draft = this.emptyDraft();
+    const { phase, spec, submittedAt } = job;
+    const stored = job.layout.stored();
+    const most = this.limitsFor(job).txnOps - 1;
+    if (stored.length > most && !job.phaseStored) {
+      draft.jobRecord = { w, phase, tasks: spec.tasks, at: submittedAt, spec };
+      return draft;
+    }
+    draft.removed = stored.slice(0, most);
+    for (const { key, version } of draft.removed) {
+      draft.when.push({ key, version });
+      draft.then.push({ delete: key });
+    }
+    if (stored.length > most) return draft;
+    draft.jobRecord = { w, phase, tasks: spec.tasks };
+    draft.closes = true;
+    return draft;
+  }
+
+  /** What has changed of a job, as much of it as one transaction may carry. */
+  private progress(job: Job, w: string): Draft {
+    const draft = this.emptyDraft();
+    if (job.phase === 'open') this.addSections(job, w, draft);
+    else if (!job.phaseStored) {
+      const { phase, spec, submittedAt } = job;
+      draft.jobRecord = { w, phase, tasks: spec.tasks, at: submittedAt, spec };
+    }
+    if (!job.rewriting) return draft;
+    const written = new Set(draft.sections);
+    for (const record of job.layout.removable(written)) {
+      if (draft.then.length >= this.limitsFor(job).txnOps - 1) break;
+      draft.removed.push(record);
+      draft.when.push({ key: record.key, version: record.version });
+      draft.then.push({ delete: record.key });
+    }
+    return draft;
+  }
+
+  private addSections(job: Job, w: string, draft: Draft): void {
+    const limits = this.limitsFor(job);
+    const records = this.recordsToWrite(job, w, limits.valueBytes);
+    let bytes = 0;
+    for (const { section, record } of records) {
+      bytes += jsonBytes(record) + BYTES_PER_OPERATION;
+      // One change is left for the job's own record.
+      if (draft.then.length >= limits.txnOps - 1) return;
+      if (bytes > MOST_TXN_BYTES && draft.then.length > 0) return;
+      draft.when.push({ key: section.key, version: section.version });
+      draft.then.push({ put: section.key, value: record });
+      draft.sections.push(section);
+    }
+  }
+
+  /** The records that have to be written; ranged ones are split until each fits. */
+  private recordsToWrite(job: Job, w: string, valueBytes: number): SectionRecord[] {
+    const { layout } = job;
+    const { clock } = this.runtime;
+    const wall = (steady: number): number => Math.round(clock.wall() + steady - clock.now());
+    const due = (s: Section): boolean => s.dirty || (job.rewriting && s.inherited);
+    const list: SectionRecord[] = [];
+    for (let i = 0; i < layout.sections.length; i++) {
+      const section = layout.sections[i]!;
+      if (!due(section)) continue;
+      let record = job.toRecord(section, w, wall);
+      while (layout.kind === 'ranged' && section.to - section.from > 1) {
+        if (jsonBytes(record) <= valueBytes) break;
+        layout.split(section);
+        record = job.toRecord(section, w, wall);
+      }
+      list.push({ section, record });
+    }
+    if (layout.kind === 'indexed') return list;
+    // Later tasks first: see `RunLayout` on splitting. Changes before what is only moved.
+    return list.reverse().sort((a, b) => Number(b.section.dirty) - Number(a.section.dirty));
+  }
+
+  private removed(job: Job, record: StoredSection): void {
+    record.version = 0;
+    job.layout.removed(record);
+  }
+
+  /** The revision at which it was applied; null if it was not, and the job has to try again. */
+  private async commit(job: Job, w: string, draft: Draft): Promise<number | null> {
+    // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
+    const urgent = job.phase !== 'open' || job.spec.kind !== 'array';
+    const urgency = urgent && !draft.background ? 1 : 2;
     try {
-      return await this.store.commit(when, then, urgency, this.term.signal);
+      const { when, then } = draft;
+      const outcome = await this.store.commit(when, then, urgency, this.term.signal);
+      if (outcome.ok) return outcome.revision;
+      const applied = outcome.doubtful ? await this.appliedAt(then, w) : null;
+      if (applied === null) await this.conflict(job, draft, outcome.failed);
+      return applied;
     } catch (error) {
       if (!(error instanceof Refused)) throw error;
       // A copy of it that got no answer may have been applied before the limits fell.
-      const applied = error.doubtful ? await this.appliedAt(then, w) : null;
-      if (applied !== null) return { ok: true, revision: applied };
-      this.refuse(job, then, error);
-      return null;
+      const applied = error.doubtful ? await this.appliedAt(draft.then, w) : null;
+      if (applied === null) this.refuse(job, draft.then, error);
+      return applied;
     }
   }
 
+  /** The store refuses this write for good, which stops the progress of this job alone. */
   private refuse(job: Job, then: Change[], error: Refused): void {
     const { clock, log } = this.runtime;
     const before = this.refusals.get(job);
     const waitMs = before
       ? Math.min(before.waitMs * 2, this.endsWaitMs)
       : this.endsWaitMs * FIRST_RETRY_SHARE;
-    this.refusals.set(job, { waitMs, until: clock.now() + waitMs });
+    const halvings = Math.min(before ? before.halvings + 1 : 0, MOST_HALVINGS);
+    job.rewriting = false;
+    this.refusals.set(job, { waitMs, halvings, until: clock.now() + waitMs });
     if (!before) {
       const changes = then.map((c) =>
         'put' in c ? { key: c.put, bytes: jsonBytes(c.value) } : { key: c.delete },
@@ -228,7 +373,7 @@
     return entry && (entry.value as { w?: unknown }).w === w ? entry.version : null;
   }
 
-  private async refused(job: Job, failed: string[]): Promise<void> {
+  private async conflict(job: Job, draft: Draft, failed: string[]): Promise<void> {
     if (failed.includes(KEYS.leader)) {
       this.term.end();
       return;
@@ -240,6 +385,23 @@
       this.events.jobChanged(job, entry.version, record);
       return;
     }
-    throw new Error(`unexpected versions of ${failed.join(', ')}`);
+    for (const key of failed) await this.reconcile(job, draft, key);
+  }
+
+  /**
+   * A run record has another version than we know. Under the leader key only our own writes can have
+   * changed it: one without an answer that was then given up, since a repeat was refused.
+   */
+  private async reconcile(job: Job, draft: Draft, key: string): Promise<void> {
+    const entry = await this.store.read(key, this.term.signal);
+    const removed = draft.removed.find((r) => r.key === key);
+    if (removed && !entry) return this.removed(job, removed);
+    const known = job.layout.stored().find((s) => s.key === key);
+    const section = known ?? job.layout.sections.find((s) => s.key === key);
+    const mark = (entry?.value as { w?: unknown } | undefined)?.w;
+    if (!section || !entry || typeof mark !== 'string' || !mark.startsWith(`${this.term.id}/`)) {
+      throw new Error(`unexpected version of ${key}`);
+    }
+    section.version = entry.version;
   }
 }
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -1,6 +1,7 @@
 import type { TaskState } from '../wire/report.js';
 import type { JobPhase, JobSpec } from './job.js';
-import type { GangRecord, RunRecord } from './records.js';
+import type { GangRecord, RangedRunRecord, RunRecord } from './records.js';
+import { RunLayout, type Section } from './run-layout.js';
 
 /**
  * How far a start has come. `recording`: not yet in the store. `recorded`: may be sent.
@@ -35,9 +36,10 @@
   suspensions: number;
 }
 
-interface Chunk {
-  version: number;
-  dirty: boolean;
+/** Everything that the store holds of one job's tasks. */
+export interface StoredRuns {
+  indexed: { index: number; version: number; record: RunRecord }[];
+  ranged: { key: string; version: number; record: RangedRunRecord }[];
 }
 
 export class Job {
@@ -45,7 +47,9 @@
   attempt = 0;
   readonly live = new Map<number, Placement>();
   readonly gang: Gang | null;
-  readonly chunks: Chunk[];
+  readonly layout: RunLayout;
+  /** Its records are being rewritten in the background. */
+  rewriting = false;
   doneCount = 0;
   private readonly done: Uint8Array;
   /** No task of it is placed before this time: it failed lately. */
@@ -69,13 +73,10 @@
     readonly spec: JobSpec,
     readonly submittedAt: number,
     public version: number,
-    private readonly perChunk: number,
+    perIndexedRecord: number,
   ) {
     this.done = new Uint8Array(spec.tasks);
-    this.chunks = Array.from({ length: Math.ceil(spec.tasks / perChunk) }, () => ({
-      version: 0,
-      dirty: false,
-    }));
+    this.layout = new RunLayout(id, spec.tasks, perIndexedRecord);
     this.gang =
       spec.kind === 'gang'
         ? {
@@ -131,19 +132,48 @@
   }
 
   touch(task: number): void {
-    this.chunks[Math.floor(task / this.perChunk)]!.dirty = true;
+    this.layout.touch(task);
   }
 
   get dirty(): boolean {
-    return this.chunks.some((c) => c.dirty);
+    return this.layout.dirty;
   }
 
-  range(chunk: number): [number, number] {
-    return [chunk * this.perChunk, Math.min(this.spec.tasks, (chunk + 1) * this.perChunk)];
+  /** True if nothing of these tasks has to be in the store. */
+  private isEmpty(from: number, to: number): boolean {
+    for (let t = from; t < to; t++) if (this.done[t] === 1 || this.live.has(t)) return false;
+    return true;
   }
 
-  toRecord(chunk: number, w: string, wallOf: (steady: number) => number): RunRecord {
-    const [from, to] = this.range(chunk);
+  /** From now on the job is written as ranged records. */
+  useRangedRecords(perRecord: number): void {
+    this.layout.toRanged(perRecord, (from, to) => this.isEmpty(from, to));
+  }
+
+  toRecord(
+    section: Section,
+    w: string,
+    wallOf: (steady: number) => number,
+  ): RunRecord | RangedRunRecord {
+    const { from, to } = section;
+    const placements = [...this.live.values()].filter((p) => p.task >= from && p.task < to);
+    const done = this.doneRanges(from, to);
+    if (this.layout.kind === 'ranged') {
+      const gang = from === 0 ? this.gangRecord(wallOf) : {};
+      const placed = byMachine(placements);
+      return { w, from, to, attempt: this.attempt, done, placed, ...gang };
+    }
+    const placed = placements.map((p): RunRecord['placed'][number] => [
+      p.task,
+      p.attempt,
+      p.machine,
+      p.session,
+      p.zone,
+    ]);
+    return { w, attempt: this.attempt, done, placed, ...this.gangRecord(wallOf) };
+  }
+
+  private doneRanges(from: number, to: number): [number, number][] {
     const done: [number, number][] = [];
     for (let t = from; t < to; t++) {
       if (this.done[t] === 0) continue;
@@ -151,60 +181,106 @@
       if (last && last[1] === t - 1) last[1] = t;
       else done.push([t, t]);
     }
-    const placed: RunRecord['placed'] = [];
-    for (const p of this.live.values()) {
-      if (p.task >= from && p.task < to)
-        placed.push([p.task, p.attempt, p.machine, p.session, p.zone]);
+    return done;
+  }
+
+  private gangRecord(wallOf: (steady: number) => number): { gang?: GangRecord } {
+    if (!this.gang || this.gang.phase === 'queued') return {};
+    const { phase, suspensions, until } = this.gang;
+    return { gang: { phase, suspensions, until: wallOf(until) } };
+  }
+
+  /**
+   * Takes over what earlier leaders recorded; the caller adds the placements to their machines.
+   * Ranged records stand above indexed ones, see `RunLayout`.
+   */
+  restore(stored: StoredRuns, perRange: number, now: number, wall: number): Placement[] {
+    const sinceWall = now - wall;
+    for (const { index, version, record } of stored.indexed) {
+      this.layout.sections[index]!.version = version;
+      this.attempt = Math.max(this.attempt, record.attempt);
+      this.restoreDone(record.done);
+      if (record.gang) this.restoreGang(record.gang, now, sinceWall);
+      for (const [task, attempt, machine, session, zone] of record.placed) {
+        this.restorePlacement({ task, attempt, machine, session, zone }, now);
+      }
     }
-    const record: RunRecord = { w, attempt: this.attempt, done, placed };
-    if (this.gang && this.gang.phase !== 'queued') {
-      const { phase, suspensions, until } = this.gang;
-      record.gang = { phase, suspensions, until: wallOf(until) };
+    const ranged = [...stored.ranged].sort((a, b) => a.record.from - b.record.from);
+    for (const { record } of ranged) this.restoreRange(record, now, sinceWall);
+    if (ranged.length > 0) {
+      const sections = ranged.map(({ key, version, record }) => ({
+        key,
+        version,
+        from: record.from,
+        to: Math.min(record.to, this.spec.tasks),
+      }));
+      this.layout.restoreRanged(sections, perRange, (from, to) => this.isEmpty(from, to));
     }
-    return record;
+    return [...this.live.values()];
   }
 
-  /** Takes over what an earlier leader recorded; the caller adds the placements to their machines. */
-  restore(
-    chunk: number,
-    version: number,
-    record: RunRecord,
-    now: number,
-    wall: number,
-  ): Placement[] {
-    this.chunks[chunk]!.version = version;
+  private restoreRange(record: RangedRunRecord, now: number, sinceWall: number): void {
+    for (let t = record.from; t < record.to && t < this.spec.tasks; t++) {
+      this.live.delete(t);
+      if (this.done[t] === 1) this.doneCount--;
+      this.done[t] = 0;
+    }
     this.attempt = Math.max(this.attempt, record.attempt);
-    for (const [from, to] of record.done) {
+    this.restoreDone(record.done);
+    if (this.gang && record.from === 0) {
+      this.gang.phase = 'queued';
+      this.gang.holdsGate = false;
+      if (record.gang) this.restoreGang(record.gang, now, sinceWall);
+    }
+    for (const [machine, session, zone, attempt, tasks] of record.placed) {
+      for (const task of tasks) {
+        this.restorePlacement({ task, attempt, machine, session, zone }, now);
+      }
+    }
+  }
+
+  private restoreDone(ranges: [number, number][]): void {
+    for (const [from, to] of ranges) {
       for (let t = from; t <= to && t < this.spec.tasks; t++) {
         if (this.done[t] === 0) this.doneCount++;
         this.done[t] = 1;
       }
     }
-    if (this.gang && record.gang) {
-      this.gang.phase = record.gang.phase;
-      this.gang.suspensions = record.gang.suspensions;
-      this.gang.until = now + (record.gang.until - wall);
-      this.gang.holdsGate = record.gang.phase === 'admitted';
-      this.gang.chargedAt = now;
-    }
-    const placements: Placement[] = [];
-    for (const [task, attempt, machine, session, zone] of record.placed) {
-      const p: Placement = {
-        job: this,
-        task,
-        attempt,
-        machine,
-        session,
-        zone,
-        stage: 'recovered',
-        state: null,
-        placedAt: now,
-        runningSince: null,
-        stop: null,
-      };
-      this.live.set(task, p);
-      placements.push(p);
-    }
-    return placements;
   }
+
+  private restoreGang(record: GangRecord, now: number, sinceWall: number): void {
+    if (!this.gang) return;
+    this.gang.phase = record.phase;
+    this.gang.suspensions = record.suspensions;
+    this.gang.until = record.until + sinceWall;
+    this.gang.holdsGate = record.phase === 'admitted';
+    this.gang.chargedAt = now;
+  }
+
+  private restorePlacement(
+    start: Pick<Placement, 'task' | 'attempt' | 'machine' | 'session' | 'zone'>,
+    now: number,
+  ): void {
+    this.live.set(start.task, {
+      job: this,
+      ...start,
+      stage: 'recovered',
+      state: null,
+      placedAt: now,
+      runningSince: null,
+      stop: null,
+    });
+  }
+}
+
+/** Starts of one attempt on one machine share an entry. */
+function byMachine(placements: Placement[]): RangedRunRecord['placed'] {
+  const entries = new Map<string, RangedRunRecord['placed'][number]>();
+  for (const { task, attempt, machine, session, zone } of placements) {
+    const key = `${machine}|${session}|${attempt}|${zone}`;
+    const entry = entries.get(key);
+    if (entry) entry[4].push(task);
+    else entries.set(key, [machine, session, zone, attempt, [task]]);
+  }
+  return [...entries.values()];
 }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -91,6 +91,47 @@
   return result.success ? (result.data as RunRecord) : null;
 }
 
+const rangedRun = z.object({
+  w: z.string(),
+  from: count,
+  to: count,
+  attempt: count,
+  gang: run.shape.gang,
+  done: z.array(z.tuple([count, count])),
+  placed: z.array(z.tuple([z.string(), count, z.string(), count, z.array(count)])),
+});
+
+/**
+ * A run record that says itself which tasks it holds. Starts of one attempt on one machine share an
+ * entry, since that is how arrays are mostly placed.
+ */
+export interface RangedRunRecord {
+  w: string;
+  /** The tasks from `from` up to but without `to`. */
+  from: number;
+  to: number;
+  /** The highest attempt given out. */
+  attempt: number;
+  /** Only in the record that begins with task 0. */
+  gang?: GangRecord;
+  done: [number, number][];
+  /** Machine, session, zone, attempt and tasks of the starts that are not proven gone. */
+  placed: [string, number, string, number, number[]][];
+}
+
+export function parseRangedRun(value: unknown): RangedRunRecord | null {
+  const result = z.safeParse(rangedRun, value);
+  return result.success ? (result.data as RangedRunRecord) : null;
+}
+
+/** Bytes below which hardly any task goes in a ranged record; what needs more is split when written. */
+const LEAST_BYTES_PER_TASK = 16;
+
+/** How many tasks a new ranged record begins with. */
+export function tasksPerRange(valueBytes: number): number {
+  return Math.max(1, Math.floor(valueBytes / LEAST_BYTES_PER_TASK));
+}
+
 /** Bytes that one task may take in a record: its place, or its share of the ranges. */
 const BYTES_PER_TASK = 80;
 
--- /dev/null
+++ b/src/jobs/run-layout.ts
@@ -0,0 +1,171 @@
+import { KEYS } from '../state/keys.js';
+
+/**
+ * How the tasks of a job are spread over run records.
+ *
+ * `indexed`: every record holds the same number of tasks, which follows from the limit for a value,
+ * and its key ends in its number. All versions read and write it.
+ *
+ * `ranged`: a record says itself which tasks it holds, its key ends in `p` and the first of them, and
+ * it can be split. A version that knows only indexed records cannot read these keys, and leaves the
+ * job alone as one that may run.
+ */
+export type LayoutKind = 'indexed' | 'ranged';
+
+/** The tasks from `from` up to but without `to`, which share one run record. */
+export interface Section {
+  key: string;
+  from: number;
+  to: number;
+  /** Version of its record; 0: there is none. */
+  version: number;
+  /** Something changed that its record does not say. */
+  dirty: boolean;
+  /** Its tasks' state rests on a superseded record. */
+  inherited: boolean;
+}
+
+/** A record in the store, by its key. */
+export interface StoredSection {
+  key: string;
+  from: number;
+  to: number;
+  version: number;
+}
+
+/**
+ * A superseded record still holds the state of those tasks for which no ranged record has been
+ * written. A reader applies the superseded records first, then the ranged ones in order of their
+ * first tasks; a later one replaces what an earlier one says of the same tasks. Whoever writes
+ * keeps to the matching order: where a section is split, the later half is stored before, or
+ * together with, the shorter record of the earlier one.
+ */
+export class RunLayout {
+  kind: LayoutKind = 'indexed';
+  sections: Section[];
+  /** Indexed records whose tasks have moved to ranged ones. */
+  superseded: StoredSection[] = [];
+
+  constructor(
+    private readonly job: string,
+    private readonly tasks: number,
+    perRecord: number,
+  ) {
+    this.sections = [];
+    for (let from = 0; from < tasks; from += perRecord) {
+      const to = Math.min(tasks, from + perRecord);
+      const key = KEYS.run(job, this.sections.length);
+      this.sections.push({ key, from, to, version: 0, dirty: false, inherited: false });
+    }
+  }
+
+  touch(task: number): void {
+    this.at(task).dirty = true;
+  }
+
+  get dirty(): boolean {
+    return this.sections.some((s) => s.dirty);
+  }
+
+  /** The section of one task. */
+  private at(task: number): Section {
+    let low = 0;
+    let high = this.sections.length - 1;
+    while (low < high) {
+      const middle = (low + high + 1) >> 1;
+      if (this.sections[middle]!.from <= task) low = middle;
+      else high = middle - 1;
+    }
+    return this.sections[low]!;
+  }
+
+  /** All records of the job in the store; superseded ones first, as they have to go first. */
+  stored(): StoredSection[] {
+    return [...this.superseded, ...this.sections.filter((s) => s.version > 0)];
+  }
+
+  /** Superseded records of which nothing is needed any more once `written` are stored. */
+  removable(written: ReadonlySet<Section> = new Set()): StoredSection[] {
+    return this.superseded.filter((old) =>
+      this.sections.every((s) => !overlaps(s, old) || written.has(s) || (!s.dirty && !s.inherited)),
+    );
+  }
+
+  /** True while a background rewrite has something to do. */
+  get unfinished(): boolean {
+    return this.superseded.length > 0;
+  }
+
+  removed(record: StoredSection): void {
+    this.superseded = this.superseded.filter((s) => s !== record);
+  }
+
+  /** From now on the job's records are ranged ones of at most `perRecord` tasks. */
+  toRanged(perRecord: number, isEmpty: (from: number, to: number) => boolean): void {
+    const before = this.sections;
+    this.superseded = before.filter((s) => s.version > 0);
+    this.kind = 'ranged';
+    this.sections = this.fill([], perRecord, isEmpty);
+    for (const section of this.sections) {
+      section.dirty = before.some((old) => old.dirty && overlaps(section, old));
+    }
+  }
+
+  /** Takes over ranged records that were read from the store, in the order of their first tasks. */
+  restoreRanged(
+    records: StoredSection[],
+    perRecord: number,
+    isEmpty: (from: number, to: number) => boolean,
+  ): void {
+    this.superseded = this.sections.filter((s) => s.version > 0);
+    this.kind = 'ranged';
+    this.sections = this.fill(records, perRecord, isEmpty);
+  }
+
+  /** The stored records, each up to where the next begins, and new sections for tasks without one. */
+  private fill(
+    records: StoredSection[],
+    perRecord: number,
+    isEmpty: (from: number, to: number) => boolean,
+  ): Section[] {
+    const sections: Section[] = [];
+    let next = 0;
+    const fillUpTo = (end: number): void => {
+      while (next < end) {
+        const from = next;
+        next = Math.min(end, from + perRecord);
+        const section = { key: KEYS.runRange(this.job, from), from, to: next, version: 0 };
+        const inherits = this.superseded.some((old) => overlaps(section, old));
+        // The first one holds what concerns the whole job.
+        const inherited = inherits && (from === 0 || !isEmpty(from, next));
+        sections.push({ ...section, dirty: false, inherited });
+      }
+    };
+    records.forEach((record, i) => {
+      fillUpTo(record.from);
+      next = Math.min(record.to, records[i + 1]?.from ?? this.tasks);
+      sections.push({ ...record, to: next, dirty: false, inherited: false });
+    });
+    fillUpTo(this.tasks);
+    return sections;
+  }
+
+  /** Halves a ranged section of more than one task; both halves have to be written. */
+  split(section: Section): void {
+    const middle = (section.from + section.to) >> 1;
+    const later: Section = {
+      key: KEYS.runRange(this.job, middle),
+      from: middle,
+      to: section.to,
+      version: 0,
+      dirty: true,
+      inherited: section.inherited,
+    };
+    section.to = middle;
+    section.dirty = true;
+    this.sections.splice(this.sections.indexOf(section) + 1, 0, later);
+  }
+}
+
+const overlaps = (a: { from: number; to: number }, b: { from: number; to: number }): boolean =>
+  a.from < b.to && b.from < a.to;
--- /dev/null
+++ b/src/jobs/run-reader.ts
@@ -0,0 +1,43 @@
+import { parseRunKey } from '../state/keys.js';
+import type { Entry } from '../state/store.js';
+import type { Job, StoredRuns } from './live.js';
+import { parseRangedRun, parseRun } from './records.js';
+
+/** What the run records of all jobs say, and which of them no job can be found for or be read. */
+export interface ReadRuns {
+  runs: Map<Job, StoredRuns>;
+  unreadable: { key: string; job: Job | null }[];
+}
+
+/** Sorts run records by job, in both layouts. */
+export function readRuns(entries: Entry[], jobOf: (id: string) => Job | null): ReadRuns {
+  const runs = new Map<Job, StoredRuns>();
+  const unreadable: ReadRuns['unreadable'] = [];
+  for (const entry of entries) {
+    const id = entry.key.split('/')[1] ?? '';
+    const job = jobOf(id);
+    const stored = job && (runs.get(job) ?? { indexed: [], ranged: [] });
+    if (!job || !stored || !take(entry, job, stored)) unreadable.push({ key: entry.key, job });
+    else runs.set(job, stored);
+  }
+  return { runs, unreadable };
+}
+
+function take(entry: Entry, job: Job, stored: StoredRuns): boolean {
+  const { key, version, value } = entry;
+  const place = parseRunKey(key);
+  if (place?.kind === 'indexed') {
+    const record = parseRun(value);
+    if (!record || !job.layout.sections[place.number]) return false;
+    stored.indexed.push({ index: place.number, version, record });
+    return true;
+  }
+  if (place?.kind === 'ranged') {
+    const record = parseRangedRun(value);
+    if (!record || record.from !== place.number || record.from >= record.to) return false;
+    if (record.from >= job.spec.tasks) return false;
+    stored.ranged.push({ key, version, record });
+    return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/jobs/run-rewriter.ts
@@ -0,0 +1,54 @@
+import type { Runtime } from '../runtime/duty.js';
+import type { Store } from '../state/store.js';
+import type { Ledger } from './ledger.js';
+import type { Job } from './live.js';
+
+/**
+ * Rewrites indexed run records as ranged ones in the background, one job at a time and only while
+ * no other write waits. Nothing rests on its speed: a change of a job is written as ranged records
+ * whether or not its indexed ones are still there, and those may be deleted under any limits.
+ */
+export class RunRewriter {
+  constructor(
+    private readonly store: Store,
+    private readonly runtime: Runtime,
+    private readonly ledger: Ledger,
+    private readonly jobs: ReadonlyMap<string, Job>,
+    private readonly mayUseRanges: () => boolean,
+  ) {}
+
+  async run(everyMs: number, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.mayUseRanges()) await this.pass(everyMs, signal);
+      await this.runtime.clock.sleep(everyMs, signal);
+    }
+  }
+
+  private async pass(everyMs: number, signal: AbortSignal): Promise<void> {
+    const due = [...this.jobs.values()].filter((job) => isDue(job)).sort(mostUrgentFirst);
+    for (const job of due) {
+      while (this.store.writesWaiting > 0 && !signal.aborted) {
+        await this.runtime.clock.sleep(everyMs / 10, signal);
+      }
+      if (!isDue(job)) continue;
+      this.ledger.rewrite(job);
+      while (job.rewriting && isDue(job) && !signal.aborted) {
+        await this.runtime.clock.sleep(everyMs / 10, signal);
+      }
+      if (signal.aborted) return;
+    }
+    if (due.length > 0) this.runtime.log.info({ jobs: due.length }, 'run records rewritten');
+  }
+}
+
+/** Some of its records are indexed ones, and something of it is still to be written. */
+function isDue(job: Job): boolean {
+  if (job.phase !== 'open' || job.blind || job.closed) return false;
+  return job.layout.kind === 'indexed' ? job.layout.stored().length > 0 : job.layout.unfinished;
+}
+
+/** Running jobs of high priority first: they change soonest. */
+function mostUrgentFirst(a: Job, b: Job): number {
+  const running = Number(b.live.size > 0) - Number(a.live.size > 0);
+  return running || a.spec.priority - b.spec.priority;
+}
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -38,6 +38,8 @@
 ] as const;
 const MAGIC = 0x4c48;
 const VERSION = 3;
+/** The versions of frames that this program understands. */
+export const FRAME_VERSIONS: readonly number[] = [VERSION];
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -7,9 +7,26 @@
   rentals: 'rent/',
   zoneDelegates: 'keeper/',
   job: (id: string): string => `jobs/${id}`,
-  run: (id: string, chunk: number): string => `runs/${id}/${chunk}`,
+  members: 'members/',
+  run: (id: string, index: number): string => `runs/${id}/${index}`,
+  runRange: (id: string, from: number): string => `runs/${id}/p${from}`,
+  member: (name: string): string => `members/${encodeURIComponent(name)}`,
   zoneDelegate: (zone: string): string => `keeper/${encodeURIComponent(zone)}`,
   rental: (request: string): string => `rent/${request}`,
 } as const;
 
+/** What the key of a run record says: its number, or the first task of its range. */
+export interface RunKey {
+  job: string;
+  kind: 'indexed' | 'ranged';
+  number: number;
+}
+
+/** Null if no version writes such a key. */
+export function parseRunKey(key: string): RunKey | null {
+  const match = /^runs\/(.+)\/(p?)(\d+)$/.exec(key);
+  if (!match) return null;
+  return { job: match[1]!, kind: match[2] ? 'ranged' : 'indexed', number: Number(match[3]) };
+}
+
 export const jobOfKey = (key: string): string => key.slice(KEYS.jobs.length);
