--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -254,12 +254,12 @@
   }
 
   private async deletePieces(id: string, { mark, pieces }: NeedsPieces): Promise<void> {
-    const { store, settings } = this.leader.parts;
+    const { store } = this.leader.parts;
     const { term } = this.leader;
     const when = [{ key: KEYS.leader, version: term.token }];
     const keys = Array.from({ length: pieces }, (_, i) => KEYS.need(id, mark, i));
     while (keys.length > 0) {
-      const then = keys.splice(0, settings.state.txnOps).map((key) => ({ delete: key }));
+      const then = keys.splice(0, store.limits.smallest().txnOps).map((key) => ({ delete: key }));
       const outcome = await store.commit(when, then, 2, term.signal);
       if (!outcome.ok) return;
     }
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -1,5 +1,4 @@
 import type { Runtime } from '../runtime/duty.js';
-import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
 import { retryWhileServed, type RetryWaits } from '../state/retry.js';
 import type { Change, Condition, Store } from '../state/store.js';
@@ -25,7 +24,6 @@
   constructor(
     private readonly store: Store,
     private readonly states: JobStates,
-    private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly waits: RetryWaits,
   ) {}
@@ -90,7 +88,8 @@
     );
   }
 
+  /** Pieces are never written anew: they are laid out for the smallest limits there will be. */
   private get writeLimits(): WriteLimits {
-    return this.settings.state;
+    return this.store.limits.smallest();
   }
 }
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -42,7 +42,7 @@
     const { pollMs } = limits;
     const waits = { firstMs: pollMs / 40, mostMs: pollMs / 4 };
     this.states = new JobStates(store, settings, runtime, pollMs);
-    this.acceptance = new Acceptance(store, this.states, settings, runtime, waits);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits);
   }
 
   submit(body: unknown): Promise<Answer> {
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -2,6 +2,7 @@
 import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
+import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
 import { isWorthAnotherTry } from '../state/retry.js';
 import { Refused, type Entry, type Store } from '../state/store.js';
 import { readDependencies } from './dependencies.js';
@@ -207,7 +208,8 @@
   // ---- comparisons
 
   private get mostConditions(): number {
-    return this.settings.state.txnOps * 4;
+    // Looked up each time: a refusal of the last comparison may have lowered it.
+    return this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
   }
 
   /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
