--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -1,11 +1,11 @@
 import type { Runtime } from '../runtime/duty.js';
 import { KEYS } from '../state/keys.js';
-import { retryWhileServed, type RetryWaits } from '../state/retry.js';
 import type { Change, Condition, Store } from '../state/store.js';
 import type { Submission } from '../wire/submission.js';
 import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
 import type { JobStates } from './job-states.js';
 import type { JobRecord } from './records.js';
+import { commitForUser, onceMore } from './user-requests.js';
 
 /** What became of a submission that was not in the store when it came. */
 export type Accepted =
@@ -25,7 +25,7 @@
     private readonly store: Store,
     private readonly states: JobStates,
     private readonly runtime: Runtime,
-    private readonly waits: RetryWaits,
+    private readonly mostDelayMs: number,
   ) {}
 
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
@@ -62,9 +62,7 @@
     signal: AbortSignal,
   ): Promise<string | null> {
     if (dependencies.includes(id)) return id;
-    return retryWhileServed(this.runtime, this.waits, signal, () =>
-      this.states.firstUnknown(dependencies, signal),
-    );
+    return onceMore(signal, () => this.states.firstUnknown(dependencies, signal));
   }
 
   /** Writes those of the pieces that are not there yet; which are there is as it should be. */
@@ -85,9 +83,7 @@
   }
 
   commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
-    return retryWhileServed(this.runtime, this.waits, signal, () =>
-      this.store.txn(when, then, 0, signal),
-    );
+    return commitForUser(this.store, this.mostDelayMs, when, then, signal);
   }
 
   /** Pieces are never written anew: they are laid out for the smallest limits there will be. */
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -8,6 +8,7 @@
 import { whyNever } from './feasible.js';
 import { JobStates, type JobState } from './job-states.js';
 import { parseJob, type JobRecord } from './records.js';
+import { Overloaded } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -21,6 +22,9 @@
   running: number;
 }
 
+/** For how large a share of a submission's time it may queue for the store's rate. */
+const MOST_QUEUED_SHARE = 0.25;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -39,10 +43,9 @@
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {
-    const { pollMs } = limits;
-    const waits = { firstMs: pollMs / 40, mostMs: pollMs / 4 };
-    this.states = new JobStates(store, settings, runtime, pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, waits);
+    const mostDelayMs = limits.submitMs * MOST_QUEUED_SHARE;
+    this.states = new JobStates(store, settings, runtime, limits.pollMs);
+    this.acceptance = new Acceptance(store, this.states, runtime, mostDelayMs);
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -51,8 +54,8 @@
 
   query(id: string): Promise<Answer> {
     if (!wire.isJobId(id)) return Promise.resolve(UNKNOWN);
-    return this.within(this.limits.pollMs, async () => {
-      const job = await this.states.current(id);
+    return this.within(this.limits.pollMs, async (signal) => {
+      const job = await this.states.current(id, signal);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
     });
   }
@@ -79,14 +82,14 @@
     if (!parsed.ok) {
       // A repeat of an accepted job is answered with its state, whatever else the body says.
       const id = wire.submissionId(body);
-      return this.knownOr(id, { status: 400, body: { error: parsed.reason } });
+      return this.knownOr(id, signal, { status: 400, body: { error: parsed.reason } });
     }
     const { id, spec } = parsed.value;
     const types = this.catalogue.types.value;
-    if (!types) return this.knownOr(id, BUSY);
+    if (!types) return this.knownOr(id, signal, BUSY);
     const never = whyNever(spec, this.settings, types);
-    if (never !== null) return this.knownOr(id, { status: 422, body: { error: never } });
-    if (this.states.has(id)) return this.knownOr(id, BUSY);
+    if (never !== null) return this.knownOr(id, signal, { status: 422, body: { error: never } });
+    if (this.states.has(id)) return this.knownOr(id, signal, BUSY);
     return this.add(parsed.value, signal);
   }
 
@@ -97,17 +100,21 @@
       case 'added':
         return { status: 201, body: this.answer(id, this.states.remembered(id)) };
       case 'known':
-        return this.knownOr(id, BUSY);
+        return this.knownOr(id, signal, BUSY);
       case 'unknown dependency': {
         const error = `waitsOn: ${accepted.id} was never accepted`;
-        return this.knownOr(id, { status: 422, body: { error } });
+        return this.knownOr(id, signal, { status: 422, body: { error } });
       }
     }
   }
 
   /** The state of a job that is in the store already; else `otherwise`. */
-  private async knownOr(id: string | null, otherwise: Answer): Promise<Answer> {
-    const job = id === null ? null : await this.states.current(id);
+  private async knownOr(
+    id: string | null,
+    signal: AbortSignal,
+    otherwise: Answer,
+  ): Promise<Answer> {
+    const job = id === null ? null : await this.states.current(id, signal);
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
@@ -175,7 +182,8 @@
       return await Promise.race([body(control.signal), late]);
     } catch (error) {
       this.runtime.log.debug({ error: String(error) }, 'request not served');
-      return BUSY;
+      if (!(error instanceof Overloaded)) return BUSY;
+      return { ...BUSY, retryAfter: Math.ceil(error.delayMs / 1000) };
     } finally {
       control.abort();
     }
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -1,10 +1,8 @@
 import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
 import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
-import { isWorthAnotherTry } from '../state/retry.js';
-import { Refused, type Entry, type Store } from '../state/store.js';
+import type { Condition, Entry, Store } from '../state/store.js';
 import { readDependencies } from './dependencies.js';
 import type { JobPhase } from './job.js';
 import { readJobEntries } from './job-reader.js';
@@ -22,6 +20,8 @@
 }
 
 interface Waiter {
+  /** Aborted once the question's own time is over: nobody waits for its answer any more. */
+  signal: AbortSignal | null;
   resolve(job: JobState | null): void;
   reject(reason: unknown): void;
 }
@@ -38,6 +38,9 @@
 /** For how small a share of a poll's time questions gather before they are compared together. */
 const GATHERINGS = 16;
 
+/** After how large a share of a poll's time a comparison without an answer is sent again. */
+const HEDGE_SHARE = 0.25;
+
 /** How many comparisons are under way at once. */
 const COMPARISONS_AT_ONCE = 4;
 
@@ -74,14 +77,14 @@
   }
 
   /** The job's state at some time after this call; null: it was never accepted. */
-  async current(id: string): Promise<JobState | null> {
+  async current(id: string, signal: AbortSignal | null = null): Promise<JobState | null> {
     const remembered = this.known.get(id);
     if (remembered && remembered.phase !== 'open') return remembered;
     if (remembered && this.cancelledBefore(remembered)) return this.cancelled(id);
-    if (remembered && remembered.dependencies.length > 0) return this.withAncestors(id);
-    const job = await this.compared(id);
+    if (remembered && remembered.dependencies.length > 0) return this.withAncestors(id, signal);
+    const job = await this.compared(id, signal);
     if (job?.phase !== 'open' || job.dependencies.length === 0) return job;
-    return this.withAncestors(id);
+    return this.withAncestors(id, signal);
   }
 
   /** The state as far as it is remembered, which may be older than this call. */
@@ -151,11 +154,11 @@
   }
 
   /** The state of an open job that needs others: all open ones before it are compared too. */
-  private async withAncestors(id: string): Promise<JobState | null> {
+  private async withAncestors(id: string, signal: AbortSignal | null): Promise<JobState | null> {
     const states = new Map<string, JobState>();
     let left = this.openBefore(id, states);
     while (left.length > 0) {
-      for (const [ancestor, state] of await this.comparedAll(left)) {
+      for (const [ancestor, state] of await this.comparedAll(left, signal)) {
         if (state) states.set(ancestor, state);
         else if (ancestor === id) return null;
         else throw new Error(`${ancestor}, which ${id} needs, is missing`);
@@ -188,15 +191,21 @@
     return [...open];
   }
 
-  private async comparedAll(ids: string[]): Promise<Map<string, JobState | null>> {
+  private async comparedAll(
+    ids: string[],
+    signal: AbortSignal | null,
+  ): Promise<Map<string, JobState | null>> {
     // More than fit a few comparisons cost less requests as pages of records.
-    if (ids.length > this.mostConditions * COMPARISONS_AT_ONCE) return this.readAll(ids);
-    const states = await Promise.all(ids.map((id) => this.compared(id)));
+    if (ids.length > this.mostConditions * COMPARISONS_AT_ONCE) return this.readAll(ids, signal);
+    const states = await Promise.all(ids.map((id) => this.compared(id, signal)));
     return new Map(ids.map((id, i) => [id, states[i]!]));
   }
 
-  private async readAll(ids: string[]): Promise<Map<string, JobState | null>> {
-    const entries = await readJobEntries(this.store, ids);
+  private async readAll(
+    ids: string[],
+    signal: AbortSignal | null,
+  ): Promise<Map<string, JobState | null>> {
+    const entries = await readJobEntries(this.store, ids, signal ?? undefined);
     const states = new Map<string, JobState | null>();
     for (const id of ids) {
       const entry = entries.get(id);
@@ -213,17 +222,19 @@
   }
 
   /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
-  private compared(id: string): Promise<JobState | null> {
+  private compared(id: string, signal: AbortSignal | null): Promise<JobState | null> {
     const known = this.known.get(id);
     if (known && known.phase !== 'open') return Promise.resolve(known);
     return new Promise((resolve, reject) => {
-      const waiters = this.asking.get(id);
-      if (waiters) waiters.push({ resolve, reject });
-      else this.asking.set(id, [{ resolve, reject }]);
+      this.ask(id, [{ signal, resolve, reject }]);
       if (!this.comparing) void this.compareAll();
     });
   }
 
+  private ask(id: string, waiters: Waiter[]): void {
+    this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
+  }
+
   private async compareAll(): Promise<void> {
     this.comparing = true;
     while (this.asking.size > 0) {
@@ -233,37 +244,28 @@
       for (const [id] of asked) this.asking.delete(id);
       const batches: [string, Waiter[]][][] = [];
       while (asked.length > 0) batches.push(asked.splice(0, this.mostConditions));
-      await Promise.all(batches.map((batch) => this.compareOrPutBack(batch)));
+      await Promise.all(batches.map((batch) => this.compareOrReject(batch)));
     }
     this.comparing = false;
   }
 
-  private async compareOrPutBack(batch: [string, Waiter[]][]): Promise<void> {
+  private async compareOrReject(batch: [string, Waiter[]][]): Promise<void> {
     try {
       await this.compare(batch);
     } catch (error) {
-      // The store is down: whoever asks is told so at once, and when to come back.
-      if (error instanceof Refused && error.status === 503) {
-        for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
-        return;
-      }
-      // The questions stay open until their own time is over; the next attempt serves them.
-      for (const [id, waiters] of batch) this.putBack(id, waiters);
-      await this.runtime.clock.sleep(jitter(this.pollMs / 20, this.runtime.random));
+      // Whoever asks is told at once that there is no answer now, and when to come back: held until
+      // the store serves again, questions would pile up and come late all the same.
+      for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
     }
   }
 
-  private putBack(id: string, waiters: Waiter[]): void {
-    this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
-  }
-
   private async compare(batch: [string, Waiter[]][]): Promise<void> {
     const compared = new Map(batch.map(([id]) => [id, this.known.get(id) ?? null]));
     const when = [...compared].map(([id, job]) => ({
       key: KEYS.job(id),
       version: job?.version ?? 0,
     }));
-    const outcome = await this.store.txn(when, [], 0);
+    const outcome = await this.compareVersions(when);
     const failed = new Set(outcome.ok ? [] : outcome.failed);
     await Promise.all(
       batch.map(async ([id, waiters]) => {
@@ -271,7 +273,8 @@
         // Of a failed comparison only the keys it names are known to differ; nothing is concluded
         // about the others.
         if (!outcome.ok && !changed) {
-          this.putBack(id, waiters);
+          const open = waiters.filter((w) => !w.signal?.aborted);
+          if (open.length > 0) this.ask(id, open);
           return;
         }
         // What was compared is the answer also if the job has been dropped from memory since then:
@@ -282,14 +285,32 @@
     );
   }
 
-  /** One record that cannot be read must not hold up the answers to questions about others. */
+  /**
+   * A comparison changes nothing, so that a second copy of it may be sent while the first is still
+   * without an answer: where one answer is lost, all questions would otherwise wait it out.
+   */
+  private async compareVersions(when: Condition[]): ReturnType<Store['txn']> {
+    const first = this.store.txn(when, [], 0);
+    const hedge = new AbortController();
+    const late = this.runtime.clock
+      .sleep(this.pollMs * HEDGE_SHARE, hedge.signal)
+      .then(() => 'late' as const);
+    try {
+      const outcome = await Promise.race([first, late]);
+      if (outcome !== 'late') return outcome;
+    } finally {
+      hedge.abort();
+    }
+    return Promise.any([first, this.store.txn(when, [], 0)]);
+  }
+
+  /** One job that cannot be read now leaves the other answers of its comparison alone. */
   private async rereadFor(id: string, waiters: Waiter[]): Promise<void> {
     try {
       const job = await this.reread(id);
       for (const w of waiters) w.resolve(job);
     } catch (error) {
-      if (isWorthAnotherTry(error)) this.putBack(id, waiters);
-      else for (const w of waiters) w.reject(error);
+      for (const w of waiters) w.reject(error);
     }
   }
 
