Users' requests are sent a second time as soon as an answer is late

Cause: where the answer of a transaction was lost, its user waited the store's whole timeout (more than a second) before the second copy told what had become of it. Both copies have the same conditions, so that the transaction is carried out once at most.

--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -5,7 +5,7 @@
 import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
 import type { JobStates } from './job-states.js';
 import type { JobRecord } from './records.js';
-import { commitForUser, onceMore } from './user-requests.js';
+import { commitForUser, hedged, type RequestWaits } from './user-requests.js';
 
 /** What became of a submission that was not in the store when it came. */
 export type Accepted =
@@ -25,7 +25,7 @@
     private readonly store: Store,
     private readonly states: JobStates,
     private readonly runtime: Runtime,
-    private readonly mostDelayMs: number,
+    private readonly waits: RequestWaits,
   ) {}
 
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
@@ -62,7 +62,9 @@
     signal: AbortSignal,
   ): Promise<string | null> {
     if (dependencies.includes(id)) return id;
-    return onceMore(signal, () => this.states.firstUnknown(dependencies, signal));
+    const { clock } = this.runtime;
+    const read = () => this.states.firstUnknown(dependencies, signal);
+    return hedged(clock, this.waits.hedgeMs, read, signal);
   }
 
   /** Writes those of the pieces that are not there yet; which are there is as it should be. */
@@ -83,7 +85,7 @@
   }
 
   commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
-    return commitForUser(this.store, this.mostDelayMs, when, then, signal);
+    return commitForUser(this.store, this.runtime.clock, this.waits, when, then, signal);
   }
 
   /** Pieces are never written anew: they are laid out for the smallest limits there will be. */
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -8,7 +8,7 @@
 import { whyNever } from './feasible.js';
 import { JobStates, type JobState } from './job-states.js';
 import { parseJob, type JobRecord } from './records.js';
-import { Overloaded } from './user-requests.js';
+import { HEDGE_SHARE, Overloaded } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -43,9 +43,12 @@
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {
-    const mostDelayMs = limits.submitMs * MOST_QUEUED_SHARE;
+    const waits = {
+      mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
+      hedgeMs: limits.pollMs * HEDGE_SHARE,
+    };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, mostDelayMs);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits);
   }
 
   submit(body: unknown): Promise<Answer> {
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -7,6 +7,7 @@
 import type { JobPhase } from './job.js';
 import { readJobEntries } from './job-reader.js';
 import { parseJob, type JobRecord } from './records.js';
+import { HEDGE_SHARE, hedged } from './user-requests.js';
 
 /** What a controller knows of a job. */
 export interface JobState {
@@ -38,9 +39,6 @@
 /** For how small a share of a poll's time questions gather before they are compared together. */
 const GATHERINGS = 16;
 
-/** After how large a share of a poll's time a comparison without an answer is sent again. */
-const HEDGE_SHARE = 0.25;
-
 /** How many comparisons are under way at once. */
 const COMPARISONS_AT_ONCE = 4;
 
@@ -285,23 +283,10 @@
     );
   }
 
-  /**
-   * A comparison changes nothing, so that a second copy of it may be sent while the first is still
-   * without an answer: where one answer is lost, all questions would otherwise wait it out.
-   */
-  private async compareVersions(when: Condition[]): ReturnType<Store['txn']> {
-    const first = this.store.txn(when, [], 0);
-    const hedge = new AbortController();
-    const late = this.runtime.clock
-      .sleep(this.pollMs * HEDGE_SHARE, hedge.signal)
-      .then(() => 'late' as const);
-    try {
-      const outcome = await Promise.race([first, late]);
-      if (outcome !== 'late') return outcome;
-    } finally {
-      hedge.abort();
-    }
-    return Promise.any([first, this.store.txn(when, [], 0)]);
+  /** Where one answer is lost, all questions that share the comparison would wait for it. */
+  private compareVersions(when: Condition[]): ReturnType<Store['txn']> {
+    const { clock } = this.runtime;
+    return hedged(clock, this.pollMs * HEDGE_SHARE, () => this.store.txn(when, [], 0));
   }
 
   /** One job that cannot be read now leaves the other answers of its comparison alone. */
--- a/src/jobs/user-requests.ts
+++ b/src/jobs/user-requests.ts
@@ -1,6 +1,10 @@
 import { NoAnswer } from '../http/client.js';
+import type { Clock } from '../runtime/clock.js';
 import type { Change, Condition, Store } from '../state/store.js';
 
+/** After how large a share of a poll's time a request without an answer is sent again. */
+export const HEDGE_SHARE = 0.25;
+
 /** More writes wait for the store's rate than a user should wait for. */
 export class Overloaded extends Error {
   constructor(readonly delayMs: number) {
@@ -8,30 +12,67 @@
   }
 }
 
+/** How long users' requests to the store may take. */
+export interface RequestWaits {
+  /** How long a transaction may queue for the store's rate before its user is sent away. */
+  mostDelayMs: number;
+  /** After how long without an answer a request is sent a second time. */
+  hedgeMs: number;
+}
+
 /**
- * A user's request to the store. A refusal, for an outage or for the rate, is passed on at once: the
- * user is told when to come back instead of being held. A lost answer leaves open what became of the
- * request; the same request once more tells, or carries it out.
+ * A user's request to the store, sent a second time if it has no answer after `afterMs`, or gets
+ * none at all; whichever copy is answered first counts. A lost answer leaves open what became of a
+ * transaction: the second copy has the same conditions, so that it tells, or carries it out. A
+ * refusal, for an outage or for the rate, is passed on at once: the user is told when to come back
+ * instead of being held.
  */
-export async function onceMore<T>(signal: AbortSignal, request: () => Promise<T>): Promise<T> {
+export async function hedged<T>(
+  clock: Clock,
+  afterMs: number,
+  request: () => Promise<T>,
+  signal?: AbortSignal,
+): Promise<T> {
+  const first = request();
+  const answered = new AbortController();
+  const late = clock.sleep(afterMs, answered.signal).then(() => LATE);
   try {
-    return await request();
+    const outcome = await Promise.race([first, late]);
+    if (outcome !== LATE) return outcome as T;
   } catch (error) {
-    signal.throwIfAborted();
+    signal?.throwIfAborted();
     if (!(error instanceof NoAnswer)) throw error;
     return request();
+  } finally {
+    answered.abort();
+  }
+  signal?.throwIfAborted();
+  return either(first, request());
+}
+
+const LATE = Symbol('late');
+
+/** The first success; if both fail, the first failure. */
+async function either<T>(first: Promise<T>, second: Promise<T>): Promise<T> {
+  try {
+    return await Promise.any([first, second]);
+  } catch {
+    return first;
   }
 }
 
 /** Writes a user's transaction, unless more writes wait than the user should wait for. */
 export function commitForUser(
   store: Store,
-  mostDelayMs: number,
+  clock: Clock,
+  waits: RequestWaits,
   when: Condition[],
   then: Change[],
   signal: AbortSignal,
 ): ReturnType<Store['txn']> {
   const delayMs = store.writeDelayMs(then.length, 0);
-  if (delayMs > mostDelayMs) return Promise.reject(new Overloaded(delayMs));
-  return onceMore(signal, () => store.txn(when, then, 0, signal));
+  if (delayMs > waits.mostDelayMs) return Promise.reject(new Overloaded(delayMs));
+  // What still queues here is not without an answer yet.
+  const afterMs = waits.hedgeMs + delayMs;
+  return hedged(clock, afterMs, () => store.txn(when, then, 0, signal), signal);
 }
--- a/test/job-api.test.ts
+++ b/test/job-api.test.ts
@@ -132,7 +132,30 @@
   );
   const answer = await nodes.timed(api.submit(job(1)));
   assert.equal(answer.status, 200);
-  assert.ok(answer.afterMs < 1500, `after ${answer.afterMs} ms`);
+  assert.ok(answer.afterMs < 600, `after ${answer.afterMs} ms`);
+});
+
+test('a cancellation whose answer is lost is told within a second, and only once is it written', async () => {
+  const nodes = new Nodes();
+  let lost = 0;
+  const api = await nodes.add('berth-0', (path) =>
+    path === '/txn' && lost-- === 1 ? 'lose answer' : 'serve',
+  );
+  await nodes.timed(api.submit(job(1)));
+  lost = 1;
+  const answer = await nodes.timed(api.abort('req-1'));
+  assert.match(JSON.stringify(answer), /withdrawn/);
+  assert.ok(answer.afterMs < 600, `after ${answer.afterMs} ms`);
+  const { stamp } = nodes.store.keys.get('jobs/req-1')!;
+  await nodes.clock.advance(5000);
+  assert.equal(nodes.store.keys.get('jobs/req-1')!.stamp, stamp);
+});
+
+test('a submission that is answered late, but within a moment, is sent once', async () => {
+  const nodes = new Nodes();
+  const api = await nodes.add('berth-0', () => 'serve');
+  assert.equal((await nodes.timed(api.submit(job(1)))).status, 201);
+  assert.equal(nodes.sent.length, 1);
 });
 
 test('a submission without any answer gets its final answer after the second copy', async () => {
