--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -17,8 +17,8 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
-    private readonly burst: number,
+    private perSecond: number,
+    private burst: number,
   ) {
     this.tokens = burst;
     this.filledAt = clock.now();
@@ -54,11 +54,30 @@
     });
   }
 
+  /** Another rate from now on; whoever waits is served at it. */
+  setRate(perSecond: number, burst: number): void {
+    this.fill();
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
   /** How many callers wait: callers widen their batches by it. */
   get waiting(): number {
     return this.queues.reduce((sum, q) => sum + q.length, 0);
   }
 
+  /** How long a caller of this urgency would wait for `cost`, in milliseconds. */
+  delayMs(cost: number, urgency: 0 | 1 | 2): number {
+    this.fill();
+    let ahead = 0;
+    for (const queue of this.queues.slice(0, urgency + 1)) {
+      for (const waiter of queue) ahead += waiter.cost;
+    }
+    const missing = ahead + Math.min(cost, this.burst) - this.tokens;
+    return Math.max(0, (missing / this.perSecond) * 1000);
+  }
+
   private fill(): void {
     const now = this.clock.now();
     this.tokens = Math.min(
@@ -79,12 +98,13 @@
       if (!queue) break;
       const next = queue[0]!;
       // The small allowance keeps rounding from turning into a wait of no length.
-      if (this.tokens + 1e-6 >= next.cost) {
-        this.tokens -= next.cost;
+      const cost = Math.min(next.cost, this.burst);
+      if (this.tokens + 1e-6 >= cost) {
+        this.tokens -= cost;
         queue.shift();
         next.grant();
       } else {
-        await this.clock.sleep(((next.cost - this.tokens) / this.perSecond) * 1000 + 1);
+        await this.clock.sleep(((cost - this.tokens) / this.perSecond) * 1000 + 1);
       }
     }
     this.serving = false;
--- a/test/fakes/rule-checker.ts
+++ b/test/fakes/rule-checker.ts
@@ -86,6 +86,8 @@
   request: JobRequest | null;
   /** One of its submissions had to be accepted. */
   sound: boolean;
+  /** It was done before the story began. */
+  past: boolean;
   submitAskedAt: number;
   abortAskedAt: number;
   acceptedAt: number | null;
@@ -124,6 +126,11 @@
     for (const job of this.jobs.values()) job.fittingSince = null;
   }
 
+  /** A job from before the story, accepted and done long ago. */
+  endedBefore(ref: string): void {
+    Object.assign(this.job(ref), { submitAskedAt: -Infinity, acceptedAt: -Infinity, past: true });
+  }
+
   /** There is trouble again. */
   trouble(): void {
     this.calmSince = null;
@@ -206,8 +213,8 @@
   }
 
   private toldDone(q: Question, job: JobHistory): void {
-    const pieces = job.request?.pieces ?? 0;
-    if (job.request?.shape === 'service' || job.completed.size < pieces) {
+    if (!isComplete(job)) {
+      const pieces = job.request?.pieces ?? 0;
       this.report('not_done', `${q.ref} at ${q.node}: ${job.completed.size} of ${pieces}`);
     }
     this.toldFinal(q, job, 'done');
@@ -258,8 +265,7 @@
     this.judgePlace(machines, machine, history, task);
     this.judgeQuota(machines);
     for (const other of this.ancestors(history)) {
-      const pieces = other.request?.pieces ?? Infinity;
-      if (other.completed.size < pieces) {
+      if (!isComplete(other)) {
         this.report('too_early', `${name} on ${machine.id}: ${other.ref} is not done`);
       }
     }
@@ -439,9 +445,7 @@
     const { request } = job;
     if (!request || job.acceptedAt === null || job.final || job.abortAskedAt < Infinity)
       return false;
-    if (this.ancestors(job).some((a) => a.completed.size < (a.request?.pieces ?? Infinity))) {
-      return false;
-    }
+    if (!this.ancestors(job).every(isComplete)) return false;
     const zones = this.zonesOf(machines, job.ref, () => true);
     const placed = new Set([...zones.values()].flatMap((tasks) => [...tasks]));
     for (const task of job.completed) placed.add(task);
@@ -516,6 +520,7 @@
         ref,
         request: null,
         sound: false,
+        past: false,
         submitAskedAt: Infinity,
         abortAskedAt: Infinity,
         acceptedAt: null,
@@ -540,6 +545,10 @@
 const NONE: readonly JobHistory[] = [];
 const NOTHING_USED: Amounts = { cpus: 0, gpus: 0 };
 
+/** All its tasks are done; a service never is. */
+const isComplete = ({ past, request, completed }: JobHistory): boolean =>
+  past || (!!request && request.shape !== 'service' && completed.size === request.pieces);
+
 /** A task counts from the moment it has its image. */
 const onMachine = (t: TaskSeen): boolean => t.state !== 'fetching';
 
--- a/test/fakes/troubles.ts
+++ b/test/fakes/troubles.ts
@@ -11,8 +11,8 @@
 const WRITE_MS = [2000, 12_000] as const;
 /** For how long direct commands are held up. */
 const COMMAND_MS = [2000, 16_000] as const;
-/** When, after a leader took office, reports kept for it arrive. */
-const NEXT_LEADER_MS = [5, 60, 400];
+/** The pauses after a leader took office between which reports kept for it arrive. */
+const NEXT_LEADER_MS = [5, 10, 10, 20, 40, 100, 300];
 
 /** What a share of something meets; 0: none of it. */
 interface Shares {
@@ -197,15 +197,20 @@
     void this.world.deliver(node, report).catch(() => undefined);
   }
 
+  /** What was kept arrives, the oldest first, again and again while the leader finds its way. */
   private async newLeader(): Promise<void> {
-    const { clock } = this.world;
+    const kept = this.kept.splice(0);
     for (const ms of NEXT_LEADER_MS) {
-      const part = this.kept.splice(0, Math.ceil(this.kept.length / 2));
-      await clock.sleep(ms);
-      for (const report of part) this.everywhere(report);
+      await this.world.clock.sleep(ms);
+      for (const report of kept) this.everywhere(report);
     }
   }
 
+  /** Keeps copies of reports for the next leader, which gets them first of all. */
+  keepForNext(reports: object[]): void {
+    this.kept.push(...reports);
+  }
+
   // ---- the end of all troubles
 
   /** Everything is as it should be again; what has been sent may still arrive. */
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -77,6 +77,15 @@
   );
 }
 
+/** The settings of one of several controllers that know each other. */
+function settingsAmong(member: string, all: string[], state: Partial<Settings['state']>): Settings {
+  const own = settings(member);
+  const peers = all
+    .filter((name) => name !== member)
+    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
+  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+}
+
 export function fakeRandom(name: string, seed = 0): Random {
   let n = seed;
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
@@ -144,7 +153,11 @@
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts>();
+  /** The jobs that each job needs. */
+  private readonly needs = new Map<string, string[]>();
   readonly starts: string[] = [];
+  /** Starts before the records of the jobs that they need say `done`: more than the rules ask. */
+  readonly broken: string[] = [];
   /** The submissions that users were told are accepted. */
   readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
@@ -166,6 +179,8 @@
   constructor(
     machines: MachineWish[],
     controllers: 2 | 3 = 2,
+    /** What the settings say of the store, where it differs from the sample. */
+    private readonly state: Partial<Settings['state']> = {},
     readonly seed = 0,
   ) {
     this.random = new SeededRandom(seed);
@@ -230,6 +245,7 @@
     await this.clock.advance(100);
     const broken = this.checker.violations.map((v) => `${v.at / 1000} s: ${v.rule}: ${v.what}`);
     assert.deepEqual(broken.slice(0, MOST_TOLD), []);
+    assert.deepEqual(this.broken, []);
   }
 
   boot(i: number): void {
@@ -237,7 +253,11 @@
     const stop = new AbortController();
     node.stop = stop;
     const controller = new Controller(
-      settings(node.name),
+      settingsAmong(
+        node.name,
+        this.nodes.map((n) => n.name),
+        this.state,
+      ),
       OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
@@ -405,6 +425,7 @@
     };
     const { shape, pieces, vcpus, gpus, memoryGb } = body;
     const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
+    this.needs.set(ref, w.waitsOn ?? []);
     this.facts.set(ref, { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 });
     return { ref, body };
   }
@@ -611,7 +632,11 @@
   }
 
   private onMachine(worker: FakeWorker, piece: Piece): void {
-    this.starts.push(`${piece.job}/${piece.task}`);
+    const name = `${piece.job}/${piece.task}`;
+    this.starts.push(name);
+    for (const needed of this.needs.get(piece.job)!) {
+      if (this.stored(needed) !== 'done') this.broken.push(`too_early ${name}, needs ${needed}`);
+    }
     this.checker.started(seen(worker), piece.job, piece.task);
   }
 
@@ -619,6 +644,11 @@
     return [...this.workers.values()].filter((w) => !w.dead).map(seen);
   }
 
+  /** The phase that a job's record says. */
+  stored(ref: string): string | undefined {
+    return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
+  }
+
   private check(): void {
     this.checker.look();
   }
--- a/test/meeting-workers.test.ts
+++ b/test/meeting-workers.test.ts
@@ -22,16 +22,14 @@
     play: async (w, seed) => {
       const empty = reportsNow(w);
       const jobs = await work(w);
-      const busy = reportsNow(w);
+      w.trouble.keepForNext([...empty, ...reportsNow(w)]);
       void w.cancelling(jobs[0]!);
       await w.pass(0.25 * seed);
       const old = w.leader;
       w.crash(old);
       await w.until(() => w.leader >= 0 && w.leader !== old, 10, 'another leads');
-      for (let i = 0; i < 12; i++) {
-        for (const report of i % 2 ? empty : busy) w.trouble.everywhere(report);
-        await w.clock.advance(60 * seed);
-      }
+      await w.pass(seed);
+      for (const report of empty) w.trouble.everywhere(report);
       w.restart(old);
       await w.pass(15);
     },
