--- a/test/fakes/meeting.ts
+++ b/test/fakes/meeting.ts
@@ -23,12 +23,7 @@
   for (const meeting of meetings) {
     for (const seed of meeting.seeds ?? [1, 2, 3]) {
       test(`${meeting.name} (seed ${seed})`, async () => {
-        const w = new World(
-          meeting.machines ?? machines('aabb'),
-          meeting.controllers ?? 3,
-          {},
-          seed,
-        );
+        const w = new World(meeting.machines ?? machines('aabb'), meeting.controllers ?? 3, seed);
         await w.start();
         void w.keepAsking();
         try {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -179,9 +179,9 @@
   constructor(
     machines: MachineWish[],
     controllers: 2 | 3 = 2,
+    readonly seed = 0,
     /** What the settings say of the store, where it differs from the sample. */
     private readonly state: Partial<Settings['state']> = {},
-    readonly seed = 0,
   ) {
     this.random = new SeededRandom(seed);
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
