--- a/test/rule-checker.test.ts
+++ b/test/rule-checker.test.ts
@@ -379,6 +379,16 @@
     'accepted_unsound',
     (s) => void s.accept('req-1', { shape: 'gang', gpus: 8, pieces: 3 }),
   ],
+  [
+    'a job that names one that nobody submitted is accepted',
+    'accepted_unsound',
+    (s) => void s.accept('req-1', { waitsOn: ['req-2'] }),
+  ],
+  [
+    'a job that names one that nobody submitted is refused',
+    null,
+    (s) => s.ask('submit', 'req-1', 422, null, { ...BODY, ref: 'req-1', waitsOn: ['req-2'] }),
+  ],
   [
     'a job that can run is refused',
     'refused_sound',
