Cancelled work ends in time through any outage: leases are renewed only on a recent view of cancellations

Cause: a leader that the store refuses goes on renewing workers' leases on the others' promises not to contest. What another controller called cancelled after the leader's last look reached it only by a message that nobody acknowledged.

Change: every renewal, also by a zone delegate, needs a view of all cancellations that is younger than cancel_s less the workers' lease. The leader's view is complete as of when the request was sent that proved it. While the store is silent every other controller can vouch for the full list of what it told users since then; one that restarted, lost entries or runs an earlier version does not. A leader that still reads its records renews nothing.

--- /dev/null
+++ b/src/control/cancellation-view.ts
@@ -0,0 +1,44 @@
+import { DRIFT } from '../runtime/clock.js';
+import type { Settings } from '../settings/deploy.js';
+
+/** Timers fire in steps of one or a few milliseconds. */
+const TICK_MS = 10;
+
+/**
+ * How old knowledge of users' cancellations may be when a worker's lease is renewed. A task whose
+ * cancellation is missing from it ends with its worker's lease at the latest, one lease after the
+ * renewal, and has to be gone `cancel_s` after its user was told. Where `cancel_s` is not longer than
+ * the lease no bound on renewals can keep that for a machine that hangs; there the floor holds.
+ */
+export function cancellationViewLimitMs(workers: Settings['workers'], floorMs: number): number {
+  const limit = workers.cancelMs * (1 - DRIFT) - workers.leaseMs * (1 + DRIFT) - TICK_MS;
+  return Math.max(limit, floorMs);
+}
+
+/**
+ * Up to when the leader knows of every cancellation that a user can have been told: all job records
+ * up to that moment have been read and acted on, or every controller has handed over what it told.
+ */
+export class CancellationView {
+  private asOf = -Infinity;
+
+  constructor(private readonly limitMs: number) {}
+
+  get completeAsOf(): number {
+    return this.asOf;
+  }
+
+  /** `sentAt`: when the request was sent whose answer proved it, and has been acted on. */
+  completeAt(sentAt: number): void {
+    this.asOf = Math.max(this.asOf, sentAt);
+  }
+
+  ageMs(now: number): number {
+    return now - this.asOf;
+  }
+
+  /** Whether a worker's lease may be renewed now. */
+  mayRenew(now: number): boolean {
+    return this.ageMs(now) < this.limitMs;
+  }
+}
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,13 +1,14 @@
 import { Election } from '../election/election.js';
-import type { Term } from '../election/term.js';
 import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
 import { Catalogue } from '../fleet/catalogue.js';
 import type { Callers } from '../fleet/stop-commands.js';
 import type { Transport } from '../http/client.js';
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
+import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
-import { heartbeats, type Message } from '../peer/frames.js';
+import { CancellationVouch } from '../peer/cancellation-vouch.js';
+import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
@@ -15,7 +16,10 @@
 import type { Operator } from '../settings/operator.js';
 import { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
+import { cancellationViewLimitMs } from './cancellation-view.js';
 import { Leader } from './leader.js';
+import { MOST_HOLD_MS } from './report-handler.js';
+import { StrayWorkers } from './stray-workers.js';
 
 export interface Links {
   peerTransport: PeerTransport;
@@ -27,6 +31,11 @@
 /** The leader speaks once a report interval; after so many of them without a word it is mute. */
 const HEARTBEATS_MISSED = 1.2;
 
+/** For how many times `cancel_s` it is remembered which jobs users were told to be cancelled. */
+const LOGGED_CANCELS = 3;
+
+const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly jobApi: JobApi;
@@ -35,11 +44,11 @@
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
-  private readonly zoneDelegate: ZoneDelegate;
+  private readonly strays: StrayWorkers;
+  private readonly cancellationLog: CancellationLog;
+  private readonly vouches: CancellationVouch;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
-  private readonly strayAsked = new Map<string, number>();
-  private readonly strayCancelled = new Set<string>();
   private readonly counts = new Map<string, Counts>();
 
   constructor(
@@ -60,13 +69,13 @@
       lifetimeMs,
     );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
-    this.zoneDelegate = new ZoneDelegate(
-      this.store,
-      runtime,
-      settings.member,
-      settings.zone,
-      zoneDelegateRightMs(lifetimeMs),
+    this.cancellationLog = new CancellationLog(
+      runtime.clock,
+      runtime.startedAt,
+      workers.cancelMs * LOGGED_CANCELS,
+      MOST_VOUCHED,
     );
+    this.vouches = new CancellationVouch(links.peerTransport, runtime, this.cancellationLog);
     this.jobApi = new JobApi(
       this.store,
       this.catalogue,
@@ -77,24 +86,44 @@
       // Users wait 5 s for a submission and 2 s for a poll.
       { submitMs: 4000, pollMs: 1600 },
     );
+    this.strays = new StrayWorkers(
+      new ZoneDelegate(
+        this.store,
+        runtime,
+        settings.member,
+        settings.zone,
+        zoneDelegateRightMs(lifetimeMs),
+      ),
+      (job) => this.jobApi.phaseOf(job),
+      runtime.clock,
+      {
+        refreshMs: workers.cancelMs / 8,
+        viewMs: cancellationViewLimitMs(workers, lifetimeMs),
+        waitMs: MOST_HOLD_MS,
+      },
+    );
   }
 
-  /** The leader hears of a cancellation at once, by the shortest way. */
+  /**
+   * A user is about to be told that a job is cancelled. It is logged first, and the leader hears of it
+   * at once if it can; nothing rests on that message.
+   */
   private tellCancelled(id: string): void {
-    if (this.leader) this.leader.hint(id);
-    else
+    const isNew = this.cancellationLog.add(id);
+    if (this.leader) this.leader.announceCancelled(id);
+    else if (isNew) {
       for (const peer of this.links.peerTransport.peers) {
         this.links.peerTransport.send(peer, { kind: 'cancelled', id });
       }
+    }
   }
 
   private onPeer(message: Message): void {
-    if (message.kind === 'cancelled') this.leader?.hint(message.id);
+    if (message.kind === 'cancelled') this.leader?.announceCancelled(message.id);
     else if (message.kind === 'heartbeat') {
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
-      this.strayAsked.clear();
-      this.strayCancelled.clear();
+      this.strays.clear();
       if (message.first) this.counts.clear();
       for (const c of message.counts) this.counts.set(c.id, c);
     }
@@ -142,6 +171,7 @@
           operator: this.operator,
           runtime: this.runtime,
           cloudTimeoutMs: this.cloudTimeoutMs,
+          vouches: this.vouches,
         },
         role.term,
         () => this.election.resign(role.term),
@@ -163,6 +193,7 @@
       if (message.kind === 'store') this.storeReachability.heard(from, message.serves);
       else this.onPeer(message);
     });
+    const vouches = this.vouches.listen();
     try {
       await Promise.all([
         duty(this.runtime, 'heartbeat', signal, restartMs, (s) => this.heartbeat(s)),
@@ -175,6 +206,7 @@
     } finally {
       subscription.unsubscribe();
       peers.unsubscribe();
+      vouches.unsubscribe();
     }
   }
 
@@ -183,25 +215,29 @@
     const now = this.runtime.clock.now();
     if (role.kind === 'follower') {
       const leader = role.leader === this.settings.member ? null : role.leader;
-      if (this.isStray(report, role.token, now)) return this.keep(report, role.token, leader);
+      if (this.isStray(report, role.token, now)) {
+        return this.strays.report(report, role.token, leader);
+      }
       return { kind: 'elsewhere', leader: this.leaderIsMute(now) ? null : leader };
     }
     const { term } = role;
     // A worker that has seen a higher token would drop our answer, and wait for another in vain.
     if (!this.leader || !term.active(now) || report.token > term.token) {
-      return { kind: 'elsewhere', leader: null };
+      return NOT_ENTITLED;
     }
     const orders = this.leader.report(report);
-    if (orders instanceof Promise) return this.whenHeld(term, orders);
-    return { kind: 'orders', token: term.token, orders };
+    if (orders instanceof Promise) return this.whenHeld(this.leader, orders);
+    return orders ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
   }
 
   /** The right to answer is looked at again when the answer is given. */
-  private async whenHeld(term: Term, later: Promise<Order[]>): Promise<ReportOutcome> {
+  private async whenHeld(
+    { term, reports }: Leader,
+    later: Promise<Order[] | null>,
+  ): Promise<ReportOutcome> {
     const orders = await later;
-    return term.active(this.runtime.clock.now())
-      ? { kind: 'orders', token: term.token, orders }
-      : { kind: 'elsewhere', leader: null };
+    const entitled = term.active(this.runtime.clock.now()) && reports.mayRenew();
+    return orders && entitled ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
   }
 
   /**
@@ -229,29 +265,6 @@
     );
   }
 
-  /** Keeps a stray's lease alive, with no orders but to stop what its user has cancelled. */
-  private async keep(report: Report, token: number, leader: string | null): Promise<ReportOutcome> {
-    if (!(await this.zoneDelegate.holds(token))) return { kind: 'elsewhere', leader };
-    void this.learnCancelled(report);
-    const orders: Order[] = report.tasks
-      .filter((t) => t.state !== 'exited' && this.strayCancelled.has(t.job))
-      .map((t) => ({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceMs: 0 }));
-    return { kind: 'orders', token, orders };
-  }
-
-  private async learnCancelled(report: Report): Promise<void> {
-    const now = this.runtime.clock.now();
-    const everyMs = this.settings.workers.cancelMs / 8;
-    const ids = new Set<string>();
-    for (const t of report.tasks) {
-      if (t.state === 'exited' || now - (this.strayAsked.get(t.job) ?? -Infinity) < everyMs)
-        continue;
-      this.strayAsked.set(t.job, now);
-      ids.add(t.job);
-    }
-    for (const id of await this.jobApi.cancelledAmong(ids)) this.strayCancelled.add(id);
-  }
-
   ready(): boolean {
     return (
       this.catalogue.types.value !== null &&
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -1,20 +1,41 @@
+import { setMaxListeners } from 'node:events';
 import { Job } from '../jobs/live.js';
 import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
+/** For how long one request waits for changes, as a share of the leader lease. */
+const WATCH_SHARE = 0.25;
+
 /** Reads the records of earlier leaders at the start of a term, and follows the users' changes. */
 export class JobRecords {
-  /** True once the records are read: before, no report is believed and nothing is ordered. */
-  ready = false;
+  private readonly read = new AbortController();
+  /** The revision of the store up to which changes of job records have been acted on. */
+  private revision = 0;
+  /** Jobs announced as cancelled before the records were read. */
+  private readonly announced = new Set<string>();
+
+  constructor(private readonly leader: Leader) {
+    // Every report that waits for the records listens to it.
+    setMaxListeners(0, this.read.signal);
+  }
 
-  constructor(private readonly leader: Leader) {}
+  /** True once the records are read: before, no report is believed or answered. */
+  get ready(): boolean {
+    return this.read.signal.aborted;
+  }
+
+  /** Aborted once the records are read. */
+  get readSignal(): AbortSignal {
+    return this.read.signal;
+  }
 
-  async recover(signal: AbortSignal): Promise<number> {
+  async recover(signal: AbortSignal): Promise<void> {
     const { store, runtime } = this.leader.parts;
     for (;;) {
       try {
+        const sentAt = this.leader.now;
         const jobs = await store.range(KEYS.jobs, signal);
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
@@ -26,10 +47,13 @@
           this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
-        this.ready = true;
+        for (const id of this.announced) this.announceCancelled(id);
+        this.revision = jobs.revision;
+        this.leader.view.completeAt(sentAt);
+        this.read.abort();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
         runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
-        return jobs.revision;
+        return;
       } catch (error) {
         signal.throwIfAborted();
         runtime.log.debug({ error: String(error) }, 'recovery repeated');
@@ -60,25 +84,54 @@
     }
   }
 
-  async follow(from: number, signal: AbortSignal): Promise<void> {
+  /**
+   * Follows the job records. Each answer is complete as of when its request was sent, so the store is
+   * asked to give one often, also when nothing has changed.
+   */
+  async follow(signal: AbortSignal): Promise<void> {
     const { store, runtime } = this.leader.parts;
-    let revision = from;
+    const { view, lifetimeMs } = this.leader;
     while (!signal.aborted) {
+      const sentAt = this.leader.now;
       try {
-        const news = await store.watch(KEYS.jobs, revision, 10_000, signal);
-        revision = news.revision;
+        const news = await store.watch(KEYS.jobs, this.revision, lifetimeMs * WATCH_SHARE, signal);
         for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
+        this.revision = news.revision;
+        view.completeAt(sentAt);
       } catch (error) {
         if (signal.aborted) return;
-        if (error instanceof HistoryLost) {
-          const all = await store.range(KEYS.jobs, signal);
-          for (const e of all.items) this.onJobEntry(e);
-          revision = all.revision;
-        } else await runtime.clock.sleep(this.leader.retryMs, signal);
+        // Where only watching fails, the records can still be read as a whole.
+        const stalled = view.ageMs(this.leader.now) > lifetimeMs;
+        if (!(error instanceof HistoryLost || stalled) || !(await this.reread(signal))) {
+          await runtime.clock.sleep(this.leader.retryMs, signal);
+        }
       }
     }
   }
 
+  /** Reads all job records again; false if the store does not serve. */
+  private async reread(signal: AbortSignal): Promise<boolean> {
+    const sentAt = this.leader.now;
+    try {
+      const all = await this.leader.parts.store.range(KEYS.jobs, signal);
+      for (const e of all.items) this.onJobEntry(e);
+      this.revision = all.revision;
+      this.leader.view.completeAt(sentAt);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** A user was told that the job is cancelled; the store's own news of it may take longer. */
+  announceCancelled(id: string): void {
+    if (!this.ready) this.announced.add(id);
+    const job = this.leader.jobs.get(id);
+    if (job?.phase !== 'open') return;
+    job.cancelAnnounced = true;
+    this.leader.stops.stopAll(job, 0);
+  }
+
   private onJobEntry(e: Entry): void {
     const record = parseJob(e.value);
     if (!record) {
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -14,6 +14,8 @@
 import type { Operator } from '../settings/operator.js';
 import type { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
+import type { CancellationVouch } from '../peer/cancellation-vouch.js';
+import { CancellationView, cancellationViewLimitMs } from './cancellation-view.js';
 import { DecisionRounds } from './decision-rounds.js';
 import { GangGate } from './gang-gate.js';
 import { JobRecords } from './job-records.js';
@@ -32,8 +34,12 @@
   operator: Operator;
   runtime: Runtime;
   cloudTimeoutMs: number;
+  vouches: CancellationVouch;
 }
 
+/** After what share of the leader lease without news of the job records the others are asked. */
+const SILENT_STORE_SHARE = 0.5;
+
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
@@ -47,6 +53,9 @@
   readonly rentals: Rentals;
   readonly gate: GangGate;
   readonly reconciler: MachineReconciler;
+  /** How long the leader lease lasts. */
+  readonly lifetimeMs: number;
+  readonly view: CancellationView;
   readonly ledger: Ledger;
   readonly zoneDelegates: ZoneDelegateWatch;
   readonly longPoll: LongPoll;
@@ -65,10 +74,12 @@
     readonly resign: () => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
+    this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
+    this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
-      zoneDelegateRightMs(settings.workers.leaseMs * parts.operator.election.lifetime),
+      zoneDelegateRightMs(this.lifetimeMs),
     );
     this.fleet = new Fleet(
       {
@@ -160,24 +171,26 @@
     const { runtime } = this.parts;
     const { signal } = this.term;
     const restartMs = this.parts.settings.workers.reportMs;
-    const revision = await this.records.recover(signal);
+    await this.records.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
-      duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(revision, s)),
+      duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
+      duty(runtime, 'vouches', signal, restartMs, (s) => this.askForVouches(s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
     ]);
   }
 
-  report(r: Report): Order[] | Promise<Order[]> {
+  /** What to answer a worker's report; null if its lease must not be renewed now. */
+  report(r: Report): Order[] | null | Promise<Order[] | null> {
     return this.reports.report(r);
   }
 
-  /** A user's node has just cancelled this job; the store's own news of it may take longer. */
-  hint(id: string): void {
-    this.stops.hint(id);
+  /** A user was told that the job is cancelled; the store's own news of it may take longer. */
+  announceCancelled(id: string): void {
+    this.records.announceCancelled(id);
   }
 
   counts(id: string): Counts | null {
@@ -194,6 +207,27 @@
     return list;
   }
 
+  /**
+   * While the store brings no news of the job records, the other controllers can tell which of them
+   * their users know to be cancelled.
+   */
+  private async askForVouches(signal: AbortSignal): Promise<void> {
+    const { clock } = this.parts.runtime;
+    while (!signal.aborted) {
+      const silent = this.view.ageMs(this.now) > this.lifetimeMs * SILENT_STORE_SHARE;
+      if (silent && this.term.active(this.now)) await this.collectVouches();
+      await clock.sleep(this.lifetimeMs / 8, signal);
+    }
+  }
+
+  private async collectVouches(): Promise<void> {
+    const vouched = await this.parts.vouches.collect(this.view.completeAsOf, this.lifetimeMs / 8);
+    this.parts.runtime.log.debug({ jobs: vouched?.cancelled.size ?? null }, 'asked for vouches');
+    if (!vouched) return;
+    for (const id of vouched.cancelled) this.announceCancelled(id);
+    this.view.completeAt(vouched.asOf);
+  }
+
   private async listMachines(signal: AbortSignal): Promise<void> {
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
--- a/src/control/report-handler.ts
+++ b/src/control/report-handler.ts
@@ -7,7 +7,7 @@
  * next one is not late; and well within the 4 s after which workers give an answer up.
  */
 const HOLD_SHARE = 0.75;
-const MOST_HOLD_MS = 2200;
+export const MOST_HOLD_MS = 2200;
 
 /** How long the answer to a report is kept back at most, for a fleet that reports this often. */
 export const longestHoldMs = (reportMs: number): number =>
@@ -20,19 +20,42 @@
 
   constructor(private readonly leader: Leader) {}
 
-  report(r: Report): Order[] | Promise<Order[]> {
+  /** What to answer; null if the worker's lease must not be renewed now. */
+  report(r: Report): Order[] | null | Promise<Order[] | null> {
+    this.heardAt = this.leader.now;
+    if (!this.leader.records.ready) return this.afterRecovery(r);
+    return this.mayRenew() ? this.take(r, true) : null;
+  }
+
+  /** Whether a lease may be renewed now as far as knowledge of cancelled jobs goes. */
+  mayRenew(): boolean {
+    return this.leader.view.mayRenew(this.leader.now);
+  }
+
+  /**
+   * Before the records are read nobody knows what on that machine is cancelled. They mostly are
+   * within the time that a worker waits for its answer.
+   */
+  private async afterRecovery(r: Report): Promise<Order[] | null> {
+    const { records, parts, term } = this.leader;
+    await parts.runtime.clock.sleep(MOST_HOLD_MS, records.readSignal);
+    const entitled = records.ready && term.active(this.leader.now) && this.mayRenew();
+    return entitled ? this.take(r, false) : null;
+  }
+
+  /** `mayHold`: the worker still has time to wait for orders that come up. */
+  private take(r: Report, mayHold: boolean): Order[] | Promise<Order[]> {
     const type = this.leader.types.get(r.type) ?? null;
     const m = this.leader.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
     const fresh = this.leader.records.ready && (m?.newer(r.session, r.seq) ?? true);
     if (fresh) this.leader.longPoll.supersede(r.machine);
     const orders = this.leader.fleet.report(r, type, this.leader.now, this.leader.records.ready);
-    this.heardAt = this.leader.now;
     const after = this.leader.fleet.machines.get(r.machine)!;
     if (Number(after.confirmed) + (after.noticeAt === null ? 0 : 2) !== before) this.leader.touch();
     // On others' votes alone running work is kept, but nothing is begun.
     if (!this.leader.term.leased(this.leader.now)) return orders.filter((o) => o.op !== 'start');
-    const holdMs = orders.length === 0 && fresh ? this.holdMs(after) : 0;
+    const holdMs = mayHold && fresh && orders.length === 0 ? this.holdMs(after) : 0;
     return holdMs === 0 ? orders : this.laterOrders(after, holdMs);
   }
 
@@ -45,8 +68,9 @@
 
   private async laterOrders(m: Machine, holdMs: number): Promise<Order[]> {
     const newest = await this.leader.longPoll.wait(m.id, holdMs);
-    if (!newest || !this.leader.term.leased(this.leader.now)) return [];
-    return this.leader.fleet.machines.get(m.id) === m ? this.leader.fleet.pending(m) : [];
+    if (this.leader.fleet.machines.get(m.id) !== m) return [];
+    const mayStart = newest && this.leader.term.leased(this.leader.now);
+    return mayStart ? this.leader.fleet.pending(m) : this.leader.fleet.pendingStops(m);
   }
 
   private get longestHoldMs(): number {
--- /dev/null
+++ b/src/control/stray-workers.ts
@@ -0,0 +1,84 @@
+import type { ZoneDelegate } from '../election/zone-delegate.js';
+import type { ReportOutcome } from '../http/workers.js';
+import type { JobPhase } from '../jobs/job.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Order, Report } from '../wire/report.js';
+
+export interface StrayLimits {
+  /** How often a job is asked about again. */
+  refreshMs: number;
+  /** How old the knowledge of a job may be when the lease of a worker with its tasks is renewed. */
+  viewMs: number;
+  /** How long an answer is kept back for what the store says; workers wait 4 s. */
+  waitMs: number;
+}
+
+/**
+ * Keeps alive workers of our own zone that cannot reach the leader, with the zone delegate's right
+ * and no orders but to stop what its user has cancelled. A lease is renewed only while the store
+ * told recently enough, of every job on that worker, whether it is cancelled.
+ */
+export class StrayWorkers {
+  /** When the question was sent that showed a job not to be cancelled. */
+  private readonly uncancelledAsOf = new Map<string, number>();
+  private readonly cancelled = new Set<string>();
+  private readonly asking = new Map<string, Promise<void>>();
+
+  constructor(
+    private readonly zoneDelegate: ZoneDelegate,
+    private readonly phaseOf: (job: string) => Promise<JobPhase | null>,
+    private readonly clock: Clock,
+    private readonly limits: StrayLimits,
+  ) {}
+
+  /** The leader is within reach again: the strays go back to it. */
+  clear(): void {
+    this.uncancelledAsOf.clear();
+    this.cancelled.clear();
+  }
+
+  async report(report: Report, token: number, leader: string | null): Promise<ReportOutcome> {
+    const jobs = new Set(report.tasks.filter((t) => t.state !== 'exited').map((t) => t.job));
+    const learned = Promise.all([...jobs].map((job) => this.refresh(job)));
+    const waited = new AbortController();
+    if (!this.knowsAll(jobs)) {
+      await Promise.race([learned, this.clock.sleep(this.limits.waitMs, waited.signal)]);
+      waited.abort();
+    }
+    const mayAnswer = await this.zoneDelegate.holds(token);
+    if (!mayAnswer || !this.knowsAll(jobs)) return { kind: 'elsewhere', leader };
+    const orders: Order[] = report.tasks
+      .filter((t) => t.state !== 'exited' && this.cancelled.has(t.job))
+      .map((t) => ({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceMs: 0 }));
+    return { kind: 'orders', token, orders };
+  }
+
+  private knowsAll(jobs: Iterable<string>): boolean {
+    const oldest = this.clock.now() - this.limits.viewMs;
+    for (const job of jobs) {
+      if (this.cancelled.has(job)) continue;
+      if ((this.uncancelledAsOf.get(job) ?? -Infinity) <= oldest) return false;
+    }
+    return true;
+  }
+
+  /** Asks the store about a job unless it was asked lately, or is being asked. */
+  private refresh(job: string): Promise<void> {
+    if (this.cancelled.has(job)) return Promise.resolve();
+    const askedAt = this.clock.now();
+    const known = this.uncancelledAsOf.get(job) ?? -Infinity;
+    if (askedAt - known < this.limits.refreshMs) return Promise.resolve();
+    let answer = this.asking.get(job);
+    if (!answer) {
+      answer = this.phaseOf(job)
+        .then((phase) => {
+          if (phase === 'cancelled') this.cancelled.add(job);
+          else this.uncancelledAsOf.set(job, askedAt);
+        })
+        .catch(() => undefined)
+        .finally(() => this.asking.delete(job));
+      this.asking.set(job, answer);
+    }
+    return answer;
+  }
+}
--- a/src/control/task-stops.ts
+++ b/src/control/task-stops.ts
@@ -8,12 +8,6 @@
 export class TaskStops {
   constructor(private readonly leader: Leader) {}
 
-  /** A user's node has just cancelled this job; the store's own news of it may take longer. */
-  hint(id: string): void {
-    const job = this.leader.jobs.get(id);
-    if (job && job.phase === 'open') this.stopAll(job, 0);
-  }
-
   /** Stops every task of a job; what was never sent is taken back at once. */
   stopAll(job: Job, graceMs: number): void {
     for (const p of [...job.live.values()]) this.stop(p, graceMs);
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -68,7 +68,8 @@
     m.heardAt = now;
     // Counted even for an old copy: taking a machine for gone later than needed is always safe.
     m.answeredAt = now;
-    if (!m.newer(r.session, r.seq)) return [];
+    // Overtaken, but its answer may renew the lease, and then must not lack a stop.
+    if (!m.newer(r.session, r.seq)) return r.session === m.session ? this.pendingStops(m) : [];
     const before = m.session;
     if (act) m.session = r.session;
     m.seq = r.seq;
@@ -157,20 +158,26 @@
    * What that report showed is still the latest that is known.
    */
   pending(m: Machine): Order[] {
-    const orders: Order[] = [];
+    const orders = this.pendingStops(m);
     for (const p of m.placements.values()) {
-      if (p.session !== m.session) continue;
-      const { id: job } = p.job;
-      const { task, attempt } = p;
-      if (p.stage === 'live' && p.stop) {
-        orders.push({ op: 'stop', job, task, attempt, graceMs: p.stop.graceMs });
-      } else if (p.stage === 'recorded' && !p.stop) {
+      if (p.session === m.session && p.stage === 'recorded' && !p.stop) {
         orders.push(this.offer(m, p));
       }
     }
     return orders;
   }
 
+  /** Stops of what the machine's newest report showed. */
+  pendingStops(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const p of m.placements.values()) {
+      if (p.session !== m.session || p.stage !== 'live' || !p.stop) continue;
+      const { task, attempt, stop } = p;
+      orders.push({ op: 'stop', job: p.job.id, task, attempt, graceMs: stop.graceMs });
+    }
+    return orders;
+  }
+
   private offer(m: Machine, p: Placement): Order {
     p.stage = 'offered';
     m.useImage(p.job.spec.image, p.job.spec.imageGb, false);
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -58,6 +58,7 @@
     private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly counts: (id: string) => Counts | null,
+    /** Called before any user is told that a job is cancelled. */
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {}
@@ -79,16 +80,9 @@
     return this.within(this.limits.submitMs, (signal) => this.cancel(id, signal));
   }
 
-  /** Asks the store which of these jobs are cancelled. */
-  async cancelledAmong(ids: Iterable<string>): Promise<Set<string>> {
-    const found = new Set<string>();
-    await Promise.all(
-      [...ids].map(async (id) => {
-        const job = await this.fresh(id).catch(() => null);
-        if (job?.phase === 'cancelled') found.add(id);
-      }),
-    );
-    return found;
+  /** A job's phase at some time after this call, by the store; null: it was never accepted. */
+  async phaseOf(id: string): Promise<JobPhase | null> {
+    return (await this.fresh(id))?.phase ?? null;
   }
 
   private async accept(body: unknown, signal: AbortSignal): Promise<Answer> {
@@ -192,7 +186,10 @@
 
   private phaseName(id: string, job: Known): wire.PhaseName {
     if (job.phase === 'done') return 'done';
-    if (job.phase === 'cancelled') return 'withdrawn';
+    if (job.phase === 'cancelled') {
+      this.cancelled(id);
+      return 'withdrawn';
+    }
     return (this.counts(id)?.running ?? 0) > 0 ? 'running' : 'pending';
   }
 
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -61,6 +61,8 @@
   phaseStored = true;
   /** A record of it cannot be read: all of its tasks count as running, and none is started. */
   blind = false;
+  /** Users were told that it is cancelled, though its record has not been read here yet. */
+  cancelAnnounced = false;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
@@ -98,7 +100,8 @@
   }
 
   get waiting(): number {
-    return this.phase === 'open' ? this.spec.tasks - this.doneCount - this.liveUndone() : 0;
+    if (this.phase !== 'open' || this.cancelAnnounced) return 0;
+    return this.spec.tasks - this.doneCount - this.liveUndone();
   }
 
   private liveUndone(): number {
--- /dev/null
+++ b/src/peer/cancellation-vouch.ts
@@ -0,0 +1,91 @@
+import { Subscription } from 'rxjs';
+import type { CancellationLog } from '../jobs/cancellation-log.js';
+import { DRIFT } from '../runtime/clock.js';
+import type { Runtime } from '../runtime/duty.js';
+import type { Message } from './frames.js';
+import type { PeerTransport } from './peer-transport.js';
+
+/** The jobs that any controller has told users to be cancelled, without a gap up to `asOf`. */
+export interface Vouched {
+  asOf: number;
+  cancelled: Set<string>;
+}
+
+interface Collection {
+  missing: Set<string>;
+  cancelled: Set<string>;
+  refused: boolean;
+  done(): void;
+}
+
+/**
+ * Vouches for cancellations. While the store brings no news of the job records, the leader asks
+ * every other controller for the full list of jobs that it has told users to be cancelled since the
+ * leader last knew all records. A controller whose process is younger than that, or whose log has
+ * dropped an entry since, gives none; nor does one that cannot be reached in time. Without all of
+ * them nothing is concluded.
+ */
+export class CancellationVouch {
+  private asks = 0;
+  private readonly collections = new Map<number, Collection>();
+
+  constructor(
+    private readonly peerTransport: PeerTransport,
+    private readonly runtime: Runtime,
+    private readonly log: CancellationLog,
+  ) {}
+
+  listen(): Subscription {
+    return this.peerTransport.heard.subscribe(({ from, message }) => this.on(from, message));
+  }
+
+  /** Null unless every other controller has vouched, within `withinMs`, for the time since `from`. */
+  async collect(from: number, withinMs: number): Promise<Vouched | null> {
+    const { clock } = this.runtime;
+    const { peers } = this.peerTransport;
+    if (!peers.every((p) => this.peerTransport.speaksCurrent(p))) return null;
+    const asOf = clock.now();
+    // The request may travel for as long as its answer is waited for; by the clock of whoever gets
+    // it, the time meant must not begin any later for that.
+    const sinceMs = Math.ceil(asOf - from + withinMs);
+    const ask = ++this.asks;
+    const answered = new AbortController();
+    const collection: Collection = {
+      missing: new Set(peers),
+      cancelled: new Set(),
+      refused: false,
+      done: () => answered.abort(),
+    };
+    this.collections.set(ask, collection);
+    for (const peer of peers) this.peerTransport.send(peer, { kind: 'askVouch', ask, sinceMs });
+    if (peers.length > 0) await clock.sleep(withinMs, answered.signal);
+    this.collections.delete(ask);
+    const own = this.log.since(from);
+    if (collection.refused || collection.missing.size > 0 || own === null) return null;
+    // One that stood still meanwhile cannot tell when its request was read.
+    if (clock.now() - asOf > withinMs) return null;
+    for (const id of own) collection.cancelled.add(id);
+    return { asOf, cancelled: collection.cancelled };
+  }
+
+  private on(from: string, message: Message): void {
+    if (message.kind === 'askVouch') this.answer(from, message.ask, message.sinceMs);
+    else if (message.kind === 'vouch') this.count(from, message.ask, message.cancelled);
+  }
+
+  private answer(to: string, ask: number, sinceMs: number): void {
+    const since = this.runtime.clock.now() - sinceMs * (1 + DRIFT);
+    this.peerTransport.send(to, { kind: 'vouch', ask, cancelled: this.log.since(since) });
+  }
+
+  private count(from: string, ask: number, cancelled: string[] | null): void {
+    const collection = this.collections.get(ask);
+    if (!collection) return;
+    if (cancelled === null) collection.refused = true;
+    else {
+      collection.missing.delete(from);
+      for (const id of cancelled) collection.cancelled.add(id);
+    }
+    if (collection.refused || collection.missing.size === 0) collection.done();
+  }
+}
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -18,7 +18,14 @@
   | { kind: 'askFree'; ask: number }
   | { kind: 'free'; ask: number; free: boolean }
   /** Whether the state service serves the speaker. */
-  | { kind: 'store'; serves: boolean };
+  | { kind: 'store'; serves: boolean }
+  /**
+   * The leader asks which jobs the receiver has told users to be cancelled within this time, and
+   * whether it can be sure to have left none out.
+   */
+  | { kind: 'askVouch'; ask: number; sinceMs: number }
+  /** `cancelled`: all of them; null: the speaker cannot be sure. */
+  | { kind: 'vouch'; ask: number; cancelled: string[] | null };
 
 export interface JobCounts {
   id: string;
@@ -35,13 +42,26 @@
   'askFree',
   'free',
   'store',
+  'askVouch',
+  'vouch',
 ] as const;
 const MAGIC = 0x4c48;
+/** The version of all kinds up to `store`; who knows no later one closes a connection that brings it. */
 const VERSION = 3;
+/** The version of the kinds that came later, which go only to controllers known to read them. */
+const CURRENT_VERSION = 4;
+const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
 const MOST_COUNTS = Math.floor((MAX_PAYLOAD - 13) / (1 + 255 + 8));
+/** How many jobs' names fit into one vouch, however long they are. */
+export const MOST_VOUCHED = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
+
+const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
+
+/** Whether only controllers that read the current version of frames may be sent this. */
+export const needsCurrent = (m: Message): boolean => KINDS.indexOf(m.kind) >= FIRST_CURRENT_KIND;
 
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
@@ -129,8 +149,9 @@
   const payload = writePayload(m, new Writer()).done();
   const header = Buffer.allocUnsafe(HEADER);
   header.writeUInt16BE(MAGIC, 0);
-  header.writeUInt8(VERSION, 2);
-  header.writeUInt8(KINDS.indexOf(m.kind), 3);
+  const kind = KINDS.indexOf(m.kind);
+  header.writeUInt8(versionOf(kind), 2);
+  header.writeUInt8(kind, 3);
   header.writeUInt32BE(payload.length, 4);
   header.writeUInt32BE(crc32(payload), 8);
   return Buffer.concat([header, payload]);
@@ -158,6 +179,14 @@
       return w.u32(m.ask).u8(m.free ? 1 : 0);
     case 'store':
       return w.u8(m.serves ? 1 : 0);
+    case 'askVouch':
+      return w.u32(m.ask).u32(m.sinceMs);
+    case 'vouch':
+      w.u32(m.ask)
+        .u8(m.cancelled ? 1 : 0)
+        .u32(m.cancelled?.length ?? 0);
+      for (const id of m.cancelled ?? []) w.text(id);
+      return w;
   }
 }
 
@@ -186,6 +215,15 @@
       return { kind, ask: r.u32(), free: r.u8() === 1 };
     case 'store':
       return { kind, serves: r.u8() === 1 };
+    case 'askVouch':
+      return { kind, ask: r.u32(), sinceMs: r.u32() };
+    case 'vouch': {
+      const ask = r.u32();
+      const sure = r.u8() === 1;
+      const cancelled: string[] = [];
+      for (let n = r.u32(); n > 0; n--) cancelled.push(r.text());
+      return { kind, ask, cancelled: sure ? cancelled : null };
+    }
   }
 }
 
@@ -197,10 +235,13 @@
     this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const messages: Message[] = [];
     while (this.rest.length >= HEADER) {
+      const version = this.rest.readUInt8(2);
       const kind = KINDS[this.rest.readUInt8(3)];
       const length = this.rest.readUInt32BE(4);
       if (this.rest.readUInt16BE(0) !== MAGIC) throw new FrameError('bad magic');
-      if (this.rest.readUInt8(2) !== VERSION) throw new FrameError('unknown version');
+      if (version !== VERSION && version !== CURRENT_VERSION) {
+        throw new FrameError('unknown version');
+      }
       if (!kind) throw new FrameError('unknown kind');
       if (length > MAX_PAYLOAD) throw new FrameError('frame too large');
       if (this.rest.length < HEADER + length) break;
--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -2,7 +2,7 @@
 import { Subject, type Observable } from 'rxjs';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
-import { Decoder, encode, type Message } from './frames.js';
+import { Decoder, encode, needsCurrent, type Message } from './frames.js';
 
 export interface PeerTransport {
   /** What other controllers say, with the speaker's name. */
@@ -12,6 +12,8 @@
   readonly peers: string[];
   /** When a peer's process began, by our clock; null if it has not been heard. */
   startedAt(peer: string): number | null;
+  /** Whether a peer is known to read the current version of frames; later kinds go to no other. */
+  speaksCurrent(peer: string): boolean;
 }
 
 /** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
@@ -31,6 +33,8 @@
     private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly retryMs: number,
+    /** Whether a controller is known to run a version that reads the current frames. */
+    readonly speaksCurrent: (peer: string) => boolean = () => false,
   ) {
     this.peers = settings.peers.map((p) => p.member);
   }
@@ -48,7 +52,8 @@
 
   send(to: string, message: Message): void {
     const socket = this.out.get(to);
-    if (!socket) return;
+    // An older version would close the connection on a kind that it does not know.
+    if (!socket || (needsCurrent(message) && !this.speaksCurrent(to))) return;
     if (socket.writableLength > MOST_BUFFERED) {
       socket.destroy();
       return;
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -7,7 +7,12 @@
 export class FakeWire {
   private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
   readonly cut = new Set<string>();
+  /** Messages that are lost on their way. */
+  delayMs: (from: string, to: string) => number = () => 2;
+  lost: (from: string, to: string, message: Message) => boolean = () => false;
   private readonly starts = new Map<string, number>();
+  /** Controllers of the version before, which read no frames of the current one. */
+  readonly previousVersion = new Set<string>();
 
   constructor(private readonly clock: FakeClock) {}
 
@@ -16,15 +21,17 @@
     this.ends.set(name, heard);
     this.starts.set(name, this.clock.now());
     return {
+      speaksCurrent: (peer) => !this.previousVersion.has(peer),
       startedAt: (peer) => this.starts.get(peer) ?? null,
       heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
         const bytes = encode(message);
         const from = this.ends.get(name);
-        void this.clock.sleep(2).then(() => {
+        void this.clock.sleep(this.delayMs(name, to)).then(() => {
           // A message from an earlier life of the process does not come from this one.
           if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
+          if (this.lost(name, to, message)) return;
           for (const m of new Decoder().push(bytes)) {
             this.ends.get(to)?.next({ from: name, message: m });
           }
--- /dev/null
+++ b/test/gap.test.ts
@@ -0,0 +1,276 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CancellationLog } from '../src/jobs/cancellation-log.js';
+import { Decoder, encode, type Message } from '../src/peer/frames.js';
+import { FakeClock } from './fakes/clock.js';
+import { World } from './fakes/world.js';
+
+const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
+const CANCEL_MS = 35_000;
+const service = { shape: 'service', pieces: 2, runMs: 0, urgency: 'production' } as const;
+
+interface Gap {
+  w: World;
+  leader: number;
+  /** The controller that confirms the cancellation, and the third one. */
+  confirming: number;
+  other: number;
+  /** Jobs with two running tasks each. */
+  cancelled: string;
+  kept: string;
+}
+
+/** Three controllers, two services that run, and a leader that the store refuses alone. */
+async function refusedLeader(): Promise<Gap> {
+  const w = new World(FOUR, 3);
+  await w.start();
+  const cancelled = await w.submit(service);
+  const kept = await w.submit(service);
+  await w.until(() => w.running(cancelled) + w.running(kept) === 4, 10, 'replicas run');
+  // Nothing may rest on the message that tells the leader of a cancellation.
+  w.wire.lost = (_from, _to, message) => message.kind === 'cancelled';
+  const { leader } = w;
+  w.nodes[leader]!.fate = () => 'refuse';
+  await w.clock.advance(300);
+  return { w, leader, confirming: (leader + 1) % 3, other: (leader + 2) % 3, cancelled, kept };
+}
+
+async function abort({ w, confirming, cancelled }: Gap): Promise<void> {
+  const answer = await w.ask(w.nodes[confirming]!.controller!.jobApi.abort(cancelled));
+  assert.deepEqual(answer.body, { ref: cancelled, phase: 'withdrawn' });
+}
+
+/** The store is down for all for `seconds`; what was cancelled has to be gone in time. */
+async function outage({ w, leader, cancelled }: Gap, seconds: number): Promise<void> {
+  const toldAt = w.clock.now();
+  w.store.down = true;
+  for (let passed = 0; passed < seconds; passed += 0.25) {
+    await w.pass(0.25);
+    const late = w.clock.now() - toldAt >= CANCEL_MS;
+    if (late) assert.equal(w.on(cancelled).length, 0, `still there after ${passed} s`);
+  }
+  w.nodes[leader]!.fate = () => 'serve';
+  w.store.restore();
+}
+
+async function end({ w, cancelled, kept }: Gap): Promise<void> {
+  await w.until(() => w.running(kept) === 2, 40, 'what was not cancelled runs');
+  assert.equal(w.on(cancelled).length, 0);
+  for (const node of w.nodes.keys()) assert.equal(await w.phase(cancelled, node), 'withdrawn');
+  await w.close();
+}
+
+test('in a long outage work goes on, and what another controller called cancelled ends', async () => {
+  const gap = await refusedLeader();
+  const starts = gap.w.starts.length;
+  await abort(gap);
+  await outage(gap, 60);
+  assert.equal(gap.w.running(gap.kept), 2);
+  assert.equal(gap.w.starts.length, starts);
+  await end(gap);
+});
+
+const links: {
+  name: string;
+  confirm?(gap: Gap): Promise<void>;
+  trouble?(gap: Gap): Promise<void>;
+  /** Everyone can vouch all the same, so that other work goes on. */
+  covered?: true;
+}[] = [
+  {
+    name: 'connections between controllers are refused',
+    trouble: ({ w }) => {
+      for (const { name } of w.nodes) w.wire.cut.add(name);
+      return Promise.resolve();
+    },
+  },
+  {
+    name: 'the confirming controller is ended and forgets',
+    trouble: async ({ w, confirming }) => {
+      w.crash(confirming);
+      await w.clock.advance(300);
+      w.restart(confirming);
+    },
+  },
+  {
+    name: 'the confirming controller is ended and stays away',
+    trouble: ({ w, confirming }) => Promise.resolve(w.crash(confirming)),
+  },
+  {
+    name: 'the confirming controller stands still',
+    trouble: ({ w, confirming }) => Promise.resolve(w.freeze(confirming, 60_000)),
+  },
+  {
+    name: 'the confirming controller runs the version before',
+    trouble: ({ w, confirming }) => {
+      w.wire.previousVersion.add(w.nodes[confirming]!.name);
+      return Promise.resolve();
+    },
+  },
+  {
+    name: 'vouches are lost, promises not to contest are not',
+    trouble: ({ w }) => {
+      w.wire.lost = (_from, _to, m) => m.kind === 'cancelled' || m.kind === 'vouch';
+      return Promise.resolve();
+    },
+  },
+  {
+    name: 'vouches come too late',
+    trouble: ({ w, leader }) => {
+      w.wire.delayMs = (_from, to) => (to === w.nodes[leader]!.name ? 600 : 2);
+      return Promise.resolve();
+    },
+  },
+  {
+    name: 'the leader stands still for a while',
+    trouble: ({ w, leader }) => Promise.resolve(w.freeze(leader, 1200)),
+    covered: true,
+  },
+  {
+    name: 'the answer to the cancellation is lost, and another controller tells of it',
+    confirm: async ({ w, confirming, other, cancelled }) => {
+      const node = w.nodes[confirming]!;
+      node.fate = (_method, path, body) =>
+        path === '/txn' && JSON.stringify(body).includes('"write":"jobs/')
+          ? 'lose answer'
+          : 'serve';
+      void node.controller!.jobApi.abort(cancelled);
+      await w.clock.advance(50);
+      node.fate = () => 'refuse';
+      assert.equal(await w.phase(cancelled, other), 'withdrawn');
+    },
+    covered: true,
+  },
+  {
+    name: 'the cancellation is carried out late, and a repeated submission tells of it',
+    confirm: async ({ w, confirming, other, cancelled }) => {
+      const node = w.nodes[confirming]!;
+      node.fate = (_method, path, body) =>
+        path === '/txn' && JSON.stringify(body).includes('"write":"jobs/') ? 'apply late' : 'serve';
+      void node.controller!.jobApi.abort(cancelled);
+      await w.clock.advance(50);
+      node.fate = () => 'refuse';
+      assert.equal(w.store.late[0]!().status, 200);
+      const answer = await w.ask(
+        w.nodes[other]!.controller!.jobApi.submit({ ...w.wish({}).body, ref: cancelled }),
+      );
+      assert.deepEqual(answer.body, { ref: cancelled, phase: 'withdrawn' });
+    },
+    covered: true,
+  },
+];
+
+for (const { name, confirm, trouble, covered } of links) {
+  test(`cancelled tasks are gone in time in an outage when ${name}`, async () => {
+    const gap = await refusedLeader();
+    await (confirm ?? abort)(gap);
+    await trouble?.(gap);
+    await outage(gap, 50);
+    assert.equal(gap.w.running(gap.kept), covered ? 2 : 0);
+    gap.w.nodes[gap.confirming]!.fate = () => 'serve';
+    for (const { name: node } of gap.w.nodes) gap.w.wire.cut.delete(node);
+    if (!gap.w.nodes[gap.confirming]!.controller) gap.w.restart(gap.confirming);
+    await end(gap);
+  });
+}
+
+test('a leader whose watch alone stalls reads the records another way, and keeps its workers', async () => {
+  const gap = await refusedLeader();
+  const { w, leader, cancelled, kept } = gap;
+  const starts = w.starts.length;
+  w.nodes[leader]!.fate = (_method, path) =>
+    path.startsWith('/follow?starts=jobs') ? 'refuse' : 'serve';
+  await abort(gap);
+  await w.until(() => w.on(cancelled).length === 0, 12, 'gone');
+  await w.pass(60);
+  assert.equal(w.leader, leader);
+  assert.equal(w.running(kept), 2);
+  assert.equal(w.starts.length, starts);
+  await w.close();
+});
+
+test('a leader that cannot read the records renews no lease', async () => {
+  const gap = await refusedLeader();
+  const { w, leader, confirming, other, cancelled } = gap;
+  // Its successor takes office, and can do nothing but hold it.
+  w.nodes[other]!.fate = (_method, path) => (path.startsWith('/store?') ? 'refuse' : 'serve');
+  w.crash(leader);
+  w.nodes[confirming]!.fate = (_method, path) => (path === '/grants' ? 'refuse' : 'serve');
+  await w.until(() => w.leader === other, 10, 'it leads');
+  await abort(gap);
+  await w.pass(CANCEL_MS / 1000);
+  assert.equal(w.on(cancelled).length, 0);
+  w.nodes[other]!.fate = () => 'serve';
+  w.nodes[confirming]!.fate = () => 'serve';
+  w.restart(leader);
+  w.nodes[leader]!.fate = () => 'serve';
+  await end(gap);
+});
+
+test('a zone delegate renews no lease without knowing which jobs are cancelled', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ ...service, pieces: 4, gpus: 4 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  const { leader } = w;
+  w.split(true);
+  await w.pass(12);
+  assert.equal(w.running(job), 4);
+  // From now on it may write its key, and learns nothing of jobs.
+  w.nodes[1 - leader]!.fate = (_method, path, body) =>
+    path === '/txn' && (body as { then: unknown[] }).then.length === 0 ? 'lose request' : 'serve';
+  await w.ask(w.nodes[leader]!.controller!.jobApi.abort(job));
+  await w.pass(CANCEL_MS / 1000);
+  assert.equal(w.on(job).length, 0);
+  w.split(false);
+  await w.close();
+});
+
+test('a log of cancellations answers only for times of which nothing is missing', async () => {
+  const clock = new FakeClock();
+  await clock.advance(1000);
+  const log = new CancellationLog(clock, clock.now(), 60_000, 3);
+  assert.equal(log.since(999), null, 'an earlier process may have told of more');
+  assert.deepEqual(log.since(1000), []);
+  await clock.advance(1000);
+  assert.equal(log.add('req-1'), true);
+  await clock.advance(1000);
+  assert.equal(log.add('req-1'), false);
+  log.add('req-2');
+  assert.deepEqual(log.since(1500), ['req-1', 'req-2']);
+  assert.deepEqual(log.since(2500), ['req-2']);
+  await clock.advance(1000);
+  log.add('req-3');
+  log.add('req-4');
+  assert.equal(log.since(1500), null, 'the oldest had to make room');
+  assert.deepEqual(log.since(2500), ['req-2', 'req-3', 'req-4']);
+  await clock.advance(60_001);
+  assert.equal(log.since(2500), null, 'too old to be kept');
+  assert.deepEqual(log.since(5000), []);
+});
+
+test('frames of kinds that the version before knows are as it wrote them, later ones are marked', () => {
+  const old: Message[] = [
+    { kind: 'hello', member: 'berth-1', ageMs: 1 },
+    { kind: 'heartbeat', token: 1, first: true, counts: [] },
+    { kind: 'cancelled', id: 'req-1' },
+    { kind: 'askPledge', ask: 1, token: 1, forMs: 1 },
+    { kind: 'pledge', ask: 1, granted: true },
+    { kind: 'askFree', ask: 1 },
+    { kind: 'free', ask: 1, free: true },
+    { kind: 'store', serves: true },
+  ];
+  old.forEach((m, kind) => {
+    const frame = encode(m);
+    assert.deepEqual([frame.readUInt8(2), frame.readUInt8(3)], [3, kind], m.kind);
+  });
+  const current: Message[] = [
+    { kind: 'askVouch', ask: 7, sinceMs: 1200 },
+    { kind: 'vouch', ask: 7, cancelled: ['req-1', 'req-2'] },
+    { kind: 'vouch', ask: 7, cancelled: [] },
+    { kind: 'vouch', ask: 7, cancelled: null },
+  ];
+  for (const m of current) assert.equal(encode(m).readUInt8(2), 4);
+  const all = [...old, ...current];
+  assert.deepEqual(new Decoder().push(Buffer.concat(all.map(encode))), all);
+});
