--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -9,7 +9,11 @@
   readonly cut = new Set<string>();
   /** Whether a message gets lost between two that are not cut off; none does unless a story says so. */
   loses: (from: string, to: string, message: Message) => boolean = () => false;
+  /** How long a message takes, in milliseconds. */
+  delayMs: (from: string, to: string) => number = () => 2;
   private readonly starts = new Map<string, number>();
+  /** Controllers of the version before, which read no frames of the current one. */
+  readonly previousVersion = new Set<string>();
 
   constructor(
     private readonly clock: FakeClock,
@@ -22,13 +26,14 @@
     this.ends.set(name, heard);
     this.starts.set(name, this.clock.now());
     return {
+      speaksCurrent: (peer) => !this.previousVersion.has(peer),
       startedAt: (peer) => this.starts.get(peer) ?? null,
       heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
         const bytes = encode(message);
         const from = this.ends.get(name);
-        void this.clock.sleep(2).then(() => {
+        void this.clock.sleep(this.delayMs(name, to)).then(() => {
           // A message from an earlier life of the process does not come from this one.
           if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
           if (this.separated(name, to) || this.loses(name, to, message)) return;
