--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -9,6 +9,7 @@
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
 import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
@@ -35,6 +36,8 @@
 const LOGGED_CANCELS = 3;
 
 const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
+/** How many report intervals pass between two looks at who has been upgraded. */
+const REPORTS_PER_LOOK = 2;
 
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
@@ -43,6 +46,7 @@
   private readonly election: Election;
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
+  readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
@@ -68,6 +72,16 @@
       settings.member,
       lifetimeMs,
     );
+    this.membership = new Membership(
+      this.store,
+      runtime,
+      {
+        self: settings.member,
+        peers: settings.peers.map((p) => p.member),
+        size: settings.size,
+      },
+      workers.reportMs * REPORTS_PER_LOOK,
+    );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
     this.cancellationLog = new CancellationLog(
       runtime.clock,
@@ -167,6 +181,7 @@
           cloud: this.links.cloud,
           workers: this.links.workers,
           catalogue: this.catalogue,
+          membership: this.membership,
           settings: this.settings,
           operator: this.operator,
           runtime: this.runtime,
@@ -201,6 +216,10 @@
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
         }),
+        duty(this.runtime, 'membership', signal, restartMs, async (s) => {
+          await this.membership.run(s);
+          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+        }),
         duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
       ]);
     } finally {
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
-import { Job } from '../jobs/live.js';
-import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { Job, type StoredRuns } from '../jobs/live.js';
+import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { readRuns } from '../jobs/run-reader.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
@@ -40,9 +41,11 @@
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.look(signal);
+        await this.leader.parts.membership.look(signal);
         this.leader.jobs.clear();
+        this.leader.dependencies.clear();
         for (const e of jobs.items) this.onJobEntry(e);
-        for (const e of runs.items) this.restoreRun(e);
+        this.restoreRuns(runs.items);
         for (const e of rentals.items) {
           this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
@@ -51,6 +54,7 @@
         this.revision = jobs.revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
         runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
         return;
@@ -62,23 +66,21 @@
     }
   }
 
-  private restoreRun(e: Entry): void {
-    const rest = e.key.slice(KEYS.runs.length);
-    const slash = rest.lastIndexOf('/');
-    const job = this.leader.jobs.get(rest.slice(0, slash));
-    const record = parseRun(e.value);
-    const chunk = Number(rest.slice(slash + 1));
-    if (!job || !record || !job.chunks[chunk]) {
+  private restoreRuns(entries: Entry[]): void {
+    const { runtime, store } = this.leader.parts;
+    const perRange = tasksPerRange(store.limits.smallest().valueBytes);
+    const { runs, unreadable } = readRuns(entries, (id) => this.leader.jobs.get(id) ?? null);
+    for (const { key, job } of unreadable) {
       // What cannot be read may still run: the job is left alone rather than started again.
-      this.leader.parts.runtime.log.error(
-        { key: e.key },
-        'unreadable run record, left as occupied',
-      );
+      runtime.log.error({ key }, 'unreadable run record, left as occupied');
       if (job) job.blind = true;
-      return;
     }
+    for (const [job, stored] of runs) this.restoreJob(job, stored, perRange);
+  }
+
+  private restoreJob(job: Job, stored: StoredRuns, perRange: number): void {
     const { clock } = this.leader.parts.runtime;
-    for (const p of job.restore(chunk, e.version, record, clock.now(), clock.wall())) {
+    for (const p of job.restore(stored, perRange, clock.now(), clock.wall())) {
       this.leader.fleet.add(p, clock.now());
       if (job.phase !== 'open') p.stop = { graceMs: 0 };
     }
@@ -132,7 +134,7 @@
     this.leader.stops.stopAll(job, 0);
   }
 
-  private onJobEntry(e: Entry): void {
+  onJobEntry(e: Entry): void {
     const record = parseJob(e.value);
     if (!record) {
       this.leader.parts.runtime.log.error({ key: e.key }, 'unreadable job record');
@@ -144,7 +146,10 @@
   onJobRecord(id: string, version: number, record: JobRecord): void {
     const known = this.leader.jobs.get(id);
     if (!known) {
-      if (!record.spec || record.at === undefined) return;
+      if (!record.spec || record.at === undefined) {
+        this.leader.dependencies.ended(id, record.phase, record.doneAt ?? null);
+        return;
+      }
       const job = new Job(
         id,
         record.spec,
@@ -153,7 +158,10 @@
         tasksPerRecord(this.leader.parts.settings.state.valueBytes),
       );
       job.phase = record.phase;
+      job.doneAt = record.doneAt ?? null;
       this.leader.jobs.set(id, job);
+      if (record.needs) this.leader.dependencies.add(job, record.needs);
+      this.leader.dependencies.ended(id, record.phase, job.doneAt);
       // Before the run records are read a cancelled job looks as if nothing of it could run.
       if (this.ready) this.leader.ledger.flush(job);
       this.leader.touch();
@@ -163,6 +171,8 @@
     known.version = version;
     known.phase = record.phase;
     known.phaseStored = true;
+    known.doneAt ??= record.doneAt ?? null;
+    this.leader.dependencies.ended(id, record.phase, known.doneAt);
     if (record.phase !== 'open') this.leader.stops.stopAll(known, 0);
     this.leader.ledger.flush(known);
     this.leader.touch();
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -77,6 +77,15 @@
   );
 }
 
+/** The settings of one of several controllers that know each other. */
+function settingsAmong(member: string, all: string[], state: Partial<Settings['state']>): Settings {
+  const own = settings(member);
+  const peers = all
+    .filter((name) => name !== member)
+    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
+  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+}
+
 export function fakeRandom(name: string, seed = 0): Random {
   let n = seed;
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
@@ -160,6 +169,8 @@
     machines: MachineWish[],
     controllers: 2 | 3 = 2,
     readonly seed = 0,
+    /** What the settings say of the store, where it differs from the sample. */
+    private readonly state: Partial<Settings['state']> = {},
   ) {
     this.random = new SeededRandom(seed);
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
@@ -230,7 +241,11 @@
     const stop = new AbortController();
     node.stop = stop;
     const controller = new Controller(
-      settings(node.name),
+      settingsAmong(
+        node.name,
+        this.nodes.map((n) => n.name),
+        this.state,
+      ),
       OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
@@ -576,6 +591,17 @@
     return [...this.workers.values()].filter((w) => !w.dead).map(seen);
   }
 
+  /** Puts a job into the store that was done before the story began. */
+  doneBefore(ref: string): void {
+    this.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
+    this.checker.doneBefore(ref);
+  }
+
+  /** The phase that a job's record says. */
+  stored(ref: string): string | undefined {
+    return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
+  }
+
   private check(): void {
     this.checker.look();
   }
