--- a/test/fakes/rule-checker.ts
+++ b/test/fakes/rule-checker.ts
@@ -86,13 +86,12 @@
   request: JobRequest | null;
   /** One of its submissions had to be accepted. */
   sound: boolean;
-  /** It was done before the story began. */
-  past: boolean;
   submitAskedAt: number;
   abortAskedAt: number;
   acceptedAt: number | null;
   final: { phase: 'done' | 'withdrawn'; at: number } | null;
   readonly completed: Set<number>;
+  doneBefore: boolean;
   /** Since when every question about it has failed; null while the last one was answered. */
   unansweredSince: number | null;
   /** Since when it has waited beside room that fits. */
@@ -126,11 +125,6 @@
     for (const job of this.jobs.values()) job.fittingSince = null;
   }
 
-  /** A job from before the story, accepted and done long ago. */
-  endedBefore(ref: string): void {
-    Object.assign(this.job(ref), { submitAskedAt: -Infinity, acceptedAt: -Infinity, past: true });
-  }
-
   /** There is trouble again. */
   trouble(): void {
     this.calmSince = null;
@@ -287,6 +281,15 @@
     }
   }
 
+  /** A job that was accepted and done before the story began. */
+  doneBefore(ref: string): void {
+    const job = this.job(ref);
+    job.submitAskedAt = -Infinity;
+    job.acceptedAt = -Infinity;
+    job.final = { phase: 'done', at: -Infinity };
+    job.doneBefore = true;
+  }
+
   /** A task has completed; of a gang all do together. */
   completed(job: string, task: number): void {
     const history = this.job(job);
@@ -529,12 +532,12 @@
         ref,
         request: null,
         sound: false,
-        past: false,
         submitAskedAt: Infinity,
         abortAskedAt: Infinity,
         acceptedAt: null,
         final: null,
         completed: new Set(),
+        doneBefore: false,
         unansweredSince: null,
         fittingSince: null,
       };
@@ -555,8 +558,8 @@
 const NOTHING_USED: Amounts = { cpus: 0, gpus: 0 };
 
 /** All its tasks are done; a service never is. */
-const isComplete = ({ past, request, completed }: JobHistory): boolean =>
-  past || (!!request && request.shape !== 'service' && completed.size === request.pieces);
+const isComplete = ({ doneBefore, request, completed }: JobHistory): boolean =>
+  doneBefore || (!!request && request.shape !== 'service' && completed.size === request.pieces);
 
 /** A task counts from the moment it has its image. */
 const onMachine = (t: TaskSeen): boolean => t.state !== 'fetching';
