--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -8,6 +8,7 @@
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import type { JobPhase, JobSpec } from './job.js';
+import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { whyNever } from './feasible.js';
 
@@ -129,9 +130,16 @@
       at: clock.wall(),
       spec,
     };
+    // It has to fit also when it is rewritten under the limits to come.
+    const { valueBytes } = this.store.limits.smallest();
+    const value = fitJobRecord(record, valueBytes, this.machineTypes);
+    if (!value) {
+      const job = await this.fresh(id);
+      return job ? this.knownAnswer(id, job) : TOO_LARGE;
+    }
     const outcome = await this.commit(
       [{ key: KEYS.job(id), version: 0 }],
-      [{ put: KEYS.job(id), value: record }],
+      [{ put: KEYS.job(id), value }],
       signal,
     );
     if (!outcome.ok) return null;
@@ -139,6 +147,11 @@
     return { status: 201, body: wire.jobAnswer(id, 'pending') };
   }
 
+  private get machineTypes(): ReadonlySet<string> | null {
+    const types = this.catalogue.types.value;
+    return types && new Set(types.keys());
+  }
+
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
       const entry = await this.store.get(KEYS.job(id), 0, signal);
@@ -148,7 +161,11 @@
       this.remember(id, { version: entry.version, phase: record.phase, tasks: record.tasks });
       if (record.phase === 'done') return { status: 200, body: wire.jobAnswer(id, 'done') };
       if (record.phase === 'open') {
-        const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
+        const w = this.runtime.random.unique();
+        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
+        // One accepted under larger limits may have to lose what means nothing.
+        const { valueBytes } = this.store.limits.effective();
+        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
         const outcome = await this.commit(
           [{ key: KEYS.job(id), version: entry.version }],
           [{ put: KEYS.job(id), value }],
@@ -312,4 +329,8 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
+const TOO_LARGE: Answer = {
+  status: 422,
+  body: { error: 'the description of the job is larger than the state service takes' },
+};
 const UNKNOWN: Answer = { status: 404, body: { error: 'unknown job' } };
--- /dev/null
+++ b/src/jobs/record-size.ts
@@ -0,0 +1,23 @@
+import { jsonBytes } from '../state/limits.js';
+import type { JobRecord } from './records.js';
+
+/** What later writes of the same record may add: a longer mark, a longer phase. */
+const REWRITE_BYTES = 64;
+
+/**
+ * The record in a form that the store takes now and at each later rewrite; null if there is none.
+ * All of its fields are bounded but the list of machine types, of which only those that exist mean
+ * anything.
+ */
+export function fitJobRecord(
+  record: JobRecord,
+  valueBytes: number,
+  machineTypes: ReadonlySet<string> | null,
+): JobRecord | null {
+  const most = valueBytes - REWRITE_BYTES;
+  if (jsonBytes(record) <= most) return record;
+  if (!record.spec?.types) return null;
+  const known = [...new Set(record.spec.types)].filter((t) => machineTypes?.has(t) ?? true);
+  const shorter = { ...record, spec: { ...record.spec, types: known } };
+  return jsonBytes(shorter) <= most ? shorter : null;
+}
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -83,6 +83,11 @@
     return this.keys.get(key)?.value;
   }
 
+  /** A key that was written before the story begins. */
+  seed(key: string, value: unknown): void {
+    this.keys.set(key, { value, stamp: ++this.revision, hold: null });
+  }
+
   /** After an outage every lease has its full time again. */
   restore(): void {
     this.down = false;
--- /dev/null
+++ b/test/run-layout.test.ts
@@ -0,0 +1,237 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Term } from '../src/election/term.js';
+import type { JobSpec } from '../src/jobs/job.js';
+import { Ledger } from '../src/jobs/ledger.js';
+import { Job, type Placement } from '../src/jobs/live.js';
+import { readRuns } from '../src/jobs/run-reader.js';
+import { tasksPerRange, tasksPerRecord } from '../src/jobs/records.js';
+import type { Runtime } from '../src/runtime/duty.js';
+import { Store } from '../src/state/store.js';
+import { FakeClock } from './fakes/clock.js';
+import { SPEC } from './fakes/samples.js';
+import { FakeStore, type Fate } from './fakes/store.js';
+import { fakeRandom, settings } from './fakes/world.js';
+
+const LARGE = 16 * 1024;
+const SMALL = 2048;
+const ID = 'req-1';
+
+/** One job under a leader, above a store whose limits fall in the middle. */
+class Office {
+  readonly clock = new FakeClock();
+  readonly fakeStore = new FakeStore(this.clock);
+  readonly job: Job;
+  readonly ledger: Ledger;
+  readonly recorded = new Map<number, Placement>();
+  readonly random: () => number;
+  fate: Fate = 'serve';
+  ranged = false;
+  private readonly term = new Term('t', 1, 0, Infinity);
+
+  constructor(spec: Partial<JobSpec>, seed: number) {
+    let state = seed;
+    this.random = () => (state = (state * 1_103_515_245 + 12_345) % 2_147_483_648) / 2_147_483_648;
+    const full = { ...SPEC, ...spec };
+    this.job = new Job(ID, full, 0, 2, tasksPerRecord(LARGE));
+    this.fakeStore.limits = { valueBytes: LARGE, txnOps: 20 };
+    this.fakeStore.seed('leader', {});
+    this.fakeStore.seed(`jobs/${ID}`, { w: 'a', phase: 'open', tasks: full.tasks });
+    const log = { error() {}, warn() {}, info() {}, debug() {} };
+    const runtime = { clock: this.clock, random: fakeRandom('r'), log, startedAt: 0 };
+    const base = settings();
+    const next = { valueBytes: SMALL, txnOps: 4 };
+    const store = new Store(
+      this.fakeStore.link(() => this.fate),
+      runtime as unknown as Runtime,
+      { ...base, state: { ...base.state, writeRps: 1e6, rps: 1e6, next } },
+      1000,
+    );
+    this.ledger = new Ledger(
+      store,
+      runtime as unknown as Runtime,
+      this.term,
+      store.limits,
+      () => this.ranged,
+      10_000,
+      {
+        jobChanged: () => undefined,
+        recorded: (list) => {
+          for (const p of list) {
+            p.stage = 'recorded';
+            this.recorded.set(p.task, p);
+          }
+        },
+        forgotten: () => undefined,
+        contradiction: (what) => assert.fail(what),
+        settled: () => undefined,
+      },
+    );
+  }
+
+  place(task: number): void {
+    const { job } = this;
+    if (job.isDone(task) || job.live.has(task)) return;
+    job.live.set(task, {
+      job,
+      task,
+      attempt: ++job.attempt,
+      machine: `host-${String(Math.floor(this.random() * 1000)).padStart(6, '0')}`,
+      session: 1,
+      zone: 'gandhinagar-dc',
+      stage: 'recording',
+      state: null,
+      placedAt: 0,
+      runningSince: null,
+      stop: null,
+    });
+    job.touch(task);
+  }
+
+  end(task: number): void {
+    const p = this.job.live.get(task);
+    if (!p || !this.recorded.has(task)) return;
+    this.job.live.delete(task);
+    this.recorded.delete(task);
+    this.job.exited.push(p);
+    this.job.markDone(task);
+  }
+
+  /** What a successor would believe now. */
+  successor(): Job {
+    const job = new Job(ID, this.job.spec, 0, 2, tasksPerRecord(LARGE));
+    const entries = [...this.fakeStore.keys]
+      .filter(([key]) => key.startsWith('runs/'))
+      .map(([key, s]) => ({ key, value: s.value, version: s.stamp }));
+    const { runs, unreadable } = readRuns(entries, () => job);
+    assert.deepEqual(unreadable, []);
+    for (const stored of runs.values()) job.restore(stored, tasksPerRange(SMALL), 0, 0);
+    return job;
+  }
+
+  /** No start that may have been sent is unknown to a successor, unless it is known as done. */
+  check(): void {
+    const job = this.successor();
+    for (const [task, p] of this.recorded) {
+      const known = job.live.get(task);
+      assert.ok(known, `task ${task} is lost`);
+      assert.deepEqual([known.machine, known.attempt], [p.machine, p.attempt], `task ${task}`);
+    }
+    for (let task = 0; task < job.spec.tasks; task++) {
+      if (job.isDone(task)) assert.ok(this.job.isDone(task), `task ${task} is not done`);
+    }
+    assert.ok(job.attempt >= Math.max(0, ...[...this.recorded.values()].map((p) => p.attempt)));
+  }
+
+  /** Once all is written a successor knows all of it. */
+  checkAll(): void {
+    const job = this.successor();
+    assert.deepEqual([...job.live.keys()].sort(), [...this.job.live.keys()].sort());
+    assert.equal(job.doneCount, this.job.doneCount);
+    assert.equal(job.attempt, this.job.attempt);
+  }
+}
+
+for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+  test(`no start is lost or invented while records shrink, seed ${seed}`, async () => {
+    const office = new Office({ tasks: 40 + seed * 60 }, seed);
+    const { random, job } = office;
+    for (let step = 0; step < 160; step++) {
+      if (step === 50) office.ranged = true;
+      if (step === 90) office.fakeStore.limits = { valueBytes: SMALL, txnOps: 4 };
+      office.fate = random() < 0.15 ? 'lose answer' : 'serve';
+      const from = Math.floor(random() * job.spec.tasks);
+      for (let i = 0; i < 1 + random() * 30; i++) {
+        const task = (from + i) % job.spec.tasks;
+        if (random() < 0.6) office.place(task);
+        else office.end(task);
+      }
+      office.ledger.flush(job);
+      if (office.ranged && random() < 0.2) office.ledger.rewrite(job);
+      await office.clock.advance(random() * 40);
+      office.check();
+    }
+    office.fate = 'serve';
+    office.ledger.flush(job);
+    await office.clock.advance(20_000);
+    office.checkAll();
+    office.ledger.rewrite(job);
+    await office.clock.advance(20_000);
+    office.checkAll();
+    const left = [...office.fakeStore.keys].filter(([key]) => key.startsWith('runs/'));
+    assert.ok(left.every(([key, s]) => /\/p\d+$/.test(key) && size(s.value) <= SMALL));
+  });
+}
+
+test('limits that fall unannounced, before anything is ranged, lose nothing either', async () => {
+  const office = new Office({ tasks: 150 }, 3);
+  for (let t = 0; t < 150; t++) office.place(t);
+  office.ledger.flush(office.job);
+  await office.clock.advance(100);
+  office.fakeStore.limits = { valueBytes: SMALL, txnOps: 4 };
+  for (let t = 0; t < 150; t += 2) office.end(t);
+  office.ledger.flush(office.job);
+  await office.clock.advance(100);
+  office.check();
+  await office.clock.advance(20_000);
+  office.checkAll();
+});
+
+test('a gang keeps its phase over the change of layout, and forgets one that is over', async () => {
+  const office = new Office({ tasks: 4, kind: 'gang' }, 1);
+  const gang = office.job.gang!;
+  for (let t = 0; t < 4; t++) office.place(t);
+  gang.phase = 'placed';
+  office.ledger.flush(office.job);
+  await office.clock.advance(100);
+  office.ranged = true;
+  office.ledger.rewrite(office.job);
+  await office.clock.advance(1000);
+  assert.equal(office.successor().gang!.phase, 'placed');
+  assert.deepEqual(
+    [...office.fakeStore.keys.keys()].filter((k) => k.startsWith('runs/')),
+    [`runs/${ID}/p0`],
+  );
+  gang.phase = 'queued';
+  office.job.touch(0);
+  office.ledger.flush(office.job);
+  await office.clock.advance(1000);
+  assert.equal(office.successor().gang!.phase, 'queued');
+});
+
+test('a job over with more records than one transaction may delete closes without a gap', async () => {
+  const office = new Office({ tasks: 900 }, 5);
+  office.ranged = true;
+  office.fakeStore.limits = { valueBytes: SMALL, txnOps: 4 };
+  for (let t = 0; t < 900; t++) office.place(t);
+  office.ledger.flush(office.job);
+  await office.clock.advance(5000);
+  assert.equal(office.recorded.size, 900);
+  for (let t = 0; t < 900; t++) office.end(t);
+  office.job.phase = 'done';
+  office.job.phaseStored = false;
+  office.ledger.flush(office.job);
+  const runs = (): number =>
+    [...office.fakeStore.keys.keys()].filter((k) => k.startsWith('runs/')).length;
+  const all = runs();
+  assert.ok(all > 6, `${all} records`);
+  // While some of its records are gone and others not, its own says that it is over.
+  let between = 0;
+  for (let i = 0; i < 400 && runs() > 0; i++) {
+    office.fate = i % 7 === 3 ? 'lose answer' : 'serve';
+    const { phase } = office.fakeStore.get(`jobs/${ID}`) as { phase: string };
+    if (runs() < all) {
+      between++;
+      assert.equal(phase, 'done');
+    }
+    await office.clock.advance(20);
+  }
+  assert.ok(between > 0);
+  await office.clock.advance(5000);
+  assert.equal(runs(), 0);
+  assert.equal(office.job.closed, true);
+  const last = office.fakeStore.get(`jobs/${ID}`) as object;
+  assert.ok(!('spec' in last));
+});
+
+const size = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
