Stories of a rolling upgrade; a lower rate is told by the share of refusals

Cause: five refusals in a row hardly ever come while some transactions still go through, so a lower rate for writes was not noticed before the end of an upgrade. Now refusals of more than one in six count.

--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -36,17 +36,19 @@
 }
 
 /**
- * Bursts of several controllers together are refused now and then; so many refusals in a row, each
- * after a wait, mean that the store allows a lower rate than before.
+ * Bursts of several controllers together are refused now and then. Where more than one transaction
+ * in six is refused for a while the store allows a lower rate than before: each refusal counts one,
+ * each success takes a fifth away, and so many are too many.
  */
-const PERSISTENT_RATE_REFUSALS = 5;
+const PERSISTENT_RATE_REFUSALS = 8;
+const SUCCESS_OFFSETS = 0.2;
 
 export class Store {
   private readonly requests: Budget;
   private readonly writes: Budget;
   private contactAt = -Infinity;
   private refusedSince: number | null = null;
-  /** Transactions refused for the rate since the last one that was applied. */
+  /** Transactions refused for the rate lately, less a share of those that were applied. */
   private rateRefusals = 0;
   /** What the store allows, as far as this controller knows. */
   readonly limits: StoreLimits;
@@ -163,7 +165,9 @@
   ): Promise<Reply> {
     try {
       const reply = await this.call('POST', wire.STORE_PATHS.txn, body, urgency, signal);
-      if (changes && reply.status === 200) this.rateRefusals = 0;
+      if (changes && reply.status === 200) {
+        this.rateRefusals = Math.max(0, this.rateRefusals - SUCCESS_OFFSETS);
+      }
       return reply;
     } catch (error) {
       if (changes && error instanceof Refused && error.status === 429) this.noteRateRefusal();
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -118,6 +118,8 @@
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
   readonly starts: string[] = [];
+  /** What runs on workers from the beginning, by machine. */
+  readonly onWorkers = new Map<string, Piece[]>();
   readonly broken: string[] = [];
   /** Whether commands reach the workers' own addresses. */
   directOpen = true;
@@ -373,6 +375,7 @@
           (node, report) => this.deliver(node, report),
           this.nodes.map((n) => n.name),
         );
+        worker.pieces.push(...(this.onWorkers.get(h.ref) ?? []));
         this.workers.set(h.ref, worker);
         void worker.run(this.end.signal);
       }
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Membership } from '../src/membership/membership.js';
+import { FRAME_VERSIONS } from '../src/peer/frames.js';
+import type { Runtime } from '../src/runtime/duty.js';
+import { Refused, Store } from '../src/state/store.js';
+import { FakeClock } from './fakes/clock.js';
+import { FakeStore, type Fate } from './fakes/store.js';
+import { fakeRandom, settings } from './fakes/world.js';
+
+const NAMES = ['berth-0', 'berth-1', 'berth-2'];
+const NEXT = { valueBytes: 2048, txnOps: 4, writeRps: 15 };
+
+/** Three controllers above one store, each to be started by the test. */
+function three() {
+  const clock = new FakeClock();
+  const fakeStore = new FakeStore(clock);
+  const end = new AbortController();
+  const log = { error() {}, warn() {}, info() {}, debug() {} };
+  const start = (self: string, fate: () => Fate = () => 'serve') => {
+    const runtime = { clock, random: fakeRandom(self), log, startedAt: clock.now() };
+    const base = settings();
+    const store = new Store(
+      fakeStore.link(fate),
+      runtime as unknown as Runtime,
+      { ...base, state: { ...base.state, next: NEXT } },
+      1000,
+    );
+    const peers = NAMES.filter((n) => n !== self);
+    const membership = new Membership(
+      store,
+      runtime as unknown as Runtime,
+      { self, peers, size: NAMES.length },
+      2000,
+    );
+    void membership.run(end.signal);
+    return { store, membership };
+  };
+  return { clock, fakeStore, end, start };
+}
+
+test('an upgrade is complete once every controller has a record, and stays so', async () => {
+  const { clock, fakeStore, end, start } = three();
+  const first = start('berth-0');
+  const second = start('berth-1');
+  await clock.advance(60_000);
+  assert.equal(first.membership.allCurrent, false, 'silence proves nothing');
+  assert.equal(first.membership.speaksCurrent('berth-1'), true);
+  assert.equal(first.membership.speaksCurrent('berth-2'), false);
+  assert.equal(first.store.limits.effective().txnOps, 20);
+  start('berth-2');
+  await clock.advance(3000);
+  for (const { membership, store } of [first, second]) {
+    assert.equal(membership.allCurrent, true);
+    assert.equal(membership.speaksCurrent('berth-2'), true);
+    assert.deepEqual(
+      [store.limits.effective().txnOps, store.limits.effective().valueBytes],
+      [4, 2048],
+    );
+  }
+  // The records outlive their processes; one that starts later reads them at once.
+  assert.deepEqual(fakeStore.get('members/berth-2'), {
+    name: 'berth-2',
+    version: '0.1.0',
+    startedAt: 1_800_000_060_000,
+    recordFormat: 2,
+    frameVersions: [...FRAME_VERSIONS],
+  });
+  const again = start('berth-1');
+  const looked = again.membership.look();
+  await clock.advance(100);
+  await looked;
+  assert.equal(again.membership.allCurrent, true);
+  end.abort();
+});
+
+test('a record of an older format, a stranger, or an unreadable one counts for nothing', async () => {
+  const { clock, fakeStore, end, start } = three();
+  const record = {
+    name: 'berth-2',
+    version: '0',
+    startedAt: 1,
+    recordFormat: 1,
+    frameVersions: [],
+  };
+  fakeStore.seed('members/berth-2', record);
+  fakeStore.seed('members/berth-9', { ...record, name: 'berth-9', recordFormat: 2 });
+  fakeStore.seed('members/berth-8', { what: 'ever' });
+  const first = start('berth-0');
+  start('berth-1');
+  await clock.advance(20_000);
+  assert.equal(first.membership.allCurrent, false);
+  fakeStore.seed('members/berth-2', { ...record, recordFormat: 3 });
+  await clock.advance(3000);
+  assert.equal(first.membership.allCurrent, true, 'a later format includes ours');
+  end.abort();
+});
+
+test('a record is written as soon as the store serves, also if answers are lost', async () => {
+  const { clock, fakeStore, end, start } = three();
+  fakeStore.down = true;
+  let lost = 0;
+  start('berth-0', () => (lost++ < 2 ? 'lose answer' : 'serve'));
+  await clock.advance(30_000);
+  assert.equal(fakeStore.get('members/berth-0'), undefined);
+  fakeStore.down = false;
+  await clock.advance(15_000);
+  assert.ok(fakeStore.get('members/berth-0'));
+  end.abort();
+});
+
+test('a lower rate is kept by everything on a controller once refusals go on', async () => {
+  const { clock, fakeStore, end, start } = three();
+  const { store } = start('berth-0');
+  fakeStore.limits = { writeRps: 15 };
+  let applied = 0;
+  for (let i = 0; i < 400; i++) {
+    void store
+      .commit([], [{ put: `k/${i}`, value: { i } }], 1, end.signal)
+      .then(() => applied++)
+      .catch((error: unknown) => assert.ok(end.signal.aborted, String(error)));
+  }
+  await clock.advance(10_000);
+  assert.equal(store.limits.effective().writeRps, 15);
+  const refused = fakeStore.rateRefused;
+  await clock.advance(10_000);
+  assert.ok(fakeStore.rateRefused - refused < 20, `${fakeStore.rateRefused - refused} refusals`);
+  assert.ok(applied > 200, `${applied} applied in 20 s`);
+  end.abort();
+});
+
+test('a refused size lowers the limits at once, and is told to the caller', async () => {
+  const { clock, fakeStore, end, start } = three();
+  const { store } = start('berth-0');
+  await clock.advance(1000);
+  fakeStore.limits = { txnOps: 4 };
+  const five = Array.from({ length: 5 }, (_, i) => ({ put: `k/${i}`, value: {} }));
+  const refused = assert.rejects(
+    store.txn([], five, 1),
+    (e) => e instanceof Refused && e.status === 400,
+  );
+  await clock.advance(1000);
+  await refused;
+  assert.equal(store.limits.effective().txnOps, 4);
+  assert.equal(store.limits.effective().valueBytes, 2048);
+  end.abort();
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -61,6 +61,28 @@
   assert.equal(parseDeploy(large, 'file.toml').size, 90);
 });
 
+test('limits announced for the store are read, and told apart where they cannot work', () => {
+  const withNext = (next: string): string =>
+    SETTINGS.replace('[facts.cloud]', `[facts.state.next]\n${next}\n[facts.cloud]`);
+  assert.equal(parseDeploy(SETTINGS, 'file.toml').state.next, null);
+  const some = parseDeploy(withNext('value_kb = 2.0\nwrite_rps = 15.0'), 'file.toml');
+  assert.deepEqual(some.state.next, { valueBytes: 2048, writeRps: 15 });
+  const all = parseDeploy(withNext('value_kb = 4\nrps = 50\nwrite_rps = 9\ntxn_ops = 4'), 'f');
+  assert.deepEqual(all.state.next, { rps: 50, writeRps: 9, valueBytes: 4096, txnOps: 4 });
+  for (const [wrong, what] of [
+    ['value_kb = 0', /^file\.toml: facts\.state\.next\.value_kb: /],
+    ['txn_ops = 1', /^file\.toml: facts\.state\.next\.txn_ops: /],
+    ['txn_ops = 4.5', /^file\.toml: facts\.state\.next\.txn_ops: /],
+    ['write_rps = "few"', /^file\.toml: facts\.state\.next\.write_rps: /],
+    ['rps = -1', /^file\.toml: facts\.state\.next\.rps: /],
+  ] as const) {
+    assert.match(
+      complaint(() => parseDeploy(withNext(wrong), 'file.toml')),
+      what,
+    );
+  }
+});
+
 test("the operators' file changes what it names and refuses what it does not know", () => {
   const parse = (inside: string) => parseOperator(`<leverhatch>${inside}</leverhatch>`, 'op.xml');
   assert.deepEqual(parse(''), OPERATOR_DEFAULTS);
