--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -12,6 +12,7 @@
 import { Ledger } from '../jobs/ledger.js';
 import { Job, type Placement, type StoredRuns } from '../jobs/live.js';
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { readRuns } from '../jobs/run-reader.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import type { Membership } from '../membership/membership.js';
@@ -106,9 +107,11 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    const mayUseRanges = (): boolean =>
-      parts.membership.allCurrent && store.limits.recordsMustShrink;
-    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
+    const layouts: LayoutPolicy = {
+      rangesReadable: () => parts.membership.allCurrent,
+      rangesWanted: () => store.limits.recordsMustShrink,
+    };
+    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -123,7 +126,7 @@
       },
       settled: (job) => this.jobs.delete(job.id),
     });
-    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -11,7 +11,7 @@
   type RangedRunRecord,
   type RunRecord,
 } from './records.js';
-import type { Section, StoredSection } from './run-layout.js';
+import type { LayoutPolicy, Section, StoredSection } from './run-layout.js';
 
 /**
  * A refused write of a job is tried again after this share of the time for which ends wait, doubled
@@ -89,8 +89,7 @@
     private readonly runtime: Runtime,
     private readonly term: Term,
     private readonly limits: StoreLimits,
-    /** True once every controller reads ranged run records, and they are wanted. */
-    private readonly mayUseRanges: () => boolean,
+    private readonly layouts: LayoutPolicy,
     private readonly endsWaitMs: number,
     private readonly events: LedgerEvents,
   ) {}
@@ -206,10 +205,11 @@
     if (job.closed) this.events.settled(job);
   }
 
-  /** Ranged records where all controllers can read them, or where the others are refused. */
+  /** Ranged records where all controllers read them and records must shrink, or one was refused. */
   private chooseLayout(job: Job): void {
     if (job.layout.kind === 'ranged' || job.phase !== 'open') return;
-    if (!this.mayUseRanges() && !this.refusals.has(job)) return;
+    if (!this.layouts.rangesReadable()) return;
+    if (!this.layouts.rangesWanted() && !this.refusals.has(job)) return;
     const perRange = tasksPerRange(this.limitsFor(job).valueBytes);
     job.useRangedRecords(perRange);
     this.runtime.log.debug({ job: job.id, perRange }, 'run records are ranged from now on');
--- a/src/jobs/run-layout.ts
+++ b/src/jobs/run-layout.ts
@@ -7,11 +7,20 @@
  * and its key ends in its number. All versions read and write it.
  *
  * `ranged`: a record says itself which tasks it holds, its key ends in `p` and the first of them, and
- * it can be split. A version that knows only indexed records cannot read these keys, and leaves the
- * job alone as one that may run.
+ * it can be split. A version that knows only indexed records cannot read these keys: it leaves the
+ * job alone as one that may run, but believes what a superseded record says of placements and may
+ * launch them again. So nothing is written this way before all controllers can read it.
  */
 export type LayoutKind = 'indexed' | 'ranged';
 
+/** Which layout run records may have now. */
+export interface LayoutPolicy {
+  /** True once every controller reads ranged records. */
+  rangesReadable(): boolean;
+  /** True if records have to become smaller. */
+  rangesWanted(): boolean;
+}
+
 /** The tasks from `from` up to but without `to`, which share one run record. */
 export interface Section {
   key: string;
--- a/src/jobs/run-rewriter.ts
+++ b/src/jobs/run-rewriter.ts
@@ -2,6 +2,7 @@
 import type { Store } from '../state/store.js';
 import type { Ledger } from './ledger.js';
 import type { Job } from './live.js';
+import type { LayoutPolicy } from './run-layout.js';
 
 /**
  * Rewrites indexed run records as ranged ones in the background, one job at a time and only while
@@ -14,12 +15,13 @@
     private readonly runtime: Runtime,
     private readonly ledger: Ledger,
     private readonly jobs: ReadonlyMap<string, Job>,
-    private readonly mayUseRanges: () => boolean,
+    private readonly policy: LayoutPolicy,
   ) {}
 
   async run(everyMs: number, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.mayUseRanges()) await this.pass(everyMs, signal);
+      if (this.policy.rangesReadable() && this.policy.rangesWanted())
+        await this.pass(everyMs, signal);
       await this.runtime.clock.sleep(everyMs, signal);
     }
   }
