--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -2,7 +2,7 @@
 import type { Term } from '../election/term.js';
 import { KEYS } from '../state/keys.js';
 import { jsonBytes, type StoreLimits } from '../state/limits.js';
-import { Refused, type Change, type Condition, type Store } from '../state/store.js';
+import { Refused, type Change, type Condition, type Store, type Urgency } from '../state/store.js';
 import type { Job, Placement } from './live.js';
 import {
   parseJob,
@@ -326,9 +326,7 @@
 
   /** The revision at which it was applied; null if it was not, and the job has to try again. */
   private async commit(job: Job, w: string, draft: Draft): Promise<number | null> {
-    // Tasks of an array are of use one by one; services and gangs wait for each of theirs.
-    const urgent = job.phase !== 'open' || job.spec.kind !== 'array';
-    const urgency = urgent && !draft.background ? 1 : 2;
+    const urgency = this.urgencyOf(job, draft);
     try {
       const { when, then } = draft;
       const outcome = await this.store.commit(when, then, urgency, this.term.signal);
@@ -345,6 +343,16 @@
     }
   }
 
+  /**
+   * Tasks of an array are of use one by one; services and gangs wait for each of theirs. Once it is
+   * stored that a job is over, nobody waits for the rest.
+   */
+  private urgencyOf(job: Job, draft: Draft): Urgency {
+    if (draft.background) return 2;
+    if (job.phase !== 'open') return job.phaseStored ? 2 : 1;
+    return job.spec.kind === 'array' ? 2 : 1;
+  }
+
   /** The store refuses this write for good, which stops the progress of this job alone. */
   private refuse(job: Job, then: Change[], error: Refused): void {
     const { clock, log } = this.runtime;
