A refused job makes its records no smaller than they have to be

Cause: every refusal halved the size to come, also of records that keep the old layout and cannot shrink, so that after a long wait for the end of an upgrade a job of 100 tasks was written in records of two tasks each.

--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -52,9 +52,12 @@
 
 /** A write of one job that the store refused for good: too large, say. */
 interface Refusal {
-  waitMs: number;
-  /** How many times its transactions have been made half as large. */
-  halvings: number;
+  /** How long the job waits after the next one. */
+  nextWaitMs: number;
+  /** How many times its transactions have been given half as many changes. */
+  halvedOps: number;
+  /** How many times its values have been made half as large; only ranged records can be. */
+  halvedBytes: number;
   /** No write of the job is tried before this time. */
   until: number;
 }
@@ -212,16 +215,23 @@
     if (!this.layouts.rangesWanted() && !this.refusals.has(job)) return;
     const perRange = tasksPerRange(this.limitsFor(job).valueBytes);
     job.useRangedRecords(perRange);
+    // What was refused has another form now, and may be tried again soon.
+    const refusal = this.refusals.get(job);
+    if (refusal) refusal.nextWaitMs = this.firstRetryMs;
     this.runtime.log.debug({ job: job.id, perRange }, 'run records are ranged from now on');
   }
 
+  private get firstRetryMs(): number {
+    return this.endsWaitMs * FIRST_RETRY_SHARE;
+  }
+
   /** Limits for one job's transaction: smaller ones after the store has refused it. */
   private limitsFor(job: Job): { valueBytes: number; txnOps: number } {
     const { valueBytes, txnOps } = this.limits.effective();
-    const halvings = this.refusals.get(job)?.halvings ?? 0;
+    const refusal = this.refusals.get(job);
     return {
-      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** halvings),
-      txnOps: Math.max(2, Math.floor(txnOps / 2 ** halvings)),
+      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** (refusal?.halvedBytes ?? 0)),
+      txnOps: Math.max(2, Math.floor(txnOps / 2 ** (refusal?.halvedOps ?? 0))),
     };
   }
 
@@ -357,12 +367,16 @@
   private refuse(job: Job, then: Change[], error: Refused): void {
     const { clock, log } = this.runtime;
     const before = this.refusals.get(job);
-    const waitMs = before
-      ? Math.min(before.waitMs * 2, this.endsWaitMs)
-      : this.endsWaitMs * FIRST_RETRY_SHARE;
-    const halvings = Math.min(before ? before.halvings + 1 : 0, MOST_HALVINGS);
+    const waitMs = before?.nextWaitMs ?? this.firstRetryMs;
+    const half = (times: number): number => Math.min(times + 1, MOST_HALVINGS);
     job.rewriting = false;
-    this.refusals.set(job, { waitMs, halvings, until: clock.now() + waitMs });
+    this.refusals.set(job, {
+      nextWaitMs: Math.min(waitMs * 2, this.endsWaitMs),
+      // The first refusal may mean no more than that the announced limits hold by now.
+      halvedOps: before ? half(before.halvedOps) : 0,
+      halvedBytes: before && job.layout.kind === 'ranged' ? half(before.halvedBytes) : 0,
+      until: clock.now() + waitMs,
+    });
     if (!before) {
       const changes = then.map((c) =>
         'put' in c ? { key: c.put, bytes: jsonBytes(c.value) } : { key: c.delete },
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -151,6 +151,9 @@
   assert.equal(w.starts.length, starts + 10);
   w.nodes[2]!.fate = () => 'serve';
   finish(w, work.array);
+  await w.until(() => w.running(large) === 100, 30, 'the large job runs');
+  const records = runKeys(w).filter((key) => key.includes(large));
+  assert.ok(records.length <= 2, `${records.length} records: no smaller than they have to be`);
   await w.pass(80);
   assert.equal(await w.phase(large), 'done');
   assert.equal(await w.phase(work.array), 'done');
