--- a/src/main.ts
+++ b/src/main.ts
@@ -33,7 +33,7 @@
   const toStore = Math.max(4, Math.floor(sockets / 20));
   const toWorkers = Math.max(4, Math.floor(sockets / 20));
   const toCloud = Math.max(2, Math.ceil(settings.cloud.rps / 2));
-  const peerTransport = new TcpPeerTransport(
+  const peerTransport: TcpPeerTransport = new TcpPeerTransport(
     settings,
     runtime,
     settings.workers.reportMs / 4,
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -151,6 +151,8 @@
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts>();
   readonly starts: string[] = [];
+  /** What runs on workers from the beginning, by machine. */
+  readonly onWorkers = new Map<string, Piece[]>();
   /** The submissions that users were told are accepted. */
   readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
@@ -523,6 +525,7 @@
       for (const h of this.cloud.hosts.values()) {
         if (this.workers.has(h.ref) || this.clock.now() < h.upAt) continue;
         const worker = this.worker(h);
+        worker.pieces.push(...(this.onWorkers.get(h.ref) ?? []));
         this.workers.set(h.ref, worker);
         void worker.run(this.end.signal);
       }
