No live-lock of leaders where all machines are gone; a watch asks for whole milliseconds

Cause: any recorded start counted as a worker that reports elsewhere, so with all machines gone each leader resigned after half a worker lease, before a lease of silence could prove the starts gone and before it could rent. A machine listed as running just before its first report made a leader resign too.

Change: control/worker-silence.ts. Once the cloud has listed its machines only listed ones count, and only after they have been up for as long as the silence; a controller that resigned once waits for two leases and a boot the next time, then twice as long, until workers are heard here or by another leader.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -20,6 +20,7 @@
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
 import { StrayWorkers } from './stray-workers.js';
+import { SilentTerms } from './worker-silence.js';
 
 export interface Links {
   peerTransport: PeerTransport;
@@ -44,6 +45,7 @@
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
+  private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
   private readonly vouches: CancellationVouch;
@@ -124,6 +126,7 @@
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
       this.strays.clear();
+      if (message.counts.some((c) => c.running > 0)) this.silentTerms.workersHeard();
       if (message.first) this.counts.clear();
       for (const c of message.counts) this.counts.set(c.id, c);
     }
@@ -172,6 +175,7 @@
           runtime: this.runtime,
           cloudTimeoutMs: this.cloudTimeoutMs,
           vouches: this.vouches,
+          silentTerms: this.silentTerms,
         },
         role.term,
         () => this.election.resign(role.term),
@@ -231,13 +235,10 @@
   }
 
   /** The right to answer is looked at again when the answer is given. */
-  private async whenHeld(
-    { term, reports }: Leader,
-    later: Promise<Order[] | null>,
-  ): Promise<ReportOutcome> {
+  private async whenHeld(leader: Leader, later: Promise<Order[] | null>): Promise<ReportOutcome> {
     const orders = await later;
-    const entitled = term.active(this.runtime.clock.now()) && reports.mayRenew();
-    return orders && entitled ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
+    const entitled = leader.mayAnswer(this.runtime.clock.now());
+    return orders && entitled ? { kind: 'orders', token: leader.term.token, orders } : NOT_ENTITLED;
   }
 
   /**
--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -5,18 +5,6 @@
 import type { Leader } from './leader.js';
 import { takeSnapshot } from './snapshot.js';
 
-/**
- * How long a new leader waits for its first report, as a share of the workers' lease: workers give a
- * controller that does not answer 0.4 of it before they try the next.
- */
-const NEVER_HEARD_SHARE = 0.5;
-
-/**
- * For how many report intervals all of many workers are silent by no chance; with few it takes more.
- * Their leases run meanwhile, and have to last until they have found the next leader.
- */
-const SILENT_REPORTS = 1.5;
-
 /** Rounds of decisions: what starts, what makes way, what is rented and given back. */
 export class DecisionRounds {
   private dirty = true;
@@ -37,9 +25,10 @@
     let dueAt = clock.now();
     while (!signal.aborted) {
       const startedAt = clock.now();
-      // Who stood still has heard nobody, and has not read yet what came meanwhile.
-      if (startedAt - dueAt > settings.workers.reportMs / 2)
-        this.leader.reports.heardAt &&= startedAt;
+      // Who stood still has heard nobody, and has not read yet what came meanwhile; and who turns
+      // workers away hears less of them.
+      const stoodStill = startedAt - dueAt > settings.workers.reportMs / 2;
+      if (stoodStill || !this.leader.mayAnswer(startedAt)) this.leader.silence.excuse(startedAt);
       if (this.leader.term.active(startedAt)) this.round();
       // The longer a round takes, or the more writes of earlier ones still wait for their share of
       // the store's rate, the longer the next one gathers work: each write then carries more.
@@ -69,6 +58,7 @@
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
+      this.leader.parts.silentTerms.resigned();
       this.leader.resign();
       return;
     }
@@ -123,26 +113,12 @@
     }
   }
 
-  /**
-   * No worker reaches us though there are some: they may reach another controller instead. Also
-   * where none ever has: who is cut from the workers before its term hears nobody stop. Then it
-   * takes longer, since they first have to find the new leader.
-   */
+  /** No worker reaches us though there are some: they may reach another controller instead. */
   private deserted(now: number): boolean {
-    const { workers, size } = this.leader.parts.settings;
-    if (size === 1) return false;
-    const never = this.leader.reports.heardAt === null;
-    const patienceMs = never
-      ? workers.leaseMs * NEVER_HEARD_SHARE
-      : workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, this.leader.fleet.heard));
-    if (now - (this.leader.reports.heardAt ?? this.leader.term.startedAt) < patienceMs)
-      return false;
-    for (const m of this.leader.fleet.machines.values()) {
-      if (m.returning || m.listedState === 'failed') continue;
-      if (never && m.placements.size > 0) return true;
-      if ((never || m.heardAt !== null) && m.listedState === 'running') return true;
-    }
-    return false;
+    const { silence, fleet, types, listedOnce: listed, parts } = this.leader;
+    if (parts.settings.size === 1) return false;
+    const bootMs = Math.max(0, ...[...types.values()].map((t) => t.bootMs));
+    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed });
   }
 
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -24,6 +24,7 @@
 import { longestHoldMs, ReportHandler } from './report-handler.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
   store: Store;
@@ -35,6 +36,7 @@
   runtime: Runtime;
   cloudTimeoutMs: number;
   vouches: CancellationVouch;
+  silentTerms: SilentTerms;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
@@ -56,6 +58,7 @@
   /** How long the leader lease lasts. */
   readonly lifetimeMs: number;
   readonly view: CancellationView;
+  readonly silence: WorkerSilence;
   readonly ledger: Ledger;
   readonly zoneDelegates: ZoneDelegateWatch;
   readonly longPoll: LongPoll;
@@ -76,6 +79,7 @@
     const { settings, runtime, store, cloud } = parts;
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
     this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
+    this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
@@ -153,6 +157,11 @@
     return this.parts.runtime.clock.now();
   }
 
+  /** Whether a worker's lease may be renewed now. */
+  mayAnswer(now: number): boolean {
+    return this.term.active(now) && this.view.mayRenew(now);
+  }
+
   /** How soon a request that failed is made again. */
   get retryMs(): number {
     return this.parts.settings.workers.leaseMs / 50;
--- a/src/control/report-handler.ts
+++ b/src/control/report-handler.ts
@@ -15,21 +15,13 @@
 
 /** Takes workers' reports, and says what to answer and when. */
 export class ReportHandler {
-  /** When a worker was last heard in this term. */
-  heardAt: number | null = null;
-
   constructor(private readonly leader: Leader) {}
 
   /** What to answer; null if the worker's lease must not be renewed now. */
   report(r: Report): Order[] | null | Promise<Order[] | null> {
-    this.heardAt = this.leader.now;
+    this.leader.silence.heard(this.leader.now);
     if (!this.leader.records.ready) return this.afterRecovery(r);
-    return this.mayRenew() ? this.take(r, true) : null;
-  }
-
-  /** Whether a lease may be renewed now as far as knowledge of cancelled jobs goes. */
-  mayRenew(): boolean {
-    return this.leader.view.mayRenew(this.leader.now);
+    return this.leader.mayAnswer(this.leader.now) ? this.take(r, true) : null;
   }
 
   /**
@@ -37,10 +29,9 @@
    * within the time that a worker waits for its answer.
    */
   private async afterRecovery(r: Report): Promise<Order[] | null> {
-    const { records, parts, term } = this.leader;
+    const { records, parts } = this.leader;
     await parts.runtime.clock.sleep(MOST_HOLD_MS, records.readSignal);
-    const entitled = records.ready && term.active(this.leader.now) && this.mayRenew();
-    return entitled ? this.take(r, false) : null;
+    return records.ready && this.leader.mayAnswer(this.leader.now) ? this.take(r, false) : null;
   }
 
   /** `mayHold`: the worker still has time to wait for orders that come up. */
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -87,8 +87,9 @@
   leases: '/grants',
   renew: (lease: number): string => `/grants/${lease}/extend`,
   lease: (lease: number): string => `/grants/${lease}`,
+  /** A wait that is no integer would count as none, and the answer would come at once. */
   watch: (prefix: string, after: number, waitMs: number): string =>
-    `/follow?starts=${encodeURIComponent(prefix)}&since=${after}&holdMs=${waitMs}`,
+    `/follow?starts=${encodeURIComponent(prefix)}&since=${after}&holdMs=${Math.round(waitMs)}`,
 };
 export const RANGE_PAGE = 1000;
 export const grantBody = (ttlMs: number): object => ({ lifeMs: ttlMs });
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -154,7 +154,8 @@
     const url = new URL(path, 'http://store');
     const prefix = url.searchParams.get('starts') ?? '';
     const since = Number(url.searchParams.get('since'));
-    const until = this.clock.now() + Number(url.searchParams.get('holdMs'));
+    const holdMs = url.searchParams.get('holdMs') ?? '0';
+    const until = this.clock.now() + (/^\d+$/.test(holdMs) ? Number(holdMs) : 0);
     const deadline = this.clock.now() + timeoutMs;
     for (;;) {
       signal?.throwIfAborted();
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { CancellationLog } from '../src/jobs/cancellation-log.js';
 import { Decoder, encode, type Message } from '../src/peer/frames.js';
+import { STORE_PATHS } from '../src/wire/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { World } from './fakes/world.js';
 
@@ -226,6 +227,10 @@
   await w.close();
 });
 
+test('a watch asks for whole milliseconds, since others would count as none', () => {
+  assert.match(STORE_PATHS.watch('jobs/', 7, 1143.75), /&holdMs=1144$/);
+});
+
 test('a log of cancellations answers only for times of which nothing is missing', async () => {
   const clock = new FakeClock();
   await clock.advance(1000);
