--- a/test/silent-workers.test.ts
+++ b/test/silent-workers.test.ts
@@ -98,7 +98,7 @@
   await w.until(() => w.running(job) === 4, 10, 'all run');
   const terms = countTerms(w);
   // Promises not to contest come, vouches do not: past the bound workers are turned away.
-  w.wire.lost = (_from, _to, m) => m.kind === 'vouch';
+  w.wire.loses = (_from, _to, m) => m.kind === 'vouch';
   w.store.down = true;
   await w.pass(60);
   assert.equal(w.running(job), 0);
