--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -9,6 +9,7 @@
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
 import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
@@ -37,6 +38,9 @@
 
 const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
 
+/** How many report intervals pass between two looks at who has been upgraded. */
+const REPORTS_PER_LOOK = 2;
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly jobApi: JobApi;
@@ -44,6 +48,7 @@
   private readonly election: Election;
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
+  readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
@@ -70,6 +75,16 @@
       settings.member,
       lifetimeMs,
     );
+    this.membership = new Membership(
+      this.store,
+      runtime,
+      {
+        self: settings.member,
+        peers: settings.peers.map((p) => p.member),
+        size: settings.size,
+      },
+      workers.reportMs * REPORTS_PER_LOOK,
+    );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
     this.cancellationLog = new CancellationLog(
       runtime.clock,
@@ -77,7 +92,12 @@
       workers.cancelMs * LOGGED_CANCELS,
       MOST_VOUCHED,
     );
-    this.vouches = new CancellationVouch(links.peerTransport, runtime, this.cancellationLog);
+    this.vouches = new CancellationVouch(
+      links.peerTransport,
+      runtime,
+      this.cancellationLog,
+      (peer) => this.membership.speaksCurrent(peer),
+    );
     this.jobApi = new JobApi(
       this.store,
       this.catalogue,
@@ -170,6 +190,7 @@
           cloud: this.links.cloud,
           workers: this.links.workers,
           catalogue: this.catalogue,
+          membership: this.membership,
           settings: this.settings,
           operator: this.operator,
           runtime: this.runtime,
@@ -205,6 +226,10 @@
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
         }),
+        duty(this.runtime, 'membership', signal, restartMs, async (s) => {
+          await this.membership.run(s);
+          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+        }),
         duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
       ]);
     } finally {
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -9,6 +9,9 @@
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import type { Job } from '../jobs/live.js';
+import type { LayoutPolicy } from '../jobs/run-layout.js';
+import { RunRewriter } from '../jobs/run-rewriter.js';
+import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -31,6 +34,7 @@
   cloud: Transport;
   workers: Callers;
   catalogue: Catalogue;
+  membership: Membership;
   settings: Settings;
   operator: Operator;
   runtime: Runtime;
@@ -60,6 +64,7 @@
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
   readonly ledger: Ledger;
+  private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
   readonly longPoll: LongPoll;
   readonly stopCommands: StopCommands;
@@ -97,7 +102,11 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
+    const layouts: LayoutPolicy = {
+      rangesReadable: () => parts.membership.allCurrent,
+      rangesWanted: () => store.limits.recordsMustShrink,
+    };
+    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
       jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -112,6 +121,7 @@
       },
       settled: (job) => this.jobs.delete(job.id),
     });
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
@@ -187,6 +197,7 @@
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
       duty(runtime, 'vouches', signal, restartMs, (s) => this.askForVouches(s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
+      duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
     ]);
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -51,6 +51,8 @@
 /** The version of the kinds that came later, which go only to controllers known to read them. */
 const CURRENT_VERSION = 4;
 const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
+/** The versions of frames that this program understands. */
+export const FRAME_VERSIONS: readonly number[] = [VERSION, CURRENT_VERSION];
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
@@ -60,9 +62,6 @@
 
 const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
 
-/** Whether only controllers that read the current version of frames may be sent this. */
-export const needsCurrent = (m: Message): boolean => KINDS.indexOf(m.kind) >= FIRST_CURRENT_KIND;
-
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
   const messages: Message[] = [];
@@ -239,9 +238,7 @@
       const kind = KINDS[this.rest.readUInt8(3)];
       const length = this.rest.readUInt32BE(4);
       if (this.rest.readUInt16BE(0) !== MAGIC) throw new FrameError('bad magic');
-      if (version !== VERSION && version !== CURRENT_VERSION) {
-        throw new FrameError('unknown version');
-      }
+      if (!FRAME_VERSIONS.includes(version)) throw new FrameError('unknown version');
       if (!kind) throw new FrameError('unknown kind');
       if (length > MAX_PAYLOAD) throw new FrameError('frame too large');
       if (this.rest.length < HEADER + length) break;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -77,6 +77,15 @@
   );
 }
 
+/** The settings of one of several controllers that know each other. */
+function settingsAmong(member: string, all: string[], state: Partial<Settings['state']>): Settings {
+  const own = settings(member);
+  const peers = all
+    .filter((name) => name !== member)
+    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
+  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+}
+
 export function fakeRandom(name: string, seed = 0): Random {
   let n = seed;
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
@@ -142,6 +151,8 @@
   readonly nodes: Node[] = [];
   readonly facts = new Map<string, JobFacts>();
   readonly starts: string[] = [];
+  /** What runs on workers from the beginning, by machine. */
+  readonly onWorkers = new Map<string, Piece[]>();
   /** The submissions that users were told are accepted. */
   readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
@@ -160,6 +171,8 @@
     machines: MachineWish[],
     controllers: 2 | 3 = 2,
     readonly seed = 0,
+    /** What the settings say of the store, where it differs from the sample. */
+    private readonly state: Partial<Settings['state']> = {},
   ) {
     this.random = new SeededRandom(seed);
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
@@ -230,7 +243,11 @@
     const stop = new AbortController();
     node.stop = stop;
     const controller = new Controller(
-      settings(node.name),
+      settingsAmong(
+        node.name,
+        this.nodes.map((n) => n.name),
+        this.state,
+      ),
       OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
@@ -508,6 +525,7 @@
       for (const h of this.cloud.hosts.values()) {
         if (this.workers.has(h.ref) || this.clock.now() < h.upAt) continue;
         const worker = this.worker(h);
+        worker.pieces.push(...(this.onWorkers.get(h.ref) ?? []));
         this.workers.set(h.ref, worker);
         void worker.run(this.end.signal);
       }
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -4,6 +4,7 @@
 import { Decoder, encode, type Message } from '../src/peer/frames.js';
 import { STORE_PATHS } from '../src/wire/store.js';
 import { FakeClock } from './fakes/clock.js';
+import type { Fate } from './fakes/store.js';
 import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
@@ -21,9 +22,14 @@
   kept: string;
 }
 
+/** A controller of the version before writes no record of itself. */
+const announcesNothing = (_method: string, path: string, body: unknown): Fate =>
+  path === '/txn' && JSON.stringify(body).includes('"write":"members/') ? 'refuse' : 'serve';
+
 /** Three controllers, two services that run, and a leader that the store refuses alone. */
-async function refusedLeader(): Promise<Gap> {
+async function refusedLeader(announced = true): Promise<Gap> {
   const w = new World(FOUR, 3);
+  if (!announced) for (const node of w.nodes) node.fate = announcesNothing;
   await w.start();
   const cancelled = await w.submit(service);
   const kept = await w.submit(service);
@@ -75,6 +81,8 @@
   name: string;
   confirm?(gap: Gap): Promise<void>;
   trouble?(gap: Gap): Promise<void>;
+  /** False: nobody is known to read the current frames. */
+  announced?: false;
   /** Everyone can vouch all the same, so that other work goes on. */
   covered?: true;
 }[] = [
@@ -102,9 +110,10 @@
     trouble: ({ w, confirming }) => Promise.resolve(w.freeze(confirming, 45_000)),
   },
   {
-    name: 'the confirming controller runs the version before',
-    trouble: ({ w, confirming }) => {
-      w.wire.previousVersion.add(w.nodes[confirming]!.name);
+    name: 'the others run the version before',
+    announced: false,
+    trouble: ({ w, confirming, other }) => {
+      for (const i of [confirming, other]) w.wire.previousVersion.add(w.nodes[i]!.name);
       return Promise.resolve();
     },
   },
@@ -159,13 +168,14 @@
   },
 ];
 
-for (const { name, confirm, trouble, covered } of links) {
+for (const { name, announced, confirm, trouble, covered } of links) {
   test(`cancelled tasks are gone in time in an outage when ${name}`, async () => {
-    const gap = await refusedLeader();
+    const gap = await refusedLeader(announced);
     await (confirm ?? abort)(gap);
     await trouble?.(gap);
     await outage(gap, 50);
     assert.equal(gap.w.running(gap.kept), covered ? 2 : 0);
+    assert.deepEqual(gap.w.wire.unreadable, []);
     gap.w.nodes[gap.confirming]!.fate = () => 'serve';
     for (const { name: node } of gap.w.nodes) gap.w.wire.cut.delete(node);
     if (!gap.w.nodes[gap.confirming]!.controller) gap.w.restart(gap.confirming);
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -5,9 +5,12 @@
 import { Ledger } from '../src/jobs/ledger.js';
 import { Job } from '../src/jobs/live.js';
 import type { Runtime } from '../src/runtime/duty.js';
-import type { Store } from '../src/state/store.js';
+import { StoreLimits } from '../src/state/limits.js';
+import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { SPEC } from './fakes/samples.js';
+import { FakeStore } from './fakes/store.js';
+import { fakeRandom, settings } from './fakes/world.js';
 
 /** A ledger above a store whose queue of writes never empties. */
 function busyLedger(): { clock: FakeClock; ledger: Ledger; urgencies: number[] } {
@@ -25,7 +28,8 @@
     store,
     { clock } as unknown as Runtime,
     new Term('t', 1, 0, Infinity),
-    12,
+    new StoreLimits(settings().state),
+    { rangesReadable: () => false, rangesWanted: () => false },
     2500,
     {
       jobChanged: nothing,
@@ -38,6 +42,102 @@
   return { clock, ledger, urgencies };
 }
 
+/** Above a store of its own whose limits a test can change. */
+function realLedger(jobs: Job[]) {
+  const clock = new FakeClock();
+  const fakeStore = new FakeStore(clock);
+  fakeStore.keys.set('leader', { value: {}, stamp: 1, hold: null });
+  for (const one of jobs) {
+    fakeStore.keys.set(`jobs/${one.id}`, { value: {}, stamp: 1, hold: null });
+  }
+  const readable = { on: true };
+  const layouts = { rangesReadable: () => readable.on, rangesWanted: () => false };
+  const errors: object[] = [];
+  const log = { error: (e: object) => errors.push(e), warn() {}, info() {}, debug() {} };
+  const runtime = { clock, random: fakeRandom('r'), log, startedAt: 0 } as unknown as Runtime;
+  const store = new Store(
+    fakeStore.link(() => 'serve'),
+    runtime,
+    settings(),
+    1000,
+  );
+  const term = new Term('t', 1, 0, Infinity);
+  const started: string[] = [];
+  const ledger = new Ledger(store, runtime, term, store.limits, layouts, 10_000, {
+    jobChanged: () => undefined,
+    recorded: (placements) => started.push(...placements.map((p) => `${p.job.id}/${p.task}`)),
+    forgotten: () => undefined,
+    contradiction: (what) => assert.fail(what),
+    settled: () => undefined,
+  });
+  return { clock, fakeStore, ledger, term, errors, started, readable };
+}
+
+function place(one: Job, task: number, machine = 'host-000001'): void {
+  one.live.set(task, {
+    job: one,
+    task,
+    attempt: ++one.attempt,
+    machine,
+    session: 1,
+    zone: 'a',
+    stage: 'recording',
+    state: null,
+    placedAt: 0,
+    runningSince: null,
+    stop: null,
+  });
+  one.touch(task);
+}
+
+test('a value that the store calls too large stops its own job, and not the term', async () => {
+  // With such a name not even one start fits.
+  const large = new Job('req-1', { ...SPEC, tasks: 100 }, 0, 1, 100);
+  const small = new Job('req-2', SPEC, 0, 1, 100);
+  const { clock, fakeStore, ledger, term, errors, started } = realLedger([large, small]);
+  fakeStore.limits = { valueBytes: 2048, txnOps: 4 };
+  place(large, 0, 'host'.padEnd(3000, 'x'));
+  place(small, 0);
+  ledger.flush(large);
+  ledger.flush(small);
+  await clock.advance(60_000);
+  assert.equal(term.signal.aborted, false);
+  assert.deepEqual(started, ['req-2/0']);
+  assert.equal(errors.length, 1, 'told once, not with every try');
+  assert.match(JSON.stringify(errors[0]), /"key":"runs\/req-1\/0","bytes":3\d{3}/);
+  assert.ok(fakeStore.rejected <= 20, `${fakeStore.rejected} tries in a minute`);
+  // Once it fits it goes on by itself.
+  fakeStore.limits = { valueBytes: 16_384, txnOps: 4 };
+  await clock.advance(20_000);
+  assert.deepEqual(started, ['req-2/0', 'req-1/0']);
+});
+
+test('a job whose record became too large for the store goes on in smaller records', async () => {
+  const large = new Job('req-1', { ...SPEC, tasks: 100 }, 0, 1, 100);
+  const { clock, fakeStore, ledger, started } = realLedger([large]);
+  fakeStore.limits = { valueBytes: 2048, txnOps: 4 };
+  for (let t = 0; t < 100; t++) place(large, t, `host-${t}`.padEnd(60, 'x'));
+  ledger.flush(large);
+  await clock.advance(60_000);
+  assert.equal(new Set(started).size, 100);
+  assert.equal(started.length, 100);
+});
+
+test('while some controller reads only the old layout, a record that is too large waits', async () => {
+  const large = new Job('req-1', { ...SPEC, tasks: 100 }, 0, 1, 100);
+  const { clock, fakeStore, ledger, started, readable } = realLedger([large]);
+  readable.on = false;
+  fakeStore.limits = { valueBytes: 2048, txnOps: 4 };
+  for (let t = 0; t < 100; t++) place(large, t);
+  ledger.flush(large);
+  await clock.advance(60_000);
+  assert.deepEqual(started, []);
+  assert.equal(fakeStore.keys.has('runs/req-1/p0'), false);
+  readable.on = true;
+  await clock.advance(20_000);
+  assert.equal(started.length, 100);
+});
+
 const job = (spec: Partial<JobSpec> = {}): Job => new Job('req-1', { ...SPEC, ...spec }, 0, 1, 100);
 
 test('ends wait while writes queue, but not for ever', async () => {
