--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -50,9 +50,9 @@
 const VERSION = 3;
 /** The version of the kinds that came later, which go only to controllers known to read them. */
 const CURRENT_VERSION = 4;
-const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
 /** The versions of frames that this program understands. */
 export const FRAME_VERSIONS: readonly number[] = [VERSION, CURRENT_VERSION];
+const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -12,6 +12,7 @@
   readonly cut = new Set<string>();
   /** Whether a message gets lost between two that are not cut off; none does unless a story says so. */
   loses: (from: string, to: string, message: Message) => boolean = () => false;
+  /** How long a message takes, in milliseconds. */
   delayMs: (from: string, to: string) => number = () => 2;
   private readonly starts = new Map<string, number>();
   /** Controllers of the version before, which close a connection that brings a later frame. */
--- a/test/silent-workers.test.ts
+++ b/test/silent-workers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { parseReport } from '../src/wire/report.js';
 import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
@@ -91,6 +92,26 @@
   await w.close();
 });
 
+test('late copies of reports do not keep a leader in office that no worker reaches', async () => {
+  const w = new World(FOUR, 3);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  const cut = w.leader;
+  const copies = [...w.workers.values()].map((worker) => worker.sent.at(-1)!);
+  const { controller } = w.nodes[cut]!;
+  w.nodes[cut]!.open = false;
+  const handedOver = (): boolean => w.leader !== cut && w.leader >= 0;
+  for (let i = 0; i < 8 && !handedOver(); i++) {
+    for (const copy of copies) void controller!.report(parseReport(copy)!);
+    await w.pass(1);
+  }
+  assert.ok(handedOver());
+  await w.pass(12);
+  assert.equal(w.running(job), 4);
+  await w.close();
+});
+
 test('after an outage in which workers were turned away their leader keeps office', async () => {
   const w = new World(FOUR, 3);
   await w.start();
