--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -7,9 +7,9 @@
 import type { ReportOutcome } from '../http/workers.js';
 import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
-import { Membership } from '../membership/membership.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
 import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
@@ -21,6 +21,7 @@
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
 import { StrayWorkers } from './stray-workers.js';
+import { SilentTerms } from './worker-silence.js';
 
 export interface Links {
   peerTransport: PeerTransport;
@@ -32,14 +33,14 @@
 /** The leader speaks once a report interval; after so many of them without a word it is mute. */
 const HEARTBEATS_MISSED = 1.2;
 
-/** How many report intervals pass between two looks at who has been upgraded. */
-const REPORTS_PER_LOOK = 2;
-
 /** For how many times `cancel_s` it is remembered which jobs users were told to be cancelled. */
 const LOGGED_CANCELS = 3;
 
 const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
 
+/** How many report intervals pass between two looks at who has been upgraded. */
+const REPORTS_PER_LOOK = 2;
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly jobApi: JobApi;
@@ -49,6 +50,7 @@
   private readonly catalogue: Catalogue;
   readonly membership: Membership;
   private leader: Leader | null = null;
+  private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
   private readonly vouches: CancellationVouch;
@@ -90,7 +92,12 @@
       workers.cancelMs * LOGGED_CANCELS,
       MOST_VOUCHED,
     );
-    this.vouches = new CancellationVouch(links.peerTransport, runtime, this.cancellationLog);
+    this.vouches = new CancellationVouch(
+      links.peerTransport,
+      runtime,
+      this.cancellationLog,
+      (peer) => this.membership.speaksCurrent(peer),
+    );
     this.jobApi = new JobApi(
       this.store,
       this.catalogue,
@@ -139,6 +146,7 @@
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
       this.strays.clear();
+      if (message.counts.some((c) => c.running > 0)) this.silentTerms.workersHeard();
       if (message.first) this.counts.clear();
       for (const c of message.counts) this.counts.set(c.id, c);
     }
@@ -188,6 +196,7 @@
           runtime: this.runtime,
           cloudTimeoutMs: this.cloudTimeoutMs,
           vouches: this.vouches,
+          silentTerms: this.silentTerms,
         },
         role.term,
         () => this.election.resign(role.term),
@@ -251,13 +260,10 @@
   }
 
   /** The right to answer is looked at again when the answer is given. */
-  private async whenHeld(
-    { term, reports }: Leader,
-    later: Promise<Order[] | null>,
-  ): Promise<ReportOutcome> {
+  private async whenHeld(leader: Leader, later: Promise<Order[] | null>): Promise<ReportOutcome> {
     const orders = await later;
-    const entitled = term.active(this.runtime.clock.now()) && reports.mayRenew();
-    return orders && entitled ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
+    const entitled = leader.mayAnswer(this.runtime.clock.now());
+    return orders && entitled ? { kind: 'orders', token: leader.term.token, orders } : NOT_ENTITLED;
   }
 
   /**
--- a/src/main.ts
+++ b/src/main.ts
@@ -33,13 +33,8 @@
   const toStore = Math.max(4, Math.floor(sockets / 20));
   const toWorkers = Math.max(4, Math.floor(sockets / 20));
   const toCloud = Math.max(2, Math.ceil(settings.cloud.rps / 2));
-  const peerTransport: TcpPeerTransport = new TcpPeerTransport(
-    settings,
-    runtime,
-    settings.workers.reportMs / 4,
-    (peer) => controller.membership.speaksCurrent(peer),
-  );
-  const controller: Controller = new Controller(settings, operator, runtime, {
+  const peerTransport = new TcpPeerTransport(settings, runtime, settings.workers.reportMs / 4);
+  const controller = new Controller(settings, operator, runtime, {
     peerTransport,
     store: httpTransport(settings.stateAddress, toStore),
     cloud: httpTransport(settings.cloudAddress, toCloud),
