--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -84,7 +84,7 @@
     }
   }
 
-  commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
+  private commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
     return commitForUser(this.store, this.runtime.clock, this.waits, when, then, signal);
   }
 
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -8,7 +8,7 @@
 import { whyNever } from './feasible.js';
 import { JobStates, type JobState } from './job-states.js';
 import { parseJob, type JobRecord } from './records.js';
-import { HEDGE_SHARE, Overloaded } from './user-requests.js';
+import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -25,6 +25,9 @@
 /** For how large a share of a submission's time it may queue for the store's rate. */
 const MOST_QUEUED_SHARE = 0.25;
 
+/** The same for a cancellation: it is sent away only where it could not be confirmed in its time. */
+const MOST_CANCEL_QUEUED_SHARE = 0.75;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -33,6 +36,7 @@
 export class JobApi {
   private readonly states: JobStates;
   private readonly acceptance: Acceptance;
+  private readonly cancelWaits: RequestWaits;
 
   constructor(
     private readonly store: Store,
@@ -47,6 +51,7 @@
       mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
       hedgeMs: limits.pollMs * HEDGE_SHARE,
     };
+    this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
     this.acceptance = new Acceptance(store, this.states, runtime, waits);
   }
@@ -134,7 +139,10 @@
       let { version } = entry;
       if (record.phase === 'open') {
         const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
-        const outcome = await this.acceptance.commit(
+        const outcome = await commitForUser(
+          this.store,
+          this.runtime.clock,
+          this.cancelWaits,
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
--- a/test/job-api.test.ts
+++ b/test/job-api.test.ts
@@ -124,6 +124,19 @@
   assert.equal((await nodes.timed(asked[0]!)).status, 201);
 });
 
+test('a cancellation is not sent away for a queue of writes behind which it can be confirmed', async () => {
+  const nodes = new Nodes();
+  const api = await nodes.add('berth-0', () => 'serve');
+  await nodes.timed(api.submit(job(1000)));
+  // The queue is as long as submissions are let in: a second's writes.
+  const asked = Array.from({ length: 50 }, (_, n) => api.submit(job(n + 1)));
+  const refused = await nodes.timed(api.submit(job(999)));
+  assert.equal(refused.status, 503);
+  const answer = await nodes.timed(api.abort('req-1000'));
+  assert.match(JSON.stringify(answer), /withdrawn/);
+  await nodes.timed(asked[0]!);
+});
+
 test('a submission that was carried out, its answer lost, is told as accepted by the second copy', async () => {
   const nodes = new Nodes();
   let lost = 0;
