--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -7,24 +7,36 @@
 export class FakeWire {
   private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
   readonly cut = new Set<string>();
+  /** Whether a message gets lost between two that are not cut off; none does unless a story says so. */
+  loses: (from: string, to: string, message: Message) => boolean = () => false;
+  /** How long a message takes, in milliseconds. */
+  delayMs: (from: string, to: string) => number = () => 2;
   private readonly starts = new Map<string, number>();
+  /** Controllers of the version before, which read no frames of the current one. */
+  readonly previousVersion = new Set<string>();
 
-  constructor(private readonly clock: FakeClock) {}
+  constructor(
+    private readonly clock: FakeClock,
+    /** Whether two controllers are in zones that cannot reach each other now. */
+    private readonly separated: (from: string, to: string) => boolean = () => false,
+  ) {}
 
   attach(name: string, all: string[]): PeerTransport {
     const heard = new Subject<{ from: string; message: Message }>();
     this.ends.set(name, heard);
     this.starts.set(name, this.clock.now());
     return {
+      speaksCurrent: (peer) => !this.previousVersion.has(peer),
       startedAt: (peer) => this.starts.get(peer) ?? null,
       heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
         const bytes = encode(message);
         const from = this.ends.get(name);
-        void this.clock.sleep(2).then(() => {
+        void this.clock.sleep(this.delayMs(name, to)).then(() => {
           // A message from an earlier life of the process does not come from this one.
           if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
+          if (this.separated(name, to) || this.loses(name, to, message)) return;
           for (const m of new Decoder().push(bytes)) {
             this.ends.get(to)?.next({ from: name, message: m });
           }
