--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -1,5 +1,6 @@
-import { Job } from '../jobs/live.js';
-import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { Job, type StoredRuns } from '../jobs/live.js';
+import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
+import { readRuns } from '../jobs/run-reader.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
@@ -19,10 +20,11 @@
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.look(signal);
+        await this.leader.parts.membership.look(signal);
         this.leader.jobs.clear();
         this.leader.dependencies.clear();
         for (const e of jobs.items) this.onJobEntry(e);
-        for (const e of runs.items) this.restoreRun(e);
+        this.restoreRuns(runs.items);
         for (const e of rentals.items) {
           this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
@@ -40,23 +42,21 @@
     }
   }
 
-  private restoreRun(e: Entry): void {
-    const rest = e.key.slice(KEYS.runs.length);
-    const slash = rest.lastIndexOf('/');
-    const job = this.leader.jobs.get(rest.slice(0, slash));
-    const record = parseRun(e.value);
-    const chunk = Number(rest.slice(slash + 1));
-    if (!job || !record || !job.chunks[chunk]) {
+  private restoreRuns(entries: Entry[]): void {
+    const { runtime, store } = this.leader.parts;
+    const perRange = tasksPerRange(store.limits.smallest().valueBytes);
+    const { runs, unreadable } = readRuns(entries, (id) => this.leader.jobs.get(id) ?? null);
+    for (const { key, job } of unreadable) {
       // What cannot be read may still run: the job is left alone rather than started again.
-      this.leader.parts.runtime.log.error(
-        { key: e.key },
-        'unreadable run record, left as occupied',
-      );
+      runtime.log.error({ key }, 'unreadable run record, left as occupied');
       if (job) job.blind = true;
-      return;
     }
+    for (const [job, stored] of runs) this.restoreJob(job, stored, perRange);
+  }
+
+  private restoreJob(job: Job, stored: StoredRuns, perRange: number): void {
     const { clock } = this.leader.parts.runtime;
-    for (const p of job.restore(chunk, e.version, record, clock.now(), clock.wall())) {
+    for (const p of job.restore(stored, perRange, clock.now(), clock.wall())) {
       this.leader.fleet.add(p, clock.now());
       if (job.phase !== 'open') p.stop = { graceMs: 0 };
     }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -9,6 +9,8 @@
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import type { Job } from '../jobs/live.js';
+import { RunRewriter } from '../jobs/run-rewriter.js';
+import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -29,6 +31,7 @@
   cloud: Transport;
   workers: Callers;
   catalogue: Catalogue;
+  membership: Membership;
   settings: Settings;
   operator: Operator;
   runtime: Runtime;
@@ -49,6 +52,7 @@
   readonly gate: GangGate;
   readonly reconciler: MachineReconciler;
   readonly ledger: Ledger;
+  private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
   readonly longPoll: LongPoll;
   readonly stopCommands: StopCommands;
@@ -84,7 +88,9 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
+    const mayUseRanges = (): boolean =>
+      parts.membership.allCurrent && store.limits.recordsMustShrink;
+    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
       jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -100,6 +106,7 @@
       ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
       settled: (job) => this.jobs.delete(job.id),
     });
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
@@ -169,6 +176,7 @@
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(revision, s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
+      duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
     ]);
