--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -24,7 +24,6 @@
   return {
     machines: machineViews(leader, now),
     jobs: jobViews(leader, now, urgencies),
-    upcoming: upcoming(leader, now, urgencies),
     teams: teamViews(leader),
     types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
@@ -131,25 +130,6 @@
   };
 }
 
-/** Jobs that are expected to become ready before a machine that is rented now would be up. */
-function upcoming(
-  leader: Leader,
-  now: number,
-  urgencies: ReadonlyMap<string, StepUrgency>,
-): JobView[] {
-  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
-  const bootMs = Math.min(...types.map((t) => t.bootMs));
-  const wall = leader.parts.runtime.clock.wall();
-  const views: JobView[] = [];
-  for (const job of leader.jobs.values()) {
-    if (job.phase !== 'open' || job.readyAt !== null || job.blind) continue;
-    const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
-    if (readyInMs > bootMs) continue;
-    views.push(jobView(job, wall + readyInMs, now, urgencies));
-  }
-  return views;
-}
-
 function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
   const aims = deadlineSteps(leader.parts.settings);
   const steps: PipelineStep[] = [];
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -91,11 +91,6 @@
   machines: MachineView[];
   /** Open jobs that wait for no others. */
   jobs: JobView[];
-  /**
-   * Jobs that wait for others which will be done before a machine could boot: room for them is
-   * sought and rented ahead, and nothing more.
-   */
-  upcoming: JobView[];
   teams: ReadonlyMap<string, TeamView>;
   types: MachineType[];
   /** What the cloud may rent out: offers refused lately are left out. */
--- a/src/scheduler/pipelines.ts
+++ b/src/scheduler/pipelines.ts
@@ -22,8 +22,6 @@
   priority: Priority;
   /** By when it should be done so that what comes after it can be in time. */
   dueAt: number;
-  /** In how many milliseconds it is expected to be ready; 0 if it is. */
-  readyInMs: number;
 }
 
 /** A step and its neighbours while the graph is walked. */
@@ -33,8 +31,7 @@
   after: Node[];
   /** How many of `before` are still to be walked. */
   open: number;
-  /** In how many milliseconds it is expected to be ready, and done. */
-  readyInMs: number;
+  /** In how many milliseconds it is expected to be done. */
   doneInMs: number;
   priority: Priority;
   /** Null: neither it nor anything that needs it has a deadline. */
@@ -68,7 +65,6 @@
       before: [],
       after: [],
       open: 0,
-      readyInMs: 0,
       doneInMs: 0,
       priority: step.spec.priority,
       dueAt: null,
@@ -104,8 +100,9 @@
 }
 
 function expectTimes(node: Node): void {
-  for (const before of node.before) node.readyInMs = Math.max(node.readyInMs, before.doneInMs);
-  node.doneInMs = node.readyInMs + node.step.remainingMs;
+  let readyInMs = 0;
+  for (const before of node.before) readyInMs = Math.max(readyInMs, before.doneInMs);
+  node.doneInMs = readyInMs + node.step.remainingMs;
 }
 
 /** The multiple of its deadline that the whole of what remains before it can still meet. */
@@ -130,6 +127,5 @@
     priority: node.priority,
     // Without a deadline the oldest goes first, and a job's age counts from when it could start.
     dueAt: node.dueAt ?? readyAt ?? submittedAt,
-    readyInMs: node.readyInMs,
   };
 }
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -83,7 +83,6 @@
         }
       }
     }
-    for (const job of inOrder(this.s.upcoming, this.guaranteed)) this.prepare(job);
     this.result.stops = this.preemption.stops;
     // Only while nothing waits: what is stopped has to start again at once.
     if (waiting.length === 0) {
@@ -96,19 +95,6 @@
     return this.result;
   }
 
-  /**
-   * Room for a job whose predecessors are nearly done. What is free is kept, what is missing is
-   * rented: it would else wait for a boot after having waited for others.
-   */
-  private prepare(job: JobView): void {
-    const team = this.s.teams.get(job.spec.team);
-    if (!team) return;
-    const count = Math.min(job.waiting, limitRoom(team, job.spec));
-    const rules = new ZoneRules(job.spec, job.zones);
-    this.reserve(job, count - this.setAside(job, count, this.up, rules), rules);
-    this.charge(team, job.spec, count);
-  }
-
   private charge(team: TeamView, spec: JobSpec, count: number): void {
     team.used.cpus += spec.need.cpus * count;
     team.used.gpus += spec.need.gpus * count;
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -48,10 +48,6 @@
   assert.equal(of('merge').dueAt, 90_000);
   assert.equal(of('scan').dueAt, 70_000);
   assert.equal(of('split').dueAt, 40_000);
-  assert.deepEqual(
-    ['split', 'scan', 'merge', 'publish'].map((id) => of(id).readyInMs),
-    [0, 20_000, 50_000, 70_000],
-  );
 });
 
 test('the longest of several paths decides, and the most urgent of several pipelines', () => {
@@ -67,7 +63,6 @@
   assert.equal(of('short').dueAt, 30_000);
   assert.equal(of('short').priority, Priority.Production);
   assert.equal(of('split').dueAt, 25_000);
-  assert.equal(of('publish').readyInMs, 60_000);
 });
 
 test('a last job that comes late lifts the steps before it from then on', () => {
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -51,7 +51,6 @@
   return {
     machines: [],
     jobs: [],
-    upcoming: [],
     teams: new Map([
       ['vision', team(0)],
       ['speech', team(0)],
@@ -261,25 +260,6 @@
   assert.equal(stops(4), 8);
 });
 
-test('room is sought and rented ahead for a step whose predecessors are nearly done', () => {
-  const offers = [{ type: TYPE, zone: 'a', spot: false, price: 20 }];
-  const scan = job({ tasks: 96, need: { cpus: 1, gpus: 0, memoryGb: 1 } });
-  const ready = job({ tasks: 8 });
-  const result = plan(
-    snapshot({
-      machines: [machine('m1'), machine('m2')],
-      jobs: [ready],
-      upcoming: [scan],
-      offers,
-    }),
-  );
-  // It starts nothing, takes nothing from what can start, and what it will use is not given back.
-  assert.equal(started(result, scan.id), 0);
-  assert.equal(started(result, ready.id), 8);
-  assert.deepEqual(result.spare, []);
-  assert.deepEqual(result.rents, [{ type: 'g8', zone: 'a', spot: false, count: 1 }]);
-});
-
 test('tasks without GPUs go beside full GPUs, then together, and leave whole machines free', () => {
   const step = (tasks: number): JobView =>
     job({ tasks, need: { cpus: 2, gpus: 0, memoryGb: 4 }, imageGb: 1 });
