Work without GPUs waits a quarter of a boot for room that others leave before anything is rented or stopped for it

Change: JobView.patient; such work takes what is free, and only after a quarter of a boot is more rented or made for it.

--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -18,6 +18,9 @@
 /** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
 const START_REPORTS = 2;
 
+/** For what share of a boot work without GPUs waits for what others leave. */
+const PATIENCE_BOOTS = 0.25;
+
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
@@ -96,19 +99,33 @@
   urgencies: ReadonlyMap<string, StepUrgency>,
 ): JobView[] {
   const views: JobView[] = [];
+  const wall = leader.parts.runtime.clock.wall();
+  const patienceMs = patienceWithoutGpus(leader);
   for (const job of leader.jobs.values()) {
     if (job.phase !== 'open' || job.readyAt === null) continue;
-    views.push(jobView(job, job.readyAt, now, urgencies));
+    const patient = job.spec.need.gpus === 0 && wall < job.readyAt + patienceMs;
+    views.push({ ...jobView(job, job.readyAt, now, urgencies), patient });
   }
   return views;
 }
 
+/**
+ * Where all machines have GPUs, work without takes the processors that are left beside them, and
+ * its like gives them up again within seconds: a machine that boots for it comes too late and then
+ * stands idle. Only what has waited for a while is short of more than that.
+ */
+function patienceWithoutGpus(leader: Leader): number {
+  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
+  if (types.some((t) => t.room.gpus === 0)) return 0;
+  return Math.min(...types.map((t) => t.bootMs)) * PATIENCE_BOOTS;
+}
+
 function jobView(
   job: Job,
   readyAt: number,
   now: number,
   urgencies: ReadonlyMap<string, StepUrgency>,
-): JobView {
+): Omit<JobView, 'patient'> {
   const zones = new Map<string, number>();
   for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
   const { gang } = job;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -33,6 +33,8 @@
    * of what needs it; without a deadline, when it was ready.
    */
   dueAt: number;
+  /** It waits for room that others leave; nothing is rented or stopped for it yet. */
+  patient: boolean;
   /** Tasks that are neither done nor possibly on a machine. */
   waiting: number;
   unfinished: number;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -75,7 +75,7 @@
         const rules = new ZoneRules(job.spec, job.zones);
         let missing = count - this.startHot(job, count, rules, team);
         if (missing > 0) missing -= this.start(job, missing, rules, team, this.up);
-        if (missing > 0) {
+        if (missing > 0 && !job.patient) {
           this.charge(team, job.spec, missing);
           const guaranteed = this.guaranteed.has(job.id);
           const freed = this.preemption.free(job, missing, guaranteed, this.up, rules);
@@ -157,6 +157,7 @@
       this.record(job, placed);
       return;
     }
+    if (job.patient) return;
     const holdsGate = job.gang?.holdsGate ?? false;
     const behind = !holdsGate && (this.s.gateShut || this.result.admit !== null);
     if (!this.reserveGang(job)) return;
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -32,6 +32,7 @@
       spec: { ...spec, tasks: machines.length },
       priority: spec.priority,
       readyAt: i,
+      patient: false,
       dueAt: i,
       waiting: 0,
       unfinished: machines.length,
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -13,6 +13,7 @@
     spec: full,
     priority: full.priority,
     readyAt: n,
+    patient: false,
     dueAt: n,
     waiting: full.tasks,
     unfinished: full.tasks,
@@ -306,3 +307,37 @@
   assert.equal(stops(steps, wish), 0);
   assert.equal(stops({ ...steps, priority: Priority.Low }, wish), 4);
 });
+
+test('what is patient takes what is free, and nothing is rented or stopped for it', () => {
+  const need = { cpus: 8, gpus: 0, memoryGb: 4 };
+  const batch = job({ priority: Priority.Low, tasks: 8 }, { waiting: 0 });
+  const victims = Array.from({ length: 8 }, (_, task) => ({
+    job: batch.id,
+    task,
+    machine: 'm1',
+    spec: batch.spec,
+    priority: batch.priority,
+    lossMs: 0,
+    wholeGang: false,
+    stopping: false,
+  }));
+  const offers = [{ type: TYPE, zone: 'a', spot: false, price: 20 }];
+  const steps = job({ tasks: 5, need }, { patient: true });
+  const gang = job({ kind: 'gang', tasks: 2, need }, { patient: true });
+  const run = (patient: boolean): ReturnType<typeof plan> =>
+    plan(
+      snapshot({
+        machines: [machine('m1', { free: { cpus: 12, gpus: 0, memoryGb: 100 } })],
+        jobs: [batch, { ...steps, patient }, { ...gang, patient }],
+        offers,
+        victims,
+      }),
+    );
+  const waits = run(true);
+  assert.equal(started(waits, steps.id), 1);
+  assert.deepEqual([waits.stops, waits.rents, waits.admit], [[], [], null]);
+  const hurries = run(false);
+  assert.ok(hurries.stops.length > 0);
+  assert.equal(hurries.rents.length, 1);
+  assert.equal(hurries.admit, gang.id);
+});
