A step of a pipeline takes the priority of what needs it once its slack is short, and has no claim to a guarantee of GPUs

Change: a step keeps its own priority while its slack is more than half of all that is still to be run; work that uses nothing of what is guaranteed is not counted within a guarantee.

--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -21,8 +21,11 @@
     // 0 means that nothing of the kind is guaranteed, and nothing is asked of it either.
     const covers = (guarantee: number, used: number): boolean =>
       guarantee === 0 || used <= guarantee + 1e-6;
-    const any = team.guarantee.cpus > 0 || team.guarantee.gpus > 0;
-    if (any && covers(team.guarantee.cpus, sum.cpus) && covers(team.guarantee.gpus, sum.gpus)) {
+    const { need } = job.spec;
+    // What uses nothing of what is guaranteed has no claim to it.
+    const claims =
+      (team.guarantee.cpus > 0 && need.cpus > 0) || (team.guarantee.gpus > 0 && need.gpus > 0);
+    if (claims && covers(team.guarantee.cpus, sum.cpus) && covers(team.guarantee.gpus, sum.gpus)) {
       inside.add(job.id);
     }
   }
--- a/src/scheduler/pipelines.ts
+++ b/src/scheduler/pipelines.ts
@@ -18,7 +18,10 @@
 
 /** How one step is to be treated for the sake of all that need it. */
 export interface StepUrgency {
-  /** The highest priority of the step and of all that need it, directly or through others. */
+  /**
+   * Its own priority, or, once it is pressed, the highest of all that need it, directly or through
+   * others.
+   */
   priority: Priority;
   /** By when it should be done so that what comes after it can be in time. */
   dueAt: number;
@@ -33,16 +36,26 @@
   open: number;
   /** In how many milliseconds it is expected to be done. */
   doneInMs: number;
+  /** Expected time of the longest path from its start to the end of what needs it. */
+  pathMs: number;
+  /** The highest priority of the step and of all that need it. */
   priority: Priority;
   /** Null: neither it nor anything that needs it has a deadline. */
   dueAt: number | null;
 }
 
+/**
+ * A step is pressed when its slack is less than this share of all that is still to be run: estimates
+ * are often wrong by half. With more slack it can wait for room that others leave.
+ */
+const PRESSED_SHARE = 0.5;
+
 /**
  * Passes priorities and deadlines up the chains of jobs. Users set both on the last job of a
  * pipeline only: a step takes the highest priority of all that need it, and has to be done as long
  * before the last deadline as the longest path of steps after it is expected to take (critical path
- * method). Takes time linear in the steps and their dependencies.
+ * method). While its slack is large it keeps its own priority, so that it does not drive out work
+ * that cannot wait. Takes time linear in the steps and their dependencies.
  *
  * @param now time of day, milliseconds
  */
@@ -54,7 +67,7 @@
   for (const node of order) expectTimes(node);
   for (const node of order) setOwnDeadline(node, now);
   for (const node of order.reverse()) inheritFromDependents(node);
-  return new Map(order.map((node) => [node.step.id, toUrgency(node)]));
+  return new Map(order.map((node) => [node.step.id, toUrgency(node, now)]));
 }
 
 function connect(steps: readonly PipelineStep[]): Node[] {
@@ -66,6 +79,7 @@
       after: [],
       open: 0,
       doneInMs: 0,
+      pathMs: step.remainingMs,
       priority: step.spec.priority,
       dueAt: null,
     });
@@ -115,16 +129,23 @@
 function inheritFromDependents(node: Node): void {
   for (const after of node.after) {
     node.priority = Math.min(node.priority, after.priority);
+    node.pathMs = Math.max(node.pathMs, node.step.remainingMs + after.pathMs);
     if (after.dueAt === null) continue;
     const before = after.dueAt - after.step.remainingMs;
     node.dueAt = node.dueAt === null ? before : Math.min(node.dueAt, before);
   }
 }
 
-function toUrgency(node: Node): StepUrgency {
-  const { submittedAt, readyAt } = node.step;
+function isPressed(node: Node, now: number): boolean {
+  if (node.dueAt === null) return true;
+  const slackMs = node.dueAt - now - node.step.remainingMs;
+  return slackMs < node.pathMs * PRESSED_SHARE;
+}
+
+function toUrgency(node: Node, now: number): StepUrgency {
+  const { submittedAt, readyAt, spec } = node.step;
   return {
-    priority: node.priority,
+    priority: isPressed(node, now) ? node.priority : spec.priority,
     // Without a deadline the oldest goes first, and a job's age counts from when it could start.
     dueAt: node.dueAt ?? readyAt ?? submittedAt,
   };
