Work without GPUs that can wait yields whole machines, and machines are rented for what it keeps busy at once

Change: a step counts as what needs it at all times. While it is not pressed (its slack more than half of what is left to run) and has not waited for a quarter of a boot, it takes what free GPUs do not need, and other room only after all else had its turn; nothing is stopped for it. Machines are rented for so many tasks as will run at once within a boot (waiting ones and those that will be ready by then, times run time over boot), less what its like holds and leaves.

--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -18,7 +18,10 @@
 /** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
 const START_REPORTS = 2;
 
-/** For what share of a boot work without GPUs waits for what others leave. */
+/**
+ * For what share of a boot work without GPUs waits for what its like leaves, unless it is pressed.
+ * Such work runs for less than a machine boots: one that is rented for it comes too late.
+ */
 const PATIENCE_BOOTS = 0.25;
 
 /** What the leader believes at one moment, for a round of decisions. */
@@ -27,6 +30,8 @@
   return {
     machines: machineViews(leader, now),
     jobs: jobViews(leader, now, urgencies),
+    upcoming: upcoming(leader, now, urgencies),
+    leavingCpus: leavingCpus(leader),
     teams: teamViews(leader),
     types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
@@ -99,47 +104,78 @@
   urgencies: ReadonlyMap<string, StepUrgency>,
 ): JobView[] {
   const views: JobView[] = [];
-  const wall = leader.parts.runtime.clock.wall();
-  const patienceMs = patienceWithoutGpus(leader);
+  const bootMs = bootMsWithGpus(leader);
   for (const job of leader.jobs.values()) {
     if (job.phase !== 'open' || job.readyAt === null) continue;
-    const patient = job.spec.need.gpus === 0 && wall < job.readyAt + patienceMs;
-    views.push({ ...jobView(job, job.readyAt, now, urgencies), patient });
+    views.push(jobView(leader, job, job.readyAt, bootMs, now, urgencies));
   }
   return views;
 }
 
-/**
- * Where all machines have GPUs, work without takes the processors that are left beside them, and
- * its like gives them up again within seconds: a machine that boots for it comes too late and then
- * stands idle. Only what has waited for a while is short of more than that.
- */
-function patienceWithoutGpus(leader: Leader): number {
+/** Work without GPUs that is expected to be ready before a machine that is rented now is up. */
+function upcoming(
+  leader: Leader,
+  now: number,
+  urgencies: ReadonlyMap<string, StepUrgency>,
+): JobView[] {
+  const views: JobView[] = [];
+  const bootMs = bootMsWithGpus(leader);
+  if (bootMs === null) return views;
+  const wall = leader.parts.runtime.clock.wall();
+  for (const job of leader.jobs.values()) {
+    if (job.phase !== 'open' || job.readyAt !== null || job.blind) continue;
+    const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
+    if (job.spec.need.gpus > 0 || readyInMs > bootMs) continue;
+    views.push(jobView(leader, job, wall + readyInMs, bootMs, now, urgencies));
+  }
+  return views;
+}
+
+/** The shortest boot where all machines have GPUs; null where some have none. */
+function bootMsWithGpus(leader: Leader): number | null {
   const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
-  if (types.some((t) => t.room.gpus === 0)) return 0;
-  return Math.min(...types.map((t) => t.bootMs)) * PATIENCE_BOOTS;
+  if (types.some((t) => t.room.gpus === 0)) return null;
+  return Math.min(...types.map((t) => t.bootMs));
+}
+
+function leavingCpus(leader: Leader): number {
+  let cpus = 0;
+  for (const { spec, live } of leader.jobs.values()) {
+    if (spec.kind !== 'service' && spec.need.gpus === 0) cpus += spec.need.cpus * live.size;
+  }
+  return cpus;
 }
 
 function jobView(
+  leader: Leader,
   job: Job,
   readyAt: number,
+  bootMs: number | null,
   now: number,
   urgencies: ReadonlyMap<string, StepUrgency>,
-): Omit<JobView, 'patient'> {
+): JobView {
+  const { spec, gang } = job;
   const zones = new Map<string, number>();
   for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
-  const { gang } = job;
   // A gang is placed anew only when nothing of its last attempt can be left.
   const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
   const urgency = urgencies.get(job.id);
+  const waitedMs = leader.parts.runtime.clock.wall() - readyAt;
   return {
     id: job.id,
-    spec: job.spec,
-    priority: urgency?.priority ?? job.spec.priority,
+    spec,
+    priority: urgency?.priority ?? spec.priority,
     readyAt,
     dueAt: urgency?.dueAt ?? readyAt,
+    patient:
+      spec.kind !== 'service' &&
+      spec.need.gpus === 0 &&
+      bootMs !== null &&
+      !(urgency?.pressed ?? false) &&
+      waitedMs < bootMs * PATIENCE_BOOTS,
+    bootShare: bootMs === null ? 1 : Math.min(1, spec.estimateMs / bootMs),
     waiting: job.waiting,
-    unfinished: job.spec.tasks - job.doneCount,
+    unfinished: spec.tasks - job.doneCount,
     zones,
     avoid: job.failedOn,
     gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
--- a/src/scheduler/pipelines.ts
+++ b/src/scheduler/pipelines.ts
@@ -18,13 +18,14 @@
 
 /** How one step is to be treated for the sake of all that need it. */
 export interface StepUrgency {
-  /**
-   * Its own priority, or, once it is pressed, the highest of all that need it, directly or through
-   * others.
-   */
+  /** The highest priority of the step and of all that need it, directly or through others. */
   priority: Priority;
   /** By when it should be done so that what comes after it can be in time. */
   dueAt: number;
+  /** Its slack is short: it should not wait for room that others may leave. */
+  pressed: boolean;
+  /** In how many milliseconds it is expected to be ready; 0 if it is. */
+  readyInMs: number;
 }
 
 /** A step and its neighbours while the graph is walked. */
@@ -34,7 +35,8 @@
   after: Node[];
   /** How many of `before` are still to be walked. */
   open: number;
-  /** In how many milliseconds it is expected to be done. */
+  /** In how many milliseconds it is expected to be ready, and done. */
+  readyInMs: number;
   doneInMs: number;
   /** Expected time of the longest path from its start to the end of what needs it. */
   pathMs: number;
@@ -54,8 +56,7 @@
  * Passes priorities and deadlines up the chains of jobs. Users set both on the last job of a
  * pipeline only: a step takes the highest priority of all that need it, and has to be done as long
  * before the last deadline as the longest path of steps after it is expected to take (critical path
- * method). While its slack is large it keeps its own priority, so that it does not drive out work
- * that cannot wait. Takes time linear in the steps and their dependencies.
+ * method). Takes time linear in the steps and their dependencies.
  *
  * @param now time of day, milliseconds
  */
@@ -78,6 +79,7 @@
       before: [],
       after: [],
       open: 0,
+      readyInMs: 0,
       doneInMs: 0,
       pathMs: step.remainingMs,
       priority: step.spec.priority,
@@ -114,9 +116,8 @@
 }
 
 function expectTimes(node: Node): void {
-  let readyInMs = 0;
-  for (const before of node.before) readyInMs = Math.max(readyInMs, before.doneInMs);
-  node.doneInMs = readyInMs + node.step.remainingMs;
+  for (const before of node.before) node.readyInMs = Math.max(node.readyInMs, before.doneInMs);
+  node.doneInMs = node.readyInMs + node.step.remainingMs;
 }
 
 /** The multiple of its deadline that the whole of what remains before it can still meet. */
@@ -137,16 +138,18 @@
 }
 
 function isPressed(node: Node, now: number): boolean {
-  if (node.dueAt === null) return true;
+  if (node.dueAt === null) return false;
   const slackMs = node.dueAt - now - node.step.remainingMs;
   return slackMs < node.pathMs * PRESSED_SHARE;
 }
 
 function toUrgency(node: Node, now: number): StepUrgency {
-  const { submittedAt, readyAt, spec } = node.step;
+  const { submittedAt, readyAt } = node.step;
   return {
-    priority: isPressed(node, now) ? node.priority : spec.priority,
+    priority: node.priority,
     // Without a deadline the oldest goes first, and a job's age counts from when it could start.
     dueAt: node.dueAt ?? readyAt ?? submittedAt,
+    pressed: isPressed(node, now),
+    readyInMs: node.readyInMs,
   };
 }
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -192,13 +192,17 @@
   };
 }
 
-/** Puts up to `count` tasks on machines, taking their room; answers where they went. */
+/**
+ * Puts up to `count` tasks on machines, taking their room; answers where they went. `onlyBesideGpus`:
+ * only on what free GPUs do not need.
+ */
 export function place(
   job: JobView,
   count: number,
   machines: MachineView[],
   rules: ZoneRules,
   scarce: ScarceTypes,
+  onlyBesideGpus = false,
 ): Placed[] {
   const { spec } = job;
   const price = scarce.prices(spec);
@@ -230,7 +234,7 @@
       .sort((a, b) => a.cost - b.cost);
     for (const { machine } of beside) put(machine, howMany(spec.need, besideGpus(machine)));
   }
-  for (const { machine } of candidates) put(machine, Infinity);
+  if (!onlyBesideGpus) for (const { machine } of candidates) put(machine, Infinity);
   return [...placed].map(([machine, n]) => ({ machine, count: n }));
 }
 
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -38,6 +38,12 @@
   return new Round(snapshot).run();
 }
 
+interface PatientWork {
+  job: JobView;
+  missing: number;
+  rules: ZoneRules;
+}
+
 class Round {
   private readonly up: MachineView[];
   private readonly booting: MachineView[];
@@ -52,6 +58,8 @@
   private readonly byShape = new Map<string, MachineView[]>();
   /** Gangs that found no room, by shape and rank: the fewest tasks that did not. */
   private readonly tooLarge = new Map<string, number>();
+  /** Patient work that found no room, and how many tasks of it. */
+  private readonly patient: PatientWork[] = [];
   private readonly crowds = new Map<string, number>();
 
   constructor(private readonly s: Snapshot) {
@@ -74,8 +82,9 @@
         if (count <= 0) continue;
         const rules = new ZoneRules(job.spec, job.zones);
         let missing = count - this.startHot(job, count, rules, team);
-        if (missing > 0) missing -= this.start(job, missing, rules, team, this.up);
-        if (missing > 0 && !job.patient) {
+        if (missing > 0) missing -= this.start(job, missing, rules, team, this.up, job.patient);
+        if (job.patient) this.patient.push({ job, missing, rules });
+        else if (missing > 0) {
           this.charge(team, job.spec, missing);
           const guaranteed = this.guaranteed.has(job.id);
           const freed = this.preemption.free(job, missing, guaranteed, this.up, rules);
@@ -83,6 +92,7 @@
         }
       }
     }
+    this.servePatient();
     this.result.stops = this.preemption.stops;
     // Only while nothing waits: what is stopped has to start again at once.
     if (waiting.length === 0) {
@@ -95,6 +105,31 @@
     return this.result;
   }
 
+  /**
+   * What is patient gets the room that nobody else took or has set aside. Of machines it gets as many
+   * more as it keeps busy: so many of its tasks run at once as come within a boot, times their run
+   * time (Little's law). What its like holds by now will be free by then.
+   */
+  private servePatient(): void {
+    let leaving = this.s.leavingCpus;
+    const upcoming = this.s.upcoming.map((job) => {
+      return { job, missing: job.waiting, rules: new ZoneRules(job.spec, job.zones) };
+    });
+    for (const work of this.patient) {
+      const team = this.s.teams.get(work.job.spec.team);
+      if (!team || work.job.gang) continue;
+      work.missing -= this.start(work.job, work.missing, work.rules, team, this.up);
+    }
+    for (const { job, missing, rules } of [...this.patient, ...upcoming]) {
+      const { cpus } = job.spec.need;
+      const atOnce = Math.ceil(missing * job.bootShare);
+      const covered = cpus > 0 ? Math.min(atOnce, Math.floor(leaving / cpus)) : atOnce;
+      leaving -= covered * cpus;
+      const left = atOnce - covered;
+      this.reserve(job, left - this.setAside(job, left, this.up, rules), rules);
+    }
+  }
+
   private charge(team: TeamView, spec: JobSpec, count: number): void {
     team.used.cpus += spec.need.cpus * count;
     team.used.gpus += spec.need.gpus * count;
@@ -128,8 +163,9 @@
     rules: ZoneRules,
     team: TeamView,
     machines: MachineView[],
+    onlyBesideGpus = false,
   ): number {
-    const placed = this.find(job, count, rules, machines);
+    const placed = this.find(job, count, rules, machines, onlyBesideGpus);
     if (placed.length === 0) return 0;
     const size = placed.reduce((n, p) => n + p.count, 0);
     this.charge(team, job.spec, size);
@@ -157,7 +193,11 @@
       this.record(job, placed);
       return;
     }
-    if (job.patient) return;
+    if (job.patient) {
+      const rules = new ZoneRules(job.spec, job.zones);
+      this.patient.push({ job, missing: job.spec.tasks, rules });
+      return;
+    }
     const holdsGate = job.gang?.holdsGate ?? false;
     const behind = !holdsGate && (this.s.gateShut || this.result.admit !== null);
     if (!this.reserveGang(job)) return;
@@ -223,9 +263,15 @@
    * none for a shape, no other job of that shape looks there again: with hundreds of jobs waiting,
    * a round would else cost more than all reports.
    */
-  private find(job: JobView, count: number, rules: ZoneRules, machines: MachineView[]): Placed[] {
+  private find(
+    job: JobView,
+    count: number,
+    rules: ZoneRules,
+    machines: MachineView[],
+    onlyBesideGpus = false,
+  ): Placed[] {
     if (this.isFull(job.spec, machines)) return [];
-    return place(job, count, machines, rules, this.scarce);
+    return place(job, count, machines, rules, this.scarce, onlyBesideGpus);
   }
 
   private isFull(spec: JobSpec, machines: MachineView[]): boolean {
