--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -9,6 +9,7 @@
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import type { Job } from '../jobs/live.js';
+import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -88,9 +89,11 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    const mayUseRanges = (): boolean =>
-      parts.membership.allCurrent && store.limits.recordsMustShrink;
-    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
+    const layouts: LayoutPolicy = {
+      rangesReadable: () => parts.membership.allCurrent,
+      rangesWanted: () => store.limits.recordsMustShrink,
+    };
+    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
       jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -106,7 +109,7 @@
       ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
       settled: (job) => this.jobs.delete(job.id),
     });
-    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -4,6 +4,7 @@
 import type { Submission } from '../wire/submission.js';
 import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
 import type { JobStates } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import type { JobRecord } from './records.js';
 import { commitForUser, onceMore } from './user-requests.js';
 
@@ -13,7 +14,9 @@
   /** It is in the store already: another node or an earlier try was first. */
   | { kind: 'known' }
   /** It names a job that was never accepted. */
-  | { kind: 'unknown dependency'; id: string };
+  | { kind: 'unknown dependency'; id: string }
+  /** Its record would be larger than the store takes. */
+  | { kind: 'too large' };
 
 /**
  * Puts new jobs into the store. The job's own record comes last and on condition that there is none:
@@ -26,6 +29,7 @@
     private readonly states: JobStates,
     private readonly runtime: Runtime,
     private readonly mostDelayMs: number,
+    private readonly machineTypes: () => ReadonlySet<string> | null,
   ) {}
 
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
@@ -33,9 +37,6 @@
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
     const { clock, random } = this.runtime;
     const { needs, pieces } = layOutDependencies(id, dependencies, this.writeLimits);
-    for (const group of groupPieces(pieces, this.writeLimits)) {
-      await this.addPieces(group, signal);
-    }
     const record: JobRecord = {
       w: random.unique(),
       phase: 'open',
@@ -44,8 +45,14 @@
       spec,
       ...(needs ? { needs } : {}),
     };
+    // It has to fit also when it is rewritten under the limits to come.
+    const value = fitJobRecord(record, this.writeLimits.valueBytes, this.machineTypes());
+    if (!value) return { kind: 'too large' };
+    for (const group of groupPieces(pieces, this.writeLimits)) {
+      await this.addPieces(group, signal);
+    }
     const key = KEYS.job(id);
-    const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value: record }], signal);
+    const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value }], signal);
     if (!outcome.ok) return { kind: 'known' };
     const { tasks } = spec;
     this.states.remember(id, { version: outcome.revision, phase: 'open', tasks, dependencies });
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -7,6 +7,7 @@
 import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
 import { JobStates, type JobState } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { Overloaded } from './user-requests.js';
 
@@ -45,7 +46,13 @@
   ) {
     const mostDelayMs = limits.submitMs * MOST_QUEUED_SHARE;
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, mostDelayMs);
+    this.acceptance = new Acceptance(
+      store,
+      this.states,
+      runtime,
+      mostDelayMs,
+      () => this.machineTypes,
+    );
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -101,6 +108,8 @@
         return { status: 201, body: this.answer(id, this.states.remembered(id)) };
       case 'known':
         return this.knownOr(id, signal, BUSY);
+      case 'too large':
+        return this.knownOr(id, signal, TOO_LARGE);
       case 'unknown dependency': {
         const error = `waitsOn: ${accepted.id} was never accepted`;
         return this.knownOr(id, signal, { status: 422, body: { error } });
@@ -118,6 +127,11 @@
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
+  private get machineTypes(): ReadonlySet<string> | null {
+    const types = this.catalogue.types.value;
+    return types && new Set(types.keys());
+  }
+
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
       const entry = await this.store.get(KEYS.job(id), 0, signal);
@@ -130,7 +144,11 @@
       }
       let { version } = entry;
       if (record.phase === 'open') {
-        const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
+        const w = this.runtime.random.unique();
+        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
+        // One accepted under larger limits may have to lose what means nothing.
+        const { valueBytes } = this.store.limits.effective();
+        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
         const outcome = await this.acceptance.commit(
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
@@ -191,4 +209,8 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
+const TOO_LARGE: Answer = {
+  status: 422,
+  body: { error: 'the description of the job is larger than the state service takes' },
+};
 const UNKNOWN: Answer = { status: 404, body: { error: 'unknown job' } };
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -12,7 +12,7 @@
   type RangedRunRecord,
   type RunRecord,
 } from './records.js';
-import type { Section, StoredSection } from './run-layout.js';
+import type { LayoutPolicy, Section, StoredSection } from './run-layout.js';
 
 /**
  * A refused write of a job is tried again after this share of the time for which ends wait, doubled
@@ -92,8 +92,7 @@
     private readonly runtime: Runtime,
     private readonly term: Term,
     private readonly limits: StoreLimits,
-    /** True once every controller reads ranged run records, and they are wanted. */
-    private readonly mayUseRanges: () => boolean,
+    private readonly layouts: LayoutPolicy,
     private readonly endsWaitMs: number,
     private readonly events: LedgerEvents,
   ) {}
@@ -210,10 +209,11 @@
     if (job.closed) this.events.settled(job);
   }
 
-  /** Ranged records where all controllers can read them, or where the others are refused. */
+  /** Ranged records where all controllers read them and records must shrink, or one was refused. */
   private chooseLayout(job: Job): void {
     if (job.layout.kind === 'ranged' || job.phase !== 'open') return;
-    if (!this.mayUseRanges() && !this.refusals.has(job)) return;
+    if (!this.layouts.rangesReadable()) return;
+    if (!this.layouts.rangesWanted() && !this.refusals.has(job)) return;
     const perRange = tasksPerRange(this.limitsFor(job).valueBytes);
     job.useRangedRecords(perRange);
     this.runtime.log.debug({ job: job.id, perRange }, 'run records are ranged from now on');
@@ -416,12 +416,13 @@
 
 /**
  * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
- * job that others wait for holds up all their tasks, until it is stored. What was cancelled with
- * another job is known to be cancelled already, and no task of it runs.
+ * job that others wait for holds up all their tasks, until it is stored; for the rest of what is
+ * written of a job that is over nobody waits. What was cancelled with another job is known to be
+ * cancelled already, and no task of it runs.
  */
 function urgencyOf(job: Job, draft: Draft): Urgency {
   if (draft.background) return 2;
-  if (job.phase === 'done') return job.awaited && !job.phaseStored ? 0 : 1;
-  if (job.phase === 'cancelled') return job.cancelledWith === null ? 1 : 2;
-  return job.spec.kind === 'array' ? 2 : 1;
+  if (job.phase === 'open') return job.spec.kind === 'array' ? 2 : 1;
+  if (job.phaseStored || job.cancelledWith !== null) return 2;
+  return job.phase === 'done' && job.awaited ? 0 : 1;
 }
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -19,7 +19,7 @@
 const held = (w: World, ref: string): Job | undefined => leaderOf(w).jobs.get(ref);
 
 async function abort(w: World, node: number, ref: string): Promise<string> {
-  const answer = await w.ask(w.nodes[node]!.controller!.jobApi.abort(ref));
+  const answer = await w.ask(w.user(node).abort(ref));
   assert.equal(answer.status, 200);
   return (answer.body as { phase: string }).phase;
 }
