--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -71,7 +71,8 @@
     m.answeredAt = now;
     // But a late copy does not show that the machine is within reach: work placed on one that is cut
     // off would wait for its lease, and a lease that runs out then would look as if it were deaf.
-    if (!m.newer(r.session, r.seq)) return [];
+    // Its answer may renew the lease all the same, and then must not lack a stop.
+    if (!m.newer(r.session, r.seq)) return r.session === m.session ? this.pendingStops(m) : [];
     if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
     m.firstHeardAt ??= now;
     m.heardAt = now;
@@ -163,20 +164,26 @@
    * What that report showed is still the latest that is known.
    */
   pending(m: Machine): Order[] {
-    const orders: Order[] = [];
+    const orders = this.pendingStops(m);
     for (const p of m.placements.values()) {
-      if (p.session !== m.session) continue;
-      const { id: job } = p.job;
-      const { task, attempt } = p;
-      if (p.stage === 'live' && p.stop) {
-        orders.push({ op: 'stop', job, task, attempt, graceMs: p.stop.graceMs });
-      } else if (p.stage === 'recorded' && !p.stop) {
+      if (p.session === m.session && p.stage === 'recorded' && !p.stop) {
         orders.push(this.offer(m, p));
       }
     }
     return orders;
   }
 
+  /** Stops of what the machine's newest report showed. */
+  pendingStops(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const p of m.placements.values()) {
+      if (p.session !== m.session || p.stage !== 'live' || !p.stop) continue;
+      const { task, attempt, stop } = p;
+      orders.push({ op: 'stop', job: p.job.id, task, attempt, graceMs: stop.graceMs });
+    }
+    return orders;
+  }
+
   private offer(m: Machine, p: Placement): Order {
     p.stage = 'offered';
     m.useImage(p.job.spec.image, p.job.spec.imageGb, false);
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -7,6 +7,7 @@
 import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
 import { JobStates, type JobState } from './job-states.js';
+import type { JobPhase } from './job.js';
 import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { Overloaded } from './user-requests.js';
@@ -41,6 +42,7 @@
     private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly counts: (id: string) => Counts | null,
+    /** Called before any user is told that a job is cancelled. */
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {
@@ -72,16 +74,9 @@
     return this.within(this.limits.submitMs, (signal) => this.cancel(id, signal));
   }
 
-  /** Asks the store which of these jobs are cancelled. */
-  async cancelledAmong(ids: Iterable<string>): Promise<Set<string>> {
-    const found = new Set<string>();
-    await Promise.all(
-      [...ids].map(async (id) => {
-        const job = await this.states.current(id).catch(() => null);
-        if (job?.phase === 'cancelled') found.add(id);
-      }),
-    );
-    return found;
+  /** A job's phase at some time after this call, by the store; null: it was never accepted. */
+  async phaseOf(id: string): Promise<JobPhase | null> {
+    return (await this.states.current(id))?.phase ?? null;
   }
 
   private async accept(body: unknown, signal: AbortSignal): Promise<Answer> {
@@ -158,7 +153,6 @@
         version = outcome.revision;
       }
       this.rememberOver(id, version, { ...record, phase: 'cancelled' });
-      this.cancelled(id);
       return { status: 200, body: wire.jobAnswer(id, this.tellWithdrawn(id)) };
     }
   }
@@ -173,7 +167,7 @@
 
   /** Whoever tells a user that a job is withdrawn does it here, whichever way it was cancelled. */
   private tellWithdrawn(id: string): wire.PhaseName {
-    this.runtime.log.debug({ job: id }, 'told withdrawn');
+    this.cancelled(id);
     return 'withdrawn';
   }
 
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -75,6 +75,8 @@
   cancelledWith: string | null = null;
   /** Time of day at which its end was written as done; null until then. */
   doneAt: number | null = null;
+  /** Users were told that it is cancelled, though its record has not been read here yet. */
+  cancelAnnounced = false;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
@@ -110,7 +112,8 @@
   }
 
   get waiting(): number {
-    return this.phase === 'open' ? this.spec.tasks - this.doneCount - this.liveUndone() : 0;
+    if (this.phase !== 'open' || this.cancelAnnounced) return 0;
+    return this.spec.tasks - this.doneCount - this.liveUndone();
   }
 
   private liveUndone(): number {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -590,6 +590,14 @@
     this.checker.started(seen(worker), piece.job, piece.task);
   }
 
+  /** Jobs that were done before the story began. */
+  doneBefore(refs: string[]): void {
+    for (const ref of refs) {
+      this.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
+      this.checker.doneBefore(ref);
+    }
+  }
+
   /** The phase that a job's record says. */
   stored(ref: string): string | undefined {
     return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
