--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -65,6 +65,8 @@
   phaseStored = true;
   /** A record of it cannot be read: all of its tasks count as running, and none is started. */
   blind = false;
+  /** Users were told that it is cancelled, though its record has not been read here yet. */
+  cancelAnnounced = false;
   /** Jobs that have to be done before any task of this one starts. */
   dependencies: readonly string[] = [];
   /** Time of day since when it could start; null: it waits for other jobs. */
@@ -75,8 +77,6 @@
   cancelledWith: string | null = null;
   /** Time of day at which its end was written as done; null until then. */
   doneAt: number | null = null;
-  /** Users were told that it is cancelled, though its record has not been read here yet. */
-  cancelAnnounced = false;
   /** True once only the compact final state is left in the store. */
   closed = false;
 
--- a/test/fakes/rule-checker.ts
+++ b/test/fakes/rule-checker.ts
@@ -268,9 +268,13 @@
     }
   }
 
-  /** A job whose tasks had all completed before the story began. */
-  doneBefore(job: string): void {
-    this.job(job).doneBefore = true;
+  /** A job that was accepted and done before the story began. */
+  doneBefore(ref: string): void {
+    const job = this.job(ref);
+    job.submitAskedAt = -Infinity;
+    job.acceptedAt = -Infinity;
+    job.final = { phase: 'done', at: -Infinity };
+    job.doneBefore = true;
   }
 
   /** A task has completed; of a gang all do together. */
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -590,12 +590,10 @@
     this.checker.started(seen(worker), piece.job, piece.task);
   }
 
-  /** Jobs that were done before the story began. */
-  doneBefore(refs: string[]): void {
-    for (const ref of refs) {
-      this.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
-      this.checker.doneBefore(ref);
-    }
+  /** Puts a job into the store that was done before the story began. */
+  doneBefore(ref: string): void {
+    this.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
+    this.checker.doneBefore(ref);
   }
 
   /** The phase that a job's record says. */
