--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -5,10 +5,10 @@
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
-import { fitJobRecord } from './record-size.js';
 import { whyNever } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -65,8 +65,8 @@
         },
         forgotten: () => undefined,
         contradiction: (what) => assert.fail(what),
-        settled: () => undefined,
         ended: () => undefined,
+        settled: () => undefined,
       },
     );
   }
