Records of jobs that are not remembered are read rather than compared

Cause: a node that knew nothing of a long chain compared each job of it as if it did not exist, which fails, counts against the rate of changes and waits for others' questions. Change: it reads them.

--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -195,8 +195,15 @@
   ): Promise<Map<string, JobState | null>> {
     // More than fit a few comparisons cost less requests as pages of records.
     if (ids.length > this.mostConditions * COMPARISONS_AT_ONCE) return this.readAll(ids, signal);
-    const states = await Promise.all(ids.map((id) => this.compared(id, signal)));
-    return new Map(ids.map((id, i) => [id, states[i]!]));
+    // A comparison of what is not remembered could only fail, and then be followed by a read.
+    const known = ids.filter((id) => this.known.has(id));
+    const unknown = ids.filter((id) => !this.known.has(id));
+    const [states, read] = await Promise.all([
+      Promise.all(known.map((id) => this.compared(id, signal))),
+      this.readAll(unknown, signal),
+    ]);
+    known.forEach((id, i) => read.set(id, states[i]!));
+    return read;
   }
 
   private async readAll(
--- a/test/acceptance.test.ts
+++ b/test/acceptance.test.ts
@@ -300,6 +300,19 @@
   }
 });
 
+test('a long chain is answered in the time of one poll by a node that knows nothing of it', async () => {
+  const n = new Nodes(2);
+  const chain = names(1, 80);
+  for (const [i, ref] of chain.entries()) {
+    const needs = i === 0 ? {} : { needs: { ids: [chain[i - 1]!] } };
+    n.put(`jobs/${ref}`, { w: 'w', phase: 'open', tasks: 1, ...needs });
+  }
+  assert.equal(await n.phase(0, chain[79]!), 'pending');
+  n.finish(chain[3]!, 'cancelled');
+  assert.equal(await n.phase(1, chain[79]!), 'withdrawn');
+  assert.equal(await n.phase(0, chain[79]!), 'withdrawn');
+});
+
 test('a question about a job without dependencies costs one comparison', async () => {
   const n = new Nodes(1);
   await n.submit(0, 'req-1');
