--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -13,10 +13,10 @@
   | { kind: 'added' }
   /** It is in the store already: another node or an earlier try was first. */
   | { kind: 'known' }
+  /** Its record does not fit the limits of the store. */
+  | { kind: 'too large' }
   /** It names a job that was never accepted. */
-  | { kind: 'unknown dependency'; id: string }
-  /** Its record would be larger than the store takes. */
-  | { kind: 'too large' };
+  | { kind: 'unknown dependency'; id: string };
 
 /**
  * Puts new jobs into the store. The job's own record comes last and on condition that there is none:
@@ -29,6 +29,7 @@
     private readonly states: JobStates,
     private readonly runtime: Runtime,
     private readonly waits: RequestWaits,
+    /** The types of machines that exist; null while they are not known. */
     private readonly machineTypes: () => ReadonlySet<string> | null,
   ) {}
 
@@ -91,7 +92,7 @@
     }
   }
 
-  commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
+  private commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
     return commitForUser(this.store, this.runtime.clock, this.waits, when, then, signal);
   }
 
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -5,12 +5,12 @@
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
+import { fitJobRecord } from './record-size.js';
 import { whyNever } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
-import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
-import { HEDGE_SHARE, Overloaded } from './user-requests.js';
+import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -27,6 +27,9 @@
 /** For how large a share of a submission's time it may queue for the store's rate. */
 const MOST_QUEUED_SHARE = 0.25;
 
+/** The same for a cancellation: it is sent away only where it could not be confirmed in its time. */
+const MOST_CANCEL_QUEUED_SHARE = 0.75;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -35,6 +38,7 @@
 export class JobApi {
   private readonly states: JobStates;
   private readonly acceptance: Acceptance;
+  private readonly cancelWaits: RequestWaits;
 
   constructor(
     private readonly store: Store,
@@ -50,6 +54,7 @@
       mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
       hedgeMs: limits.pollMs * HEDGE_SHARE,
     };
+    this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
     this.acceptance = new Acceptance(store, this.states, runtime, waits, () => this.machineTypes);
   }
@@ -141,7 +146,10 @@
         // One accepted under larger limits may have to lose what means nothing.
         const { valueBytes } = this.store.limits.effective();
         const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
-        const outcome = await this.acceptance.commit(
+        const outcome = await commitForUser(
+          this.store,
+          this.runtime.clock,
+          this.cancelWaits,
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -3,6 +3,9 @@
 import type { PeerTransport } from '../../src/peer/peer-transport.js';
 import type { FakeClock } from './clock.js';
 
+/** The version of frames that production read before the current ones. */
+const PREVIOUS_VERSION = 3;
+
 /** The wire between controllers: real frames, with a delay, and cuts. */
 export class FakeWire {
   private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
@@ -12,8 +15,9 @@
   /** How long a message takes, in milliseconds. */
   delayMs: (from: string, to: string) => number = () => 2;
   private readonly starts = new Map<string, number>();
-  /** Controllers of the version before, which read no frames of the current one. */
+  /** Controllers of the version before, which close a connection that brings a later frame. */
   readonly previousVersion = new Set<string>();
+  readonly unreadable: Message[] = [];
 
   constructor(
     private readonly clock: FakeClock,
@@ -26,7 +30,6 @@
     this.ends.set(name, heard);
     this.starts.set(name, this.clock.now());
     return {
-      speaksCurrent: (peer) => !this.previousVersion.has(peer),
       startedAt: (peer) => this.starts.get(peer) ?? null,
       heard,
       peers: all.filter((n) => n !== name),
@@ -37,6 +40,10 @@
           // A message from an earlier life of the process does not come from this one.
           if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
           if (this.separated(name, to) || this.loses(name, to, message)) return;
+          if (this.previousVersion.has(to) && bytes.readUInt8(2) > PREVIOUS_VERSION) {
+            this.unreadable.push(message);
+            return;
+          }
           for (const m of new Decoder().push(bytes)) {
             this.ends.get(to)?.next({ from: name, message: m });
           }
--- a/test/fakes/rule-checker.ts
+++ b/test/fakes/rule-checker.ts
@@ -1,4 +1,10 @@
-import { jobRequestOf, whyRefused, type FleetFacts, type JobRequest } from './job-request.js';
+import {
+  jobRequestOf,
+  whyRefused,
+  type Amounts,
+  type FleetFacts,
+  type JobRequest,
+} from './job-request.js';
 
 export type TaskState = 'fetching' | 'gathering' | 'running' | 'flushing';
 
@@ -85,7 +91,6 @@
   acceptedAt: number | null;
   final: { phase: 'done' | 'withdrawn'; at: number } | null;
   readonly completed: Set<number>;
-  /** It was over when the story began. */
   doneBefore: boolean;
   /** Since when every question about it has failed; null while the last one was answered. */
   unansweredSince: number | null;
@@ -93,9 +98,6 @@
   fittingSince: number | null;
 }
 
-const isDone = (job: JobHistory): boolean =>
-  job.doneBefore || job.completed.size >= (job.request?.pieces ?? Infinity);
-
 /** A start after a cancellation was confirmed: not allowed, but within `cancel_s` not yet a breach. */
 export interface LateStart {
   task: string;
@@ -112,7 +114,7 @@
   readonly startsAfterCancel: LateStart[] = [];
   private readonly jobs = new Map<string, JobHistory>();
   private readonly reported = new Set<string>();
-  private recent: { ref: string; at: number; answered: boolean }[] = [];
+  private readonly recent: { ref: string; at: number; answered: boolean }[] = [];
   private calmSince: number | null = null;
 
   constructor(private readonly options: CheckerOptions) {}
@@ -167,7 +169,9 @@
     const got = told.status === 200 || told.status === 201;
     if (got) job.unansweredSince = null;
     else job.unansweredSince ??= q.askedAt;
-    this.recent = this.recent.filter((r) => this.now - r.at <= UNANSWERED_MS);
+    while (this.recent.length > 0 && this.now - this.recent[0]!.at > UNANSWERED_MS) {
+      this.recent.shift();
+    }
     this.recent.push({ ref: q.ref, at: this.now, answered: got || told.status === 404 });
     if (!got) this.judgeSilence(job);
   }
@@ -181,11 +185,16 @@
     if (q.action !== 'submit') return;
     if (job.acceptedAt !== null && job.acceptedAt <= q.askedAt) {
       this.report('forgotten', `repeat of ${q.ref} at ${q.node}: ${told.status}`);
-    } else if (whyRefused(body, this.options.fleet) === null) {
+    } else if (whyRefused(body, this.options.fleet) === null && this.namesAccepted(body)) {
       this.report('refused_sound', `${q.ref} at ${q.node}: ${told.status}`);
     }
   }
 
+  /** All jobs that a submission names were accepted, as far as users were told. */
+  private namesAccepted(body: unknown): boolean {
+    return jobRequestOf(body)!.waitsOn.every((ref) => this.job(ref).acceptedAt !== null);
+  }
+
   private known(q: Question, job: JobHistory, told: Told, body: unknown): void {
     const first = job.acceptedAt === null;
     if (job.submitAskedAt === Infinity) {
@@ -196,6 +205,10 @@
       const why = whyRefused(body, this.options.fleet) ?? 'never soundly submitted';
       this.report('accepted_unsound', `${q.ref} at ${q.node}: ${why}`);
     }
+    for (const other of first ? this.before(job) : []) {
+      if (other.submitAskedAt < Infinity) continue;
+      this.report('accepted_unsound', `${q.ref} at ${q.node}: nobody submitted ${other.ref}`);
+    }
     job.acceptedAt ??= this.now;
     if (told.phase === 'done') this.toldDone(q, job);
     else if (told.phase === 'withdrawn') this.toldWithdrawn(q, job);
@@ -203,8 +216,8 @@
   }
 
   private toldDone(q: Question, job: JobHistory): void {
-    const pieces = job.request?.pieces ?? 0;
-    if (job.request?.shape === 'service' || job.completed.size < pieces) {
+    if (!isComplete(job)) {
+      const pieces = job.request?.pieces ?? 0;
       this.report('not_done', `${q.ref} at ${q.node}: ${job.completed.size} of ${pieces}`);
     }
     this.toldFinal(q, job, 'done');
@@ -255,7 +268,7 @@
     this.judgePlace(machines, machine, history, task);
     this.judgeQuota(machines);
     for (const other of this.ancestors(history)) {
-      if (!isDone(other)) {
+      if (!isComplete(other)) {
         this.report('too_early', `${name} on ${machine.id}: ${other.ref} is not done`);
       }
     }
@@ -337,29 +350,30 @@
   }
 
   private judgeQuota(machines: MachineSeen[]): void {
-    for (const [team, limit] of this.options.fleet.teams) {
-      const used = this.usedBy(machines, team, onMachine);
-      if (used.cpus > limit.cpus + 1e-6 || used.gpus > limit.gpus + 1e-6) {
+    for (const [team, used] of this.usedByTeam(machines, onMachine)) {
+      const limit = this.options.fleet.teams.get(team);
+      if (!limit || used.cpus > limit.cpus + 1e-6 || used.gpus > limit.gpus + 1e-6) {
         this.report('quota', `${team}: ${used.cpus} CPUs, ${used.gpus} GPUs`);
       }
     }
   }
 
-  private usedBy(
+  private usedByTeam(
     machines: MachineSeen[],
-    team: string,
     counts: (t: TaskSeen) => boolean,
-  ): { cpus: number; gpus: number } {
-    const used = { cpus: 0, gpus: 0 };
+  ): Map<string, Amounts> {
+    const teams = new Map<string, Amounts>();
     for (const m of machines) {
       for (const t of m.tasks) {
         const request = this.jobs.get(t.job)?.request;
-        if (request?.crew !== team || !counts(t)) continue;
+        if (!request || !counts(t)) continue;
+        const used = teams.get(request.crew) ?? { cpus: 0, gpus: 0 };
         used.cpus += request.vcpus;
         used.gpus += request.gpus;
+        teams.set(request.crew, used);
       }
     }
-    return used;
+    return teams;
   }
 
   // ---- looked at again and again
@@ -404,8 +418,8 @@
 
   /** When a user was told that the job, or one that it needs, is cancelled. */
   private cancelledAt(job: JobHistory): number | null {
-    let first = Infinity;
-    for (const { final } of [job, ...this.ancestors(job)]) {
+    let first = job.final?.phase === 'withdrawn' ? job.final.at : Infinity;
+    for (const { final } of this.ancestors(job)) {
       if (final?.phase === 'withdrawn') first = Math.min(first, final.at);
     }
     return first === Infinity ? null : first;
@@ -443,7 +457,7 @@
     const { request } = job;
     if (!request || job.acceptedAt === null || job.final || job.abortAskedAt < Infinity)
       return false;
-    if (!this.ancestors(job).every(isDone)) return false;
+    if (!this.ancestors(job).every(isComplete)) return false;
     const zones = this.zonesOf(machines, job.ref, () => true);
     const placed = new Set([...zones.values()].flatMap((tasks) => [...tasks]));
     for (const task of job.completed) placed.add(task);
@@ -453,7 +467,7 @@
     if (request.shape === 'gang' && zones.size > 0) return false;
     const wanted = request.shape === 'gang' ? missing : 1;
     const limit = this.options.fleet.teams.get(request.crew)!;
-    const used = this.usedBy(machines, request.crew, () => true);
+    const used = this.usedByTeam(machines, () => true).get(request.crew) ?? NOTHING_USED;
     if (used.cpus + request.vcpus * wanted > limit.cpus + 1e-6) return false;
     if (used.gpus + request.gpus * wanted > limit.gpus + 1e-6) return false;
     return this.zoneRoom(machines, request, zones) >= wanted;
@@ -497,7 +511,8 @@
   }
 
   /** All jobs that it needs, directly or through others. */
-  private ancestors(job: JobHistory): JobHistory[] {
+  private ancestors(job: JobHistory): readonly JobHistory[] {
+    if (!job.request || job.request.waitsOn.length === 0) return NONE;
     const found = new Set<JobHistory>();
     const add = (j: JobHistory): void => {
       for (const other of this.before(j)) {
@@ -539,6 +554,13 @@
   }
 }
 
+const NONE: readonly JobHistory[] = [];
+const NOTHING_USED: Amounts = { cpus: 0, gpus: 0 };
+
+/** All its tasks are done; a service never is. */
+const isComplete = ({ doneBefore, request, completed }: JobHistory): boolean =>
+  doneBefore || (!!request && request.shape !== 'service' && completed.size === request.pieces);
+
 /** A task counts from the moment it has its image. */
 const onMachine = (t: TaskSeen): boolean => t.state !== 'fetching';
 
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -2,7 +2,9 @@
 import { test } from 'node:test';
 import { CancellationLog } from '../src/jobs/cancellation-log.js';
 import { Decoder, encode, type Message } from '../src/peer/frames.js';
+import { STORE_PATHS } from '../src/wire/store.js';
 import { FakeClock } from './fakes/clock.js';
+import type { Fate } from './fakes/store.js';
 import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
@@ -20,9 +22,14 @@
   kept: string;
 }
 
+/** A controller of the version before writes no record of itself. */
+const announcesNothing = (_method: string, path: string, body: unknown): Fate =>
+  path === '/txn' && JSON.stringify(body).includes('"write":"members/') ? 'refuse' : 'serve';
+
 /** Three controllers, two services that run, and a leader that the store refuses alone. */
-async function refusedLeader(): Promise<Gap> {
+async function refusedLeader(announced = true): Promise<Gap> {
   const w = new World(FOUR, 3);
+  if (!announced) for (const node of w.nodes) node.fate = announcesNothing;
   await w.start();
   const cancelled = await w.submit(service);
   const kept = await w.submit(service);
@@ -74,6 +81,8 @@
   name: string;
   confirm?(gap: Gap): Promise<void>;
   trouble?(gap: Gap): Promise<void>;
+  /** False: nobody is known to read the current frames. */
+  announced?: false;
   /** Everyone can vouch all the same, so that other work goes on. */
   covered?: true;
 }[] = [
@@ -98,12 +107,13 @@
   },
   {
     name: 'the confirming controller stands still',
-    trouble: ({ w, confirming }) => Promise.resolve(w.freeze(confirming, 60_000)),
+    trouble: ({ w, confirming }) => Promise.resolve(w.freeze(confirming, 45_000)),
   },
   {
-    name: 'the confirming controller runs the version before',
-    trouble: ({ w, confirming }) => {
-      w.wire.previousVersion.add(w.nodes[confirming]!.name);
+    name: 'the others run the version before',
+    announced: false,
+    trouble: ({ w, confirming, other }) => {
+      for (const i of [confirming, other]) w.wire.previousVersion.add(w.nodes[i]!.name);
       return Promise.resolve();
     },
   },
@@ -134,7 +144,7 @@
         path === '/txn' && JSON.stringify(body).includes('"write":"jobs/')
           ? 'lose answer'
           : 'serve';
-      void w.user(w.nodes.indexOf(node)).abort(cancelled);
+      void w.user(confirming).abort(cancelled);
       await w.clock.advance(50);
       node.fate = () => 'refuse';
       assert.equal(await w.phase(cancelled, other), 'withdrawn');
@@ -147,7 +157,7 @@
       const node = w.nodes[confirming]!;
       node.fate = (_method, path, body) =>
         path === '/txn' && JSON.stringify(body).includes('"write":"jobs/') ? 'apply late' : 'serve';
-      void w.user(w.nodes.indexOf(node)).abort(cancelled);
+      void w.user(confirming).abort(cancelled);
       await w.clock.advance(50);
       node.fate = () => 'refuse';
       assert.equal(w.store.late[0]!().status, 200);
@@ -158,13 +168,14 @@
   },
 ];
 
-for (const { name, confirm, trouble, covered } of links) {
+for (const { name, announced, confirm, trouble, covered } of links) {
   test(`cancelled tasks are gone in time in an outage when ${name}`, async () => {
-    const gap = await refusedLeader();
+    const gap = await refusedLeader(announced);
     await (confirm ?? abort)(gap);
     await trouble?.(gap);
     await outage(gap, 50);
     assert.equal(gap.w.running(gap.kept), covered ? 2 : 0);
+    assert.deepEqual(gap.w.wire.unreadable, []);
     gap.w.nodes[gap.confirming]!.fate = () => 'serve';
     for (const { name: node } of gap.w.nodes) gap.w.wire.cut.delete(node);
     if (!gap.w.nodes[gap.confirming]!.controller) gap.w.restart(gap.confirming);
@@ -224,6 +235,10 @@
   await w.close();
 });
 
+test('a watch asks for whole milliseconds, since others would count as none', () => {
+  assert.match(STORE_PATHS.watch('jobs/', 7, 1143.75), /&holdMs=1144$/);
+});
+
 test('a log of cancellations answers only for times of which nothing is missing', async () => {
   const clock = new FakeClock();
   await clock.advance(1000);
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -65,8 +65,8 @@
         },
         forgotten: () => undefined,
         contradiction: (what) => assert.fail(what),
-        ended: () => undefined,
         settled: () => undefined,
+        ended: () => undefined,
       },
     );
   }
