--- a/test/acceptance.test.ts
+++ b/test/acceptance.test.ts
@@ -142,6 +142,19 @@
   assert.equal(await n.phase(1, 'req-9'), 'withdrawn');
 });
 
+test('dependencies are laid out for the smaller limits that are announced', async () => {
+  const n = new Nodes(1, { next: { valueBytes: 2048, txnOps: 4 } });
+  const all = names(1, 300);
+  acceptAll(n, all);
+  assert.equal((await n.submit(0, 'req-9', all)).status, 201);
+  assert.deepEqual(storedList(n, 'req-9'), all);
+  for (const key of pieceKeys(n)) {
+    assert.ok(JSON.stringify(n.store.get(key)).length <= 2048);
+  }
+  assert.equal((await n.submit(0, 'req-10', all.slice(0, 30))).status, 201);
+  assert.ok(JSON.stringify(n.store.get('jobs/req-10')).length <= 2048);
+});
+
 test('an unknown job among thousands is found', async () => {
   const n = new Nodes(1);
   const all = names(1, 4000);
