--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -430,9 +430,8 @@
 
 /**
  * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
- * job that others wait for holds up all their tasks, until it is stored; for the rest of what is
- * written of a job that is over nobody waits. What was cancelled with another job is known to be
- * cancelled already, and no task of it runs.
+ * job that others wait for holds up all their tasks, until it is stored. What was cancelled with
+ * another job is known to be cancelled already, and no task of it runs.
  */
 function urgencyOf(job: Job, draft: Draft): Urgency {
   if (draft.background) return 2;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -643,6 +643,10 @@
     this.checker.started(seen(worker), piece.job, piece.task);
   }
 
+  private machinesSeen(): MachineSeen[] {
+    return [...this.workers.values()].filter((w) => !w.dead).map(seen);
+  }
+
   /** Puts a job into the store that was done before the story began. */
   doneBefore(ref: string): void {
     this.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
@@ -654,10 +658,6 @@
     return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
   }
 
-  private machinesSeen(): MachineSeen[] {
-    return [...this.workers.values()].filter((w) => !w.dead).map(seen);
-  }
-
   private check(): void {
     this.checker.look();
   }
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -65,7 +65,6 @@
         },
         forgotten: () => undefined,
         contradiction: (what) => assert.fail(what),
-        ended: () => undefined,
         settled: () => undefined,
       },
     );
