--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -9,7 +9,7 @@
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
 import { parseJob, type JobRecord } from './records.js';
-import { HEDGE_SHARE, Overloaded } from './user-requests.js';
+import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -26,6 +26,9 @@
 /** For how large a share of a submission's time it may queue for the store's rate. */
 const MOST_QUEUED_SHARE = 0.25;
 
+/** The same for a cancellation: it is sent away only where it could not be confirmed in its time. */
+const MOST_CANCEL_QUEUED_SHARE = 0.75;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -34,6 +37,7 @@
 export class JobApi {
   private readonly states: JobStates;
   private readonly acceptance: Acceptance;
+  private readonly cancelWaits: RequestWaits;
 
   constructor(
     private readonly store: Store,
@@ -49,8 +53,9 @@
       mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
       hedgeMs: limits.pollMs * HEDGE_SHARE,
     };
+    this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, waits);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits, () => this.machineTypes);
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -99,6 +104,8 @@
         return { status: 201, body: this.answer(id, this.states.remembered(id)) };
       case 'known':
         return this.knownOr(id, signal, BUSY);
+      case 'too large':
+        return this.knownOr(id, signal, TOO_LARGE);
       case 'unknown dependency': {
         const error = `waitsOn: ${accepted.id} was never accepted`;
         return this.knownOr(id, signal, { status: 422, body: { error } });
@@ -116,6 +123,11 @@
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
+  private get machineTypes(): ReadonlySet<string> | null {
+    const types = this.catalogue.types.value;
+    return types && new Set(types.keys());
+  }
+
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
       const entry = await this.store.get(KEYS.job(id), 0, signal);
@@ -128,8 +140,15 @@
       }
       let { version } = entry;
       if (record.phase === 'open') {
-        const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
-        const outcome = await this.acceptance.commit(
+        const w = this.runtime.random.unique();
+        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
+        // One accepted under larger limits may have to lose what means nothing.
+        const { valueBytes } = this.store.limits.effective();
+        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
+        const outcome = await commitForUser(
+          this.store,
+          this.runtime.clock,
+          this.cancelWaits,
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
@@ -188,4 +207,8 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
+const TOO_LARGE: Answer = {
+  status: 422,
+  body: { error: 'the description of the job is larger than the state service takes' },
+};
 const UNKNOWN: Answer = { status: 404, body: { error: 'unknown job' } };
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -159,6 +159,8 @@
   /** The jobs that each job needs. */
   private readonly needs = new Map<string, string[]>();
   readonly starts: string[] = [];
+  /** What runs on workers from the beginning, by machine. */
+  readonly onWorkers = new Map<string, Piece[]>();
   /** Starts before the records of the jobs that they need say `done`: more than the rules ask. */
   readonly broken: string[] = [];
   /** The submissions that users were told are accepted. */
@@ -578,6 +580,7 @@
       for (const h of this.cloud.hosts.values()) {
         if (this.workers.has(h.ref) || this.clock.now() < h.upAt) continue;
         const worker = this.worker(h);
+        worker.pieces.push(...(this.onWorkers.get(h.ref) ?? []));
         this.workers.set(h.ref, worker);
         void worker.run(this.end.signal);
       }
