--- a/test/meeting-limits.test.ts
+++ b/test/meeting-limits.test.ts
@@ -64,6 +64,25 @@
       await w.pass(10);
     },
   },
+  {
+    name: 'old reports tell the next leader that cancelled work is gone, which hangs at a limit',
+    machines: LARGE,
+    play: async (w, seed) => {
+      const empty = [...w.workers.values()].map((x) => structuredClone(x.sent.at(-1)!));
+      const jobs = await full(w);
+      w.trouble.keepForNext(empty);
+      const cancelled = [jobs[0]!, jobs[4]!];
+      w.trouble.hang(
+        cancelled.flatMap((job) => w.holding(job)),
+        7 + seed,
+      );
+      for (const job of cancelled) void w.cancelling(job);
+      await w.pass(0.5);
+      await w.trouble.endLeader(3);
+      for (const report of empty) w.trouble.everywhere(report);
+      await w.pass(15);
+    },
+  },
   {
     name: 'a team of CPUs alone stays within its limit while machines hang and the leader ends',
     play: async (w, seed) => {
