--- a/src/control/report-handler.ts
+++ b/src/control/report-handler.ts
@@ -20,15 +20,12 @@
   /** What to answer; null if the worker's lease must not be renewed now. */
   report(r: Report): Order[] | null | Promise<Order[] | null> {
     // A copy that comes late tells of no worker that reaches us now.
-    if (this.isNewest(r)) this.leader.silence.heard(this.leader.now);
+    const known = this.leader.fleet.machines.get(r.machine);
+    if (known?.newerReport(r.session, r.seq) ?? true) this.leader.silence.heard(this.leader.now);
     if (!this.leader.records.ready) return this.afterRecovery(r);
     return this.leader.mayAnswer(this.leader.now) ? this.take(r, true) : null;
   }
 
-  private isNewest(r: Report): boolean {
-    return this.leader.fleet.machines.get(r.machine)?.newer(r.session, r.seq) ?? true;
-  }
-
   /**
    * Before the records are read nobody knows what on that machine is cancelled. They mostly are
    * within the time that a worker waits for its answer.
@@ -44,7 +41,7 @@
     const type = this.leader.types.get(r.type) ?? null;
     const m = this.leader.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
-    const fresh = this.leader.records.ready && this.isNewest(r);
+    const fresh = this.leader.records.ready && (m?.newer(r.session, r.seq) ?? true);
     if (fresh) this.leader.longPoll.supersede(r.machine);
     const orders = this.leader.fleet.report(r, type, this.leader.now, this.leader.records.ready);
     const after = this.leader.fleet.machines.get(r.machine)!;
