--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -34,7 +34,7 @@
     private readonly runtime: Runtime,
     private readonly retryMs: number,
     /** Whether a controller is known to run a version that reads the current frames. */
-    readonly speaksCurrent: (peer: string) => boolean = () => true,
+    readonly speaksCurrent: (peer: string) => boolean = () => false,
   ) {
     this.peers = settings.peers.map((p) => p.member);
   }
