--- a/src/control/report-handler.ts
+++ b/src/control/report-handler.ts
@@ -15,21 +15,18 @@
 
 /** Takes workers' reports, and says what to answer and when. */
 export class ReportHandler {
-  /** When a worker was last heard in this term. */
-  heardAt: number | null = null;
-
   constructor(private readonly leader: Leader) {}
 
   /** What to answer; null if the worker's lease must not be renewed now. */
   report(r: Report): Order[] | null | Promise<Order[] | null> {
-    this.heardAt = this.leader.now;
+    // A copy that comes late tells of no worker that reaches us now.
+    if (this.isNewest(r)) this.leader.silence.heard(this.leader.now);
     if (!this.leader.records.ready) return this.afterRecovery(r);
-    return this.mayRenew() ? this.take(r, true) : null;
+    return this.leader.mayAnswer(this.leader.now) ? this.take(r, true) : null;
   }
 
-  /** Whether a lease may be renewed now as far as knowledge of cancelled jobs goes. */
-  mayRenew(): boolean {
-    return this.leader.view.mayRenew(this.leader.now);
+  private isNewest(r: Report): boolean {
+    return this.leader.fleet.machines.get(r.machine)?.newer(r.session, r.seq) ?? true;
   }
 
   /**
@@ -37,10 +34,9 @@
    * within the time that a worker waits for its answer.
    */
   private async afterRecovery(r: Report): Promise<Order[] | null> {
-    const { records, parts, term } = this.leader;
+    const { records, parts } = this.leader;
     await parts.runtime.clock.sleep(MOST_HOLD_MS, records.readSignal);
-    const entitled = records.ready && term.active(this.leader.now) && this.mayRenew();
-    return entitled ? this.take(r, false) : null;
+    return records.ready && this.leader.mayAnswer(this.leader.now) ? this.take(r, false) : null;
   }
 
   /** `mayHold`: the worker still has time to wait for orders that come up. */
@@ -48,7 +44,7 @@
     const type = this.leader.types.get(r.type) ?? null;
     const m = this.leader.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
-    const fresh = this.leader.records.ready && (m?.newer(r.session, r.seq) ?? true);
+    const fresh = this.leader.records.ready && this.isNewest(r);
     if (fresh) this.leader.longPoll.supersede(r.machine);
     const orders = this.leader.fleet.report(r, type, this.leader.now, this.leader.records.ready);
     const after = this.leader.fleet.machines.get(r.machine)!;
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -13,10 +13,10 @@
   | { kind: 'added' }
   /** It is in the store already: another node or an earlier try was first. */
   | { kind: 'known' }
+  /** Its record does not fit the limits of the store. */
+  | { kind: 'too large' }
   /** It names a job that was never accepted. */
-  | { kind: 'unknown dependency'; id: string }
-  /** Its record would not fit under the limits to come. */
-  | { kind: 'too large' };
+  | { kind: 'unknown dependency'; id: string };
 
 /**
  * Puts new jobs into the store. The job's own record comes last and on condition that there is none:
@@ -29,14 +29,11 @@
     private readonly states: JobStates,
     private readonly runtime: Runtime,
     private readonly waits: RequestWaits,
+    /** The types of machines that exist; null while they are not known. */
+    private readonly machineTypes: () => ReadonlySet<string> | null,
   ) {}
 
-  /** `machineTypes`: those that exist; null: not known. */
-  async add(
-    { id, spec, dependencies }: Submission,
-    machineTypes: ReadonlySet<string> | null,
-    signal: AbortSignal,
-  ): Promise<Accepted> {
+  async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
     const unknown = await this.unknownDependency(id, dependencies, signal);
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
     const { clock, random } = this.runtime;
@@ -49,7 +46,8 @@
       spec,
       ...(needs ? { needs } : {}),
     };
-    const value = fitJobRecord(record, this.writeLimits.valueBytes, machineTypes);
+    // It has to fit also when it is rewritten under the limits to come.
+    const value = fitJobRecord(record, this.writeLimits.valueBytes, this.machineTypes());
     if (!value) return { kind: 'too large' };
     for (const group of groupPieces(pieces, this.writeLimits)) {
       await this.addPieces(group, signal);
@@ -94,7 +92,7 @@
     }
   }
 
-  commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
+  private commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
     return commitForUser(this.store, this.runtime.clock, this.waits, when, then, signal);
   }
 
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -438,7 +438,9 @@
  */
 function urgencyOf(job: Job, draft: Draft): Urgency {
   if (draft.background) return 2;
-  if (job.phase === 'done') return job.awaited && !job.phaseStored ? 0 : 1;
+  // Once the phase is stored, what is left only tidies up.
+  if (job.phase !== 'open' && job.phaseStored) return 2;
+  if (job.phase === 'done') return job.awaited ? 0 : 1;
   if (job.phase === 'cancelled') return job.cancelledWith === null ? 1 : 2;
   return job.spec.kind === 'array' ? 2 : 1;
 }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -62,9 +62,6 @@
 
 const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
 
-/** Whether only controllers that read the current version of frames may be sent this. */
-export const needsCurrent = (m: Message): boolean => KINDS.indexOf(m.kind) >= FIRST_CURRENT_KIND;
-
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
   const messages: Message[] = [];
@@ -241,9 +238,7 @@
       const kind = KINDS[this.rest.readUInt8(3)];
       const length = this.rest.readUInt32BE(4);
       if (this.rest.readUInt16BE(0) !== MAGIC) throw new FrameError('bad magic');
-      if (version !== VERSION && version !== CURRENT_VERSION) {
-        throw new FrameError('unknown version');
-      }
+      if (!FRAME_VERSIONS.includes(version)) throw new FrameError('unknown version');
       if (!kind) throw new FrameError('unknown kind');
       if (length > MAX_PAYLOAD) throw new FrameError('frame too large');
       if (this.rest.length < HEADER + length) break;
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -67,9 +67,9 @@
           }
         },
         forgotten: () => undefined,
-        ended: () => undefined,
         contradiction: (what) => assert.fail(what),
         settled: () => undefined,
+        ended: () => undefined,
       },
     );
   }
