--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -433,14 +433,13 @@
 
 /**
  * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
- * job that others wait for holds up all their tasks, until it is stored. What was cancelled with
- * another job is known to be cancelled already, and no task of it runs.
+ * job that others wait for holds up all their tasks, until it is stored; for the rest of what is
+ * written of a job that is over nobody waits. What was cancelled with another job is known to be
+ * cancelled already, and no task of it runs.
  */
 function urgencyOf(job: Job, draft: Draft): Urgency {
   if (draft.background) return 2;
-  // Once the phase is stored, what is left only tidies up.
-  if (job.phase !== 'open' && job.phaseStored) return 2;
-  if (job.phase === 'done') return job.awaited ? 0 : 1;
-  if (job.phase === 'cancelled') return job.cancelledWith === null ? 1 : 2;
-  return job.spec.kind === 'array' ? 2 : 1;
+  if (job.phase === 'open') return job.spec.kind === 'array' ? 2 : 1;
+  if (job.phaseStored || job.cancelledWith !== null) return 2;
+  return job.phase === 'done' && job.awaited ? 0 : 1;
 }
