--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -62,6 +62,15 @@
   );
 }
 
+/** The settings of one of several controllers that know each other. */
+function settingsAmong(member: string, all: string[], state: Partial<Settings['state']>): Settings {
+  const own = settings(member);
+  const peers = all
+    .filter((name) => name !== member)
+    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
+  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+}
+
 export function fakeRandom(name: string): Random {
   let n = 0;
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
@@ -97,6 +106,14 @@
   apart?: boolean;
   driftwood?: boolean;
   yard?: string;
+  waitsOn?: string[];
+}
+
+interface WorldFacts extends JobFacts {
+  gpus: number;
+  crew: string;
+  samePlace: boolean;
+  waitsOn: string[];
 }
 
 /** A small fleet with two or three controllers; it checks the rules at every step of every story. */
@@ -107,7 +124,7 @@
   readonly wire = new FakeWire(this.clock);
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes: Node[] = [];
-  readonly facts = new Map<string, JobFacts & { gpus: number; crew: string; samePlace: boolean }>();
+  readonly facts = new Map<string, WorldFacts>();
   readonly starts: string[] = [];
   readonly broken: string[] = [];
   /** Whether commands reach the workers' own addresses. */
@@ -118,7 +135,12 @@
   private lives = 0;
   private nextId = 1;
 
-  constructor(machines: { yard: string; spot?: boolean }[], controllers: 2 | 3 = 2) {
+  constructor(
+    machines: { yard: string; spot?: boolean }[],
+    controllers: 2 | 3 = 2,
+    /** What the settings say of the store, where it differs from the sample. */
+    private readonly state: Partial<Settings['state']> = {},
+  ) {
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false);
     for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, controllers)) {
       this.nodes.push({
@@ -149,7 +171,11 @@
     const node = this.nodes[i]!;
     node.stop = new AbortController();
     const controller = new Controller(
-      settings(node.name),
+      settingsAmong(
+        node.name,
+        this.nodes.map((n) => n.name),
+        this.state,
+      ),
       OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
@@ -283,6 +309,7 @@
       gpus: w.gpus ?? 1,
       crew: w.crew ?? 'vision',
       samePlace: w.samePlace ?? false,
+      waitsOn: w.waitsOn ?? [],
     });
     const body = {
       ref,
@@ -303,6 +330,7 @@
       guessS: (w.runMs ?? 20_000) / 1000,
       snapshotEveryS: 10,
       stowS: 1,
+      ...(w.waitsOn ? { waitsOn: w.waitsOn } : {}),
     };
     return { ref, body };
   }
@@ -390,6 +418,9 @@
   private onMachine(worker: FakeWorker, piece: Piece): void {
     const name = `${piece.job}/${piece.task}`;
     this.starts.push(name);
+    for (const needed of this.facts.get(piece.job)!.waitsOn) {
+      if (this.stored(needed) !== 'done') this.broken.push(`too_early ${name}, needs ${needed}`);
+    }
     for (const other of this.workers.values()) {
       if (other === worker || other.dead) continue;
       const twin = other.pieces.find(
@@ -409,6 +440,11 @@
     }
   }
 
+  /** The phase that a job's record says. */
+  stored(ref: string): string | undefined {
+    return (this.store.get(`jobs/${ref}`) as { phase: string } | undefined)?.phase;
+  }
+
   private check(): void {
     const used = new Map<string, number>();
     for (const worker of this.workers.values()) {
