--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -6,9 +6,10 @@
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
+import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
 import { parseJob, type JobRecord } from './records.js';
-import { Overloaded } from './user-requests.js';
+import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -25,6 +26,9 @@
 /** For how large a share of a submission's time it may queue for the store's rate. */
 const MOST_QUEUED_SHARE = 0.25;
 
+/** The same for a cancellation: it is sent away only where it could not be confirmed in its time. */
+const MOST_CANCEL_QUEUED_SHARE = 0.75;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -33,6 +37,7 @@
 export class JobApi {
   private readonly states: JobStates;
   private readonly acceptance: Acceptance;
+  private readonly cancelWaits: RequestWaits;
 
   constructor(
     private readonly store: Store,
@@ -40,12 +45,17 @@
     private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly counts: (id: string) => Counts | null,
+    /** Called before any user is told that a job is cancelled. */
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {
-    const mostDelayMs = limits.submitMs * MOST_QUEUED_SHARE;
+    const waits = {
+      mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
+      hedgeMs: limits.pollMs * HEDGE_SHARE,
+    };
+    this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, mostDelayMs);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits);
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -65,16 +75,9 @@
     return this.within(this.limits.submitMs, (signal) => this.cancel(id, signal));
   }
 
-  /** Asks the store which of these jobs are cancelled. */
-  async cancelledAmong(ids: Iterable<string>): Promise<Set<string>> {
-    const found = new Set<string>();
-    await Promise.all(
-      [...ids].map(async (id) => {
-        const job = await this.states.current(id).catch(() => null);
-        if (job?.phase === 'cancelled') found.add(id);
-      }),
-    );
-    return found;
+  /** A job's phase at some time after this call, by the store; null: it was never accepted. */
+  async phaseOf(id: string): Promise<JobPhase | null> {
+    return (await this.states.current(id))?.phase ?? null;
   }
 
   private async accept(body: unknown, signal: AbortSignal): Promise<Answer> {
@@ -131,7 +134,10 @@
       let { version } = entry;
       if (record.phase === 'open') {
         const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
-        const outcome = await this.acceptance.commit(
+        const outcome = await commitForUser(
+          this.store,
+          this.runtime.clock,
+          this.cancelWaits,
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
@@ -140,7 +146,6 @@
         version = outcome.revision;
       }
       this.rememberOver(id, version, { ...record, phase: 'cancelled' });
-      this.cancelled(id);
       return { status: 200, body: wire.jobAnswer(id, this.tellWithdrawn(id)) };
     }
   }
@@ -155,7 +160,7 @@
 
   /** Whoever tells a user that a job is withdrawn does it here, whichever way it was cancelled. */
   private tellWithdrawn(id: string): wire.PhaseName {
-    this.runtime.log.debug({ job: id }, 'told withdrawn');
+    this.cancelled(id);
     return 'withdrawn';
   }
 
