No job waits for minutes beside free room for failures that are over

Change: what fails during the pause is part of the failure that began it, and the pause grows to 16 report intervals at most; the wait of a suspended gang is doubled once.

--- a/src/control/gang-gate.ts
+++ b/src/control/gang-gate.ts
@@ -2,6 +2,12 @@
 import type { Operator } from '../settings/operator.js';
 import type { Leader } from './leader.js';
 
+/**
+ * How often the wait on the inadmissible list is doubled at most. Nothing tells that what kept a gang
+ * from being ready is over, and one that waits for minutes beside free room is not served.
+ */
+const MOST_WAIT_DOUBLINGS = 1;
+
 /**
  * The all-or-nothing gate's bookkeeping (KEP-349): admission, readiness, timeout and the
  * inadmissible list. Which gang passes is decided by the scheduler.
@@ -47,7 +53,8 @@
     const gang = job.gang!;
     gang.phase = 'suspended';
     gang.holdsGate = false;
-    gang.until = now + this.operator.gate.returnSeconds * 1000 * 2 ** Math.min(gang.suspensions, 3);
+    const doublings = Math.min(gang.suspensions, MOST_WAIT_DOUBLINGS);
+    gang.until = now + this.operator.gate.returnSeconds * 1000 * 2 ** doublings;
     gang.suspensions++;
     job.touch(0);
   }
--- a/src/control/task-progress.ts
+++ b/src/control/task-progress.ts
@@ -2,6 +2,9 @@
 import type { ExitWhy } from '../wire/report.js';
 import type { Leader } from './leader.js';
 
+/** How often the pause after a failure is doubled at most; it begins with two report intervals. */
+const MOST_PAUSE_DOUBLINGS = 4;
+
 /** What it means for a job that one of its tasks runs, has ended or is proven gone. */
 export class TaskProgress {
   constructor(private readonly leader: Leader) {}
@@ -47,9 +50,14 @@
 
   private onFailure(p: Placement, why: ExitWhy): void {
     const { job } = p;
-    job.failures++;
-    const pause = this.leader.parts.settings.workers.reportMs * 2 ** Math.min(job.failures, 5);
-    job.retryAt = Math.max(job.retryAt, this.leader.now + pause);
+    const { now } = this.leader;
+    // What fails during the pause was started before it, as by tasks that share a faulty machine: it
+    // is one failure, or the rest of the job would wait for long beside machines that are sound.
+    if (now >= job.retryAt) {
+      job.failures++;
+      const doublings = Math.min(job.failures, MOST_PAUSE_DOUBLINGS);
+      job.retryAt = now + this.leader.parts.settings.workers.reportMs * 2 ** doublings;
+    }
     if (why !== 'error') return;
     const m = this.leader.fleet.machines.get(p.machine);
     // One job that fails everywhere must not give every machine a bad name: it counts once each.
--- a/test/gate.test.ts
+++ b/test/gate.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { GangGate } from '../src/control/gang-gate.js';
+import { Job } from '../src/jobs/live.js';
+import { OPERATOR_DEFAULTS } from '../src/settings/operator.js';
+import { SPEC } from './fakes/samples.js';
 import { World } from './fakes/world.js';
 
 interface Run {
@@ -64,6 +68,17 @@
   await w.close();
 });
 
+test('however often a gang is suspended, it does not wait for minutes beside free room', () => {
+  const gate = new GangGate(OPERATOR_DEFAULTS);
+  const job = new Job('req-1', { ...SPEC, kind: 'gang' }, 0, 1, 100);
+  const waits = Array.from({ length: 5 }, () => {
+    gate.admit(job, 1000);
+    gate.suspend(job, 1000);
+    return (job.gang!.until - 1000) / 1000;
+  });
+  assert.deepEqual(waits, [30, 60, 60, 60, 60]);
+});
+
 test('a silent cloud does not cost a gang its admission', async () => {
   const w = new World([{ yard: 'a' }]);
   await w.start();
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -366,6 +366,18 @@
   await w.close();
 });
 
+test('tasks that fail together on a faulty machine soon run again on sound ones', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ pieces: 8, runMs: 60_000 });
+  await w.until(() => w.running(job) === 8, 10, 'all run');
+  const faulty = [...w.workers.values()].find((x) => x.pieces.length > 1)!;
+  for (const piece of faulty.pieces) Object.assign(piece, { phase: 'ended', cause: 'error' });
+  await w.until(() => w.running(job) === 8, 10, 'all run again');
+  assert.equal(faulty.pieces.filter((p) => p.phase !== 'ended').length, 0);
+  await w.close();
+});
+
 test('ends that come close together share a record, and no worker forgets one before it is written', async () => {
   const w = new World(FOUR);
   await w.start();
