--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -9,6 +9,7 @@
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import type { Job } from '../jobs/live.js';
+import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -27,6 +28,7 @@
 import { longestHoldMs, ReportHandler } from './report-handler.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
   store: Store;
@@ -39,6 +41,7 @@
   runtime: Runtime;
   cloudTimeoutMs: number;
   vouches: CancellationVouch;
+  silentTerms: SilentTerms;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
@@ -60,6 +63,7 @@
   /** How long the leader lease lasts. */
   readonly lifetimeMs: number;
   readonly view: CancellationView;
+  readonly silence: WorkerSilence;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -82,6 +86,7 @@
     const { settings, runtime, store, cloud } = parts;
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
     this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
+    this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
@@ -99,9 +104,11 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    const mayUseRanges = (): boolean =>
-      parts.membership.allCurrent && store.limits.recordsMustShrink;
-    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
+    const layouts: LayoutPolicy = {
+      rangesReadable: () => parts.membership.allCurrent,
+      rangesWanted: () => store.limits.recordsMustShrink,
+    };
+    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
       jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -117,7 +124,7 @@
       ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
       settled: (job) => this.jobs.delete(job.id),
     });
-    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
@@ -163,6 +170,11 @@
     return this.parts.runtime.clock.now();
   }
 
+  /** Whether a worker's lease may be renewed now. */
+  mayAnswer(now: number): boolean {
+    return this.term.active(now) && this.view.mayRenew(now);
+  }
+
   /** How soon a request that failed is made again. */
   get retryMs(): number {
     return this.parts.settings.workers.leaseMs / 50;
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -4,6 +4,7 @@
 import type { Submission } from '../wire/submission.js';
 import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
 import type { JobStates } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import type { JobRecord } from './records.js';
 import { commitForUser, hedged, type RequestWaits } from './user-requests.js';
 
@@ -12,6 +13,8 @@
   | { kind: 'added' }
   /** It is in the store already: another node or an earlier try was first. */
   | { kind: 'known' }
+  /** Its record does not fit the limits of the store. */
+  | { kind: 'too large' }
   /** It names a job that was never accepted. */
   | { kind: 'unknown dependency'; id: string };
 
@@ -26,6 +29,8 @@
     private readonly states: JobStates,
     private readonly runtime: Runtime,
     private readonly waits: RequestWaits,
+    /** The types of machines that exist; null while they are not known. */
+    private readonly machineTypes: () => ReadonlySet<string> | null,
   ) {}
 
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
@@ -33,9 +38,6 @@
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
     const { clock, random } = this.runtime;
     const { needs, pieces } = layOutDependencies(id, dependencies, this.writeLimits);
-    for (const group of groupPieces(pieces, this.writeLimits)) {
-      await this.addPieces(group, signal);
-    }
     const record: JobRecord = {
       w: random.unique(),
       phase: 'open',
@@ -44,8 +46,14 @@
       spec,
       ...(needs ? { needs } : {}),
     };
+    // It has to fit also when it is rewritten under the limits to come.
+    const value = fitJobRecord(record, this.writeLimits.valueBytes, this.machineTypes());
+    if (!value) return { kind: 'too large' };
+    for (const group of groupPieces(pieces, this.writeLimits)) {
+      await this.addPieces(group, signal);
+    }
     const key = KEYS.job(id);
-    const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value: record }], signal);
+    const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value }], signal);
     if (!outcome.ok) return { kind: 'known' };
     const { tasks } = spec;
     this.states.remember(id, { version: outcome.revision, phase: 'open', tasks, dependencies });
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -5,6 +5,7 @@
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
+import { fitJobRecord } from './record-size.js';
 import { whyNever } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
@@ -55,7 +56,7 @@
     };
     this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
     this.states = new JobStates(store, settings, runtime, limits.pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, waits);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits, () => this.machineTypes);
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -104,6 +105,8 @@
         return { status: 201, body: this.answer(id, this.states.remembered(id)) };
       case 'known':
         return this.knownOr(id, signal, BUSY);
+      case 'too large':
+        return this.knownOr(id, signal, TOO_LARGE);
       case 'unknown dependency': {
         const error = `waitsOn: ${accepted.id} was never accepted`;
         return this.knownOr(id, signal, { status: 422, body: { error } });
@@ -121,6 +124,11 @@
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
+  private get machineTypes(): ReadonlySet<string> | null {
+    const types = this.catalogue.types.value;
+    return types && new Set(types.keys());
+  }
+
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
       const entry = await this.store.get(KEYS.job(id), 0, signal);
@@ -133,7 +141,11 @@
       }
       let { version } = entry;
       if (record.phase === 'open') {
-        const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
+        const w = this.runtime.random.unique();
+        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
+        // One accepted under larger limits may have to lose what means nothing.
+        const { valueBytes } = this.store.limits.effective();
+        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
         const outcome = await commitForUser(
           this.store,
           this.runtime.clock,
@@ -196,4 +208,8 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
+const TOO_LARGE: Answer = {
+  status: 422,
+  body: { error: 'the description of the job is larger than the state service takes' },
+};
 const UNKNOWN: Answer = { status: 404, body: { error: 'unknown job' } };
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -12,7 +12,7 @@
   type RangedRunRecord,
   type RunRecord,
 } from './records.js';
-import type { Section, StoredSection } from './run-layout.js';
+import type { LayoutPolicy, Section, StoredSection } from './run-layout.js';
 
 /**
  * A refused write of a job is tried again after this share of the time for which ends wait, doubled
@@ -53,9 +53,12 @@
 
 /** A write of one job that the store refused for good: too large, say. */
 interface Refusal {
-  waitMs: number;
-  /** How many times its transactions have been made half as large. */
-  halvings: number;
+  /** How long the job waits after the next one. */
+  nextWaitMs: number;
+  /** How many times its transactions have been given half as many changes. */
+  halvedOps: number;
+  /** How many times its values have been made half as large; only ranged records can be. */
+  halvedBytes: number;
   /** No write of the job is tried before this time. */
   until: number;
 }
@@ -92,8 +95,7 @@
     private readonly runtime: Runtime,
     private readonly term: Term,
     private readonly limits: StoreLimits,
-    /** True once every controller reads ranged run records, and they are wanted. */
-    private readonly mayUseRanges: () => boolean,
+    private readonly layouts: LayoutPolicy,
     private readonly endsWaitMs: number,
     private readonly events: LedgerEvents,
   ) {}
@@ -210,22 +212,30 @@
     if (job.closed) this.events.settled(job);
   }
 
-  /** Ranged records where all controllers can read them, or where the others are refused. */
+  /** Ranged records where all controllers read them and records must shrink, or one was refused. */
   private chooseLayout(job: Job): void {
     if (job.layout.kind === 'ranged' || job.phase !== 'open') return;
-    if (!this.mayUseRanges() && !this.refusals.has(job)) return;
+    if (!this.layouts.rangesReadable()) return;
+    if (!this.layouts.rangesWanted() && !this.refusals.has(job)) return;
     const perRange = tasksPerRange(this.limitsFor(job).valueBytes);
     job.useRangedRecords(perRange);
+    // What was refused has another form now, and may be tried again soon.
+    const refusal = this.refusals.get(job);
+    if (refusal) refusal.nextWaitMs = this.firstRetryMs;
     this.runtime.log.debug({ job: job.id, perRange }, 'run records are ranged from now on');
   }
 
+  private get firstRetryMs(): number {
+    return this.endsWaitMs * FIRST_RETRY_SHARE;
+  }
+
   /** Limits for one job's transaction: smaller ones after the store has refused it. */
   private limitsFor(job: Job): { valueBytes: number; txnOps: number } {
     const { valueBytes, txnOps } = this.limits.effective();
-    const halvings = this.refusals.get(job)?.halvings ?? 0;
+    const refusal = this.refusals.get(job);
     return {
-      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** halvings),
-      txnOps: Math.max(2, Math.floor(txnOps / 2 ** halvings)),
+      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** (refusal?.halvedBytes ?? 0)),
+      txnOps: Math.max(2, Math.floor(txnOps / 2 ** (refusal?.halvedOps ?? 0))),
     };
   }
 
@@ -353,16 +363,24 @@
     }
   }
 
+  /**
+   * Tasks of an array are of use one by one; services and gangs wait for each of theirs. Once it is
+   * stored that a job is over, nobody waits for the rest.
+   */
   /** The store refuses this write for good, which stops the progress of this job alone. */
   private refuse(job: Job, then: Change[], error: Refused): void {
     const { clock, log } = this.runtime;
     const before = this.refusals.get(job);
-    const waitMs = before
-      ? Math.min(before.waitMs * 2, this.endsWaitMs)
-      : this.endsWaitMs * FIRST_RETRY_SHARE;
-    const halvings = Math.min(before ? before.halvings + 1 : 0, MOST_HALVINGS);
+    const waitMs = before?.nextWaitMs ?? this.firstRetryMs;
+    const half = (times: number): number => Math.min(times + 1, MOST_HALVINGS);
     job.rewriting = false;
-    this.refusals.set(job, { waitMs, halvings, until: clock.now() + waitMs });
+    this.refusals.set(job, {
+      nextWaitMs: Math.min(waitMs * 2, this.endsWaitMs),
+      // The first refusal may mean no more than that the announced limits hold by now.
+      halvedOps: before ? half(before.halvedOps) : 0,
+      halvedBytes: before && job.layout.kind === 'ranged' ? half(before.halvedBytes) : 0,
+      until: clock.now() + waitMs,
+    });
     if (!before) {
       const changes = then.map((c) =>
         'put' in c ? { key: c.put, bytes: jsonBytes(c.value) } : { key: c.delete },
@@ -421,7 +439,9 @@
  */
 function urgencyOf(job: Job, draft: Draft): Urgency {
   if (draft.background) return 2;
-  if (job.phase === 'done') return job.awaited && !job.phaseStored ? 0 : 1;
+  // Once the phase is stored, what is left only tidies up.
+  if (job.phase !== 'open' && job.phaseStored) return 2;
+  if (job.phase === 'done') return job.awaited ? 0 : 1;
   if (job.phase === 'cancelled') return job.cancelledWith === null ? 1 : 2;
   return job.spec.kind === 'array' ? 2 : 1;
 }
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -32,6 +32,8 @@
       spec: { ...spec, tasks: machines.length },
       priority: spec.priority,
       readyAt: i,
+      patient: false,
+      bootShare: 1,
       dueAt: i,
       waiting: 0,
       unfinished: machines.length,
