--- a/src/scheduler/pipelines.ts
+++ b/src/scheduler/pipelines.ts
@@ -22,6 +22,8 @@
   priority: Priority;
   /** By when it should be done so that what comes after it can be in time. */
   dueAt: number;
+  /** Its slack is short: it should not wait for room that others may leave. */
+  pressed: boolean;
   /** In how many milliseconds it is expected to be ready; 0 if it is. */
   readyInMs: number;
 }
@@ -36,11 +38,20 @@
   /** In how many milliseconds it is expected to be ready, and done. */
   readyInMs: number;
   doneInMs: number;
+  /** Expected time of the longest path from its start to the end of what needs it. */
+  pathMs: number;
+  /** The highest priority of the step and of all that need it. */
   priority: Priority;
   /** Null: neither it nor anything that needs it has a deadline. */
   dueAt: number | null;
 }
 
+/**
+ * A step is pressed when its slack is less than this share of all that is still to be run: estimates
+ * are often wrong by half. With more slack it can wait for room that others leave.
+ */
+const PRESSED_SHARE = 0.5;
+
 /**
  * Passes priorities and deadlines up the chains of jobs. Users set both on the last job of a
  * pipeline only: a step takes the highest priority of all that need it, and has to be done as long
@@ -57,7 +68,7 @@
   for (const node of order) expectTimes(node);
   for (const node of order) setOwnDeadline(node, now);
   for (const node of order.reverse()) inheritFromDependents(node);
-  return new Map(order.map((node) => [node.step.id, toUrgency(node)]));
+  return new Map(order.map((node) => [node.step.id, toUrgency(node, now)]));
 }
 
 function connect(steps: readonly PipelineStep[]): Node[] {
@@ -70,6 +81,7 @@
       open: 0,
       readyInMs: 0,
       doneInMs: 0,
+      pathMs: step.remainingMs,
       priority: step.spec.priority,
       dueAt: null,
     });
@@ -118,18 +130,26 @@
 function inheritFromDependents(node: Node): void {
   for (const after of node.after) {
     node.priority = Math.min(node.priority, after.priority);
+    node.pathMs = Math.max(node.pathMs, node.step.remainingMs + after.pathMs);
     if (after.dueAt === null) continue;
     const before = after.dueAt - after.step.remainingMs;
     node.dueAt = node.dueAt === null ? before : Math.min(node.dueAt, before);
   }
 }
 
-function toUrgency(node: Node): StepUrgency {
+function isPressed(node: Node, now: number): boolean {
+  if (node.dueAt === null) return false;
+  const slackMs = node.dueAt - now - node.step.remainingMs;
+  return slackMs < node.pathMs * PRESSED_SHARE;
+}
+
+function toUrgency(node: Node, now: number): StepUrgency {
   const { submittedAt, readyAt } = node.step;
   return {
     priority: node.priority,
     // Without a deadline the oldest goes first, and a job's age counts from when it could start.
     dueAt: node.dueAt ?? readyAt ?? submittedAt,
+    pressed: isPressed(node, now),
     readyInMs: node.readyInMs,
   };
 }
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -43,10 +43,6 @@
 export class FakeStore {
   readonly keys = new Map<string, Stored>();
   down = false;
-  /** How much longer than usual every answer takes. */
-  slowMs = 0;
-  /** A key has been written; called at that moment. */
-  onWrite: (key: string) => void = () => undefined;
   /** May be changed at any moment, as by the store's operators. */
   limits: StoreLimits = {};
   /** Transactions refused for their size or number of changes. */
@@ -55,10 +51,17 @@
   rateRefused = 0;
   private writeTokens = Infinity;
   private writeTokensAt = 0;
+  /** How much longer than usual every answer takes. */
+  slowMs = 0;
+  /** A key has been written; called at that moment. */
+  onWrite: (key: string) => void = () => undefined;
   private revision = 0;
   private nextLease = 1;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
   private readonly history: { key: string; stamp: number; value?: unknown; gone?: true }[] = [];
+  /** Open watches; each answers true once it has been answered. */
+  private changing = false;
+  private readonly followers = new Set<() => boolean>();
   /** Transactions that reach the store later, after their sender has given up. */
   readonly late: (() => Reply)[] = [];
 
@@ -117,6 +120,11 @@
     this.txn({ when: [], then: [{ write: key, value }] });
   }
 
+  /** A key that was written before the story begins. */
+  seed(key: string, value: unknown): void {
+    this.keys.set(key, { value, stamp: ++this.revision, hold: null });
+  }
+
   /** After an outage every lease has its full time again. */
   restore(): void {
     this.down = false;
@@ -139,6 +147,7 @@
   private remove(key: string): void {
     this.keys.delete(key);
     this.history.push({ key, stamp: this.revision, gone: true });
+    this.changed();
   }
 
   private execute(method: string, path: string, body: unknown): Reply {
@@ -187,6 +196,7 @@
         this.keys.set(c.write, stored);
         this.history.push({ key: c.write, stamp: this.revision, value: c.value });
         this.onWrite(c.write);
+        this.changed();
       } else if (c.delete !== undefined && this.keys.has(c.delete)) this.remove(c.delete);
     }
     return { status: 200, body: { ledgerRev: this.revision } };
@@ -239,28 +249,59 @@
     const url = new URL(path, 'http://store');
     const prefix = url.searchParams.get('starts') ?? '';
     const since = Number(url.searchParams.get('since'));
-    const until = this.clock.now() + Number(url.searchParams.get('holdMs'));
+    const holdMs = url.searchParams.get('holdMs') ?? '0';
+    const until = this.clock.now() + (/^\d+$/.test(holdMs) ? Number(holdMs) : 0);
     const deadline = this.clock.now() + timeoutMs;
-    for (;;) {
-      signal?.throwIfAborted();
+    return new Promise((resolve, reject) => {
+      const answer = (): boolean => {
+        if (signal?.aborted) reject(signal.reason as Error);
+        else if (this.clock.now() >= deadline) reject(new NoAnswer('no answer'));
+        else {
+          const reachable = !this.down && fate('GET', path, null) === 'serve';
+          const news = reachable ? this.newsSince(since, prefix) : [];
+          if (!reachable || (news.length === 0 && this.clock.now() < until)) return false;
+          resolve({ status: 200, body: { ledgerRev: this.revision, news } });
+        }
+        return true;
+      };
+      if (answer()) return;
+      this.followers.add(answer);
+      if (this.followers.size === 1) void this.serveFollowers();
+    });
+  }
+
+  private newsSince(since: number, prefix: string): object[] {
+    const news: object[] = [];
+    for (let i = this.history.length - 1; i >= 0 && this.history[i]!.stamp > since; i--) {
+      const { key, stamp, value, gone } = this.history[i]!;
+      if (!key.startsWith(prefix)) continue;
+      news.unshift(gone ? { delete: key, stamp } : { write: key, value, stamp });
+    }
+    return news;
+  }
+
+  /** Open watches are looked at when something has changed, and now and then for all else. */
+  private async serveFollowers(): Promise<void> {
+    while (this.followers.size > 0) {
+      await this.clock.sleep(FOLLOW_IDLE_MS);
       this.expire();
-      const reachable = !this.down && fate('GET', path, null) === 'serve';
-      const news = this.history.filter((h) => h.stamp > since && h.key.startsWith(prefix));
-      if (reachable && (news.length > 0 || this.clock.now() >= until)) {
-        return {
-          status: 200,
-          body: {
-            ledgerRev: this.revision,
-            news: news.map((h) =>
-              h.gone
-                ? { delete: h.key, stamp: h.stamp }
-                : { write: h.key, value: h.value, stamp: h.stamp },
-            ),
-          },
-        };
-      }
-      if (this.clock.now() >= deadline) throw new NoAnswer('no answer');
-      await this.clock.sleep(20, signal);
+      this.answerFollowers();
     }
   }
+
+  private answerFollowers(): void {
+    for (const answer of this.followers) if (answer()) this.followers.delete(answer);
+  }
+
+  private changed(): void {
+    if (this.changing) return;
+    this.changing = true;
+    void this.clock.sleep(FOLLOW_NEWS_MS).then(() => {
+      this.changing = false;
+      this.answerFollowers();
+    });
+  }
 }
+
+const FOLLOW_IDLE_MS = 100;
+const FOLLOW_NEWS_MS = 10;
