--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -210,23 +210,18 @@
     this.leader.touch();
   }
 
-  /** Cancels a job that waits, and all that wait for it. */
-  private cancel(first: Job, because: string): void {
-    const left: [Job, string][] = [[first, because]];
-    for (let next = left.pop(); next; next = left.pop()) {
-      const [job, cause] = next;
-      if (job.phase !== 'open') continue;
-      this.leader.parts.runtime.log.info(
-        { job: job.id, class: job.spec.jobClass, cancelled: cause },
-        'cancelled with a job that it needs',
-      );
-      job.phase = 'cancelled';
-      job.phaseStored = false;
-      job.cancelledWith = cause;
-      this.forget(job);
-      this.leader.ledger.flush(job);
-      for (const after of this.dependents.get(job.id) ?? []) left.push([after, job.id]);
-    }
+  /** Cancels a job that waits; those that wait for it follow once that is stored. */
+  private cancel(job: Job, because: string): void {
+    if (job.phase !== 'open') return;
+    this.leader.parts.runtime.log.info(
+      { job: job.id, class: job.spec.jobClass, cancelled: because },
+      'cancelled with a job that it needs',
+    );
+    job.phase = 'cancelled';
+    job.phaseStored = false;
+    job.cancelledWith = because;
+    this.forget(job);
+    this.leader.ledger.flush(job);
     this.leader.touch();
   }
 
