--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -181,6 +181,7 @@
 
   private cheapest(job: JobView, machine: MachineView, guaranteed: boolean): Choice | null {
     const victims: VictimView[] = [];
+    const besideGpus = machine.type.room.gpus > 0 && job.spec.need.gpus === 0;
     const room = this.coming(machine);
     const { need } = job.spec;
     const own = rank(job.priority, guaranteed);
@@ -188,6 +189,9 @@
     for (const v of this.byMachine.get(machine.id) ?? []) {
       if (victims.length > 0 && fits(need, room)) break;
       if (this.chosen.has(v)) continue;
+      // Two that both live on what work with GPUs leaves: the one would run again as long as the
+      // other waits, and all of it makes room within seconds.
+      if (besideGpus && v.spec.need.gpus === 0) continue;
       // What goes before this job in the order would take the room back in the next round, and be
       // stopped again in the one after.
       if (rank(v.priority, this.guaranteed.has(v.job)) <= own) continue;
