--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -25,7 +25,7 @@
 const PATIENCE_BOOTS = 0.25;
 
 /** An estimate is often wrong by half, and the tasks of an array differ: room is held for so long. */
-const SLOWEST = 1.5;
+const SLOWEST = 3;
 
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
