--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -24,9 +24,6 @@
  */
 const PATIENCE_BOOTS = 0.25;
 
-/** An estimate is often wrong by half, and the tasks of an array differ: room is held for so long. */
-const SLOWEST = 3;
-
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
@@ -176,7 +173,6 @@
       bootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < bootMs * PATIENCE_BOOTS,
-    bootShare: bootMs === null ? 1 : Math.min(1, (spec.estimateMs * SLOWEST) / bootMs),
     waiting: job.waiting,
     unfinished: spec.tasks - job.doneCount,
     zones,
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -35,11 +35,9 @@
   dueAt: number;
   /**
    * It takes what is left beside work with GPUs, and waits for room that its like leaves: nothing is
-   * stopped for it yet, and no more is rented than its like will need at once.
+   * stopped for it yet, and no more is rented than its like will not leave.
    */
   patient: boolean;
-  /** Expected run time of a task as a share of a boot, at most 1. */
-  bootShare: number;
   /** Tasks that are neither done nor possibly on a machine. */
   waiting: number;
   unfinished: number;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -106,9 +106,8 @@
   }
 
   /**
-   * What is patient gets the room that nobody else took or has set aside. Of machines it gets as many
-   * more as it keeps busy: so many of its tasks run at once as come within a boot, times their run
-   * time (Little's law). What its like holds by now will be free by then.
+   * What is patient gets the room that nobody else took or has set aside. Machines are rented for all
+   * of it that will be ready before one could boot, less what its like holds by now and leaves by then.
    */
   private servePatient(): void {
     let leaving = this.s.leavingCpus;
@@ -122,10 +121,9 @@
     }
     for (const { job, missing, rules } of [...this.patient, ...upcoming]) {
       const { cpus } = job.spec.need;
-      const atOnce = Math.ceil(missing * job.bootShare);
-      const covered = cpus > 0 ? Math.min(atOnce, Math.floor(leaving / cpus)) : atOnce;
+      const covered = cpus > 0 ? Math.min(missing, Math.floor(leaving / cpus)) : missing;
       leaving -= covered * cpus;
-      const left = atOnce - covered;
+      const left = missing - covered;
       this.reserve(job, left - this.setAside(job, left, this.up, rules), rules);
     }
   }
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -33,7 +33,6 @@
       priority: spec.priority,
       readyAt: i,
       patient: false,
-      bootShare: 1,
       dueAt: i,
       waiting: 0,
       unfinished: machines.length,
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -15,7 +15,6 @@
     priority: full.priority,
     readyAt: n,
     patient: false,
-    bootShare: 1,
     dueAt: n,
     waiting: full.tasks,
     unfinished: full.tasks,
@@ -321,7 +320,7 @@
   assert.equal(stops({ ...steps, priority: Priority.Low }, withGpu), 1);
 });
 
-test('what is patient makes nobody leave, and rents only what its like keeps busy', () => {
+test('what is patient makes nobody leave, and rents only what its like does not leave', () => {
   const need = { cpus: 8, gpus: 0, memoryGb: 4 };
   const batch = job({ priority: Priority.Low, tasks: 8 }, { waiting: 0 });
   const victims = Array.from({ length: 8 }, (_, task) => ({
@@ -335,8 +334,8 @@
     stopping: false,
   }));
   const offers = [{ type: TYPE, zone: 'a', spot: false, price: 20 }];
-  const steps = job({ tasks: 25, need }, { bootShare: 0.5 });
-  const gang = job({ kind: 'gang', tasks: 2, need }, { bootShare: 0.5 });
+  const steps = job({ tasks: 25, need });
+  const gang = job({ kind: 'gang', tasks: 2, need });
   const run = (patient: boolean, s: Partial<Snapshot> = {}): ReturnType<typeof plan> =>
     plan(
       snapshot({
@@ -352,13 +351,14 @@
   const waits = run(true);
   assert.equal(started(waits, steps.id), 1);
   assert.deepEqual([waits.stops, waits.admit], [[], null]);
-  // Of 24 and 2 tasks that run for half a boot 13 run at once, and a machine holds 6.
-  assert.equal(rented(waits), 3);
-  // Once those that run end, they leave room for as many.
-  assert.equal(rented(run(true, { leavingCpus: 13 * 8 })), 0);
+  // 24 and 2 tasks found no room, and a machine holds 6.
+  assert.equal(rented(waits), 5);
+  // Those that run leave room for as many as they are.
+  assert.equal(rented(run(true, { leavingCpus: 13 * 8 })), 3);
+  assert.equal(rented(run(true, { leavingCpus: 26 * 8 })), 0);
   // What waits for other jobs counts too, and starts nothing.
-  const upcoming = [job({ tasks: 12, need }, { bootShare: 0.5 })];
-  assert.equal(rented(run(true, { leavingCpus: 13 * 8, upcoming })), 1);
+  const upcoming = [job({ tasks: 12, need })];
+  assert.equal(rented(run(true, { leavingCpus: 26 * 8, upcoming })), 2);
   const hurries = run(false);
   assert.ok(hurries.stops.length > 0);
   assert.equal(rented(hurries), 5);
