--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -31,7 +31,7 @@
     machines: machineViews(leader, now),
     jobs: jobViews(leader, now, urgencies),
     upcoming: upcoming(leader, now, urgencies),
-    leavingCpus: 0 * leavingCpus(leader),
+    leavingCpus: leavingCpus(leader),
     teams: teamViews(leader),
     types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
     offers: offers(leader),
