--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -25,6 +25,8 @@
  */
 export class Fleet {
   readonly machines = new Map<string, Machine>();
+  /** Machines that the cloud took back in this term: copies of their reports may still come. */
+  private readonly returned = new Set<string>();
 
   constructor(
     private readonly events: FleetEvents,
@@ -46,6 +48,8 @@
     let m = this.machines.get(id);
     if (!m) {
       m = new Machine(id, now);
+      // Names are never given out twice, so nothing is placed on what goes by this one.
+      m.returning = this.returned.has(id);
       this.machines.set(id, m);
     }
     return m;
@@ -63,12 +67,19 @@
    */
   report(r: Report, type: MachineType | null, now: number, act: boolean): Order[] {
     const m = this.machine(r.machine, now);
+    // A late copy changes nothing. It does not show that the machine is within reach: work placed on
+    // one that is cut off would wait for its lease, and a lease that runs out then would look as if
+    // it were deaf. Nor does its answer renew a lease beyond the one of the newest report: a lease
+    // counts from when a report was sent, and that one was sent later.
+    if (!m.newerReport(r.session, r.seq)) return [];
+    m.lastReport = { session: r.session, seq: r.seq };
+    m.answeredAt = now;
+    // The answer to a direct command has overtaken it; but its own answer renews the lease, and then
+    // must not lack a stop.
+    if (!m.newer(r.session, r.seq)) return r.session === m.session ? this.pendingStops(m) : [];
     if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
     m.firstHeardAt ??= now;
     m.heardAt = now;
-    // Counted even for an old copy: taking a machine for gone later than needed is always safe.
-    m.answeredAt = now;
-    if (!m.newer(r.session, r.seq)) return [];
     const before = m.session;
     if (act) m.session = r.session;
     m.seq = r.seq;
@@ -157,20 +168,26 @@
    * What that report showed is still the latest that is known.
    */
   pending(m: Machine): Order[] {
-    const orders: Order[] = [];
+    const orders = this.pendingStops(m);
     for (const p of m.placements.values()) {
-      if (p.session !== m.session) continue;
-      const { id: job } = p.job;
-      const { task, attempt } = p;
-      if (p.stage === 'live' && p.stop) {
-        orders.push({ op: 'stop', job, task, attempt, graceMs: p.stop.graceMs });
-      } else if (p.stage === 'recorded' && !p.stop) {
+      if (p.session === m.session && p.stage === 'recorded' && !p.stop) {
         orders.push(this.offer(m, p));
       }
     }
     return orders;
   }
 
+  /** Stops of what the machine's newest report showed. */
+  pendingStops(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const p of m.placements.values()) {
+      if (p.session !== m.session || p.stage !== 'live' || !p.stop) continue;
+      const { task, attempt, stop } = p;
+      orders.push({ op: 'stop', job: p.job.id, task, attempt, graceMs: stop.graceMs });
+    }
+    return orders;
+  }
+
   private offer(m: Machine, p: Placement): Order {
     p.stage = 'offered';
     m.useImage(p.job.spec.image, p.job.spec.imageGb, false);
@@ -218,6 +235,12 @@
     this.machines.get(p.machine)?.unrecorded.delete(startKey(p.job.id, p.task, p.attempt));
   }
 
+  /** The cloud has confirmed that it took the machine back. */
+  returnConfirmed(id: string): void {
+    this.returned.add(id);
+    this.gone(id);
+  }
+
   /** The machine no longer exists, and with it all that was on it. */
   gone(id: string): void {
     const m = this.machines.get(id);
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -6,8 +6,11 @@
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
+import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
+import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
 export interface Answer {
   status: number;
@@ -21,6 +24,12 @@
   running: number;
 }
 
+/** For how large a share of a submission's time it may queue for the store's rate. */
+const MOST_QUEUED_SHARE = 0.25;
+
+/** The same for a cancellation: it is sent away only where it could not be confirmed in its time. */
+const MOST_CANCEL_QUEUED_SHARE = 0.75;
+
 /**
  * Answers users, on every controller. Nothing is accepted, cancelled or told before the store has
  * it, and every answer that may still change rests on a comparison with the store that began after
@@ -29,6 +38,7 @@
 export class JobApi {
   private readonly states: JobStates;
   private readonly acceptance: Acceptance;
+  private readonly cancelWaits: RequestWaits;
 
   constructor(
     private readonly store: Store,
@@ -36,13 +46,17 @@
     private readonly settings: Settings,
     private readonly runtime: Runtime,
     private readonly counts: (id: string) => Counts | null,
+    /** Called before any user is told that a job is cancelled. */
     private readonly cancelled: (id: string) => void,
     private readonly limits: { submitMs: number; pollMs: number },
   ) {
-    const { pollMs } = limits;
-    const waits = { firstMs: pollMs / 40, mostMs: pollMs / 4 };
-    this.states = new JobStates(store, settings, runtime, pollMs);
-    this.acceptance = new Acceptance(store, this.states, runtime, waits);
+    const waits = {
+      mostDelayMs: limits.submitMs * MOST_QUEUED_SHARE,
+      hedgeMs: limits.pollMs * HEDGE_SHARE,
+    };
+    this.cancelWaits = { ...waits, mostDelayMs: limits.submitMs * MOST_CANCEL_QUEUED_SHARE };
+    this.states = new JobStates(store, settings, runtime, limits.pollMs);
+    this.acceptance = new Acceptance(store, this.states, runtime, waits, () => this.machineTypes);
   }
 
   submit(body: unknown): Promise<Answer> {
@@ -51,8 +65,8 @@
 
   query(id: string): Promise<Answer> {
     if (!wire.isJobId(id)) return Promise.resolve(UNKNOWN);
-    return this.within(this.limits.pollMs, async () => {
-      const job = await this.states.current(id);
+    return this.within(this.limits.pollMs, async (signal) => {
+      const job = await this.states.current(id, signal);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
     });
   }
@@ -62,16 +76,9 @@
     return this.within(this.limits.submitMs, (signal) => this.cancel(id, signal));
   }
 
-  /** Asks the store which of these jobs are cancelled. */
-  async cancelledAmong(ids: Iterable<string>): Promise<Set<string>> {
-    const found = new Set<string>();
-    await Promise.all(
-      [...ids].map(async (id) => {
-        const job = await this.states.current(id).catch(() => null);
-        if (job?.phase === 'cancelled') found.add(id);
-      }),
-    );
-    return found;
+  /** A job's phase at some time after this call, by the store; null: it was never accepted. */
+  async phaseOf(id: string): Promise<JobPhase | null> {
+    return (await this.states.current(id))?.phase ?? null;
   }
 
   private async accept(body: unknown, signal: AbortSignal): Promise<Answer> {
@@ -79,14 +86,14 @@
     if (!parsed.ok) {
       // A repeat of an accepted job is answered with its state, whatever else the body says.
       const id = wire.submissionId(body);
-      return this.knownOr(id, { status: 400, body: { error: parsed.reason } });
+      return this.knownOr(id, signal, { status: 400, body: { error: parsed.reason } });
     }
     const { id, spec } = parsed.value;
     const types = this.catalogue.types.value;
-    if (!types) return this.knownOr(id, BUSY);
+    if (!types) return this.knownOr(id, signal, BUSY);
     const never = whyNever(spec, this.settings, types);
-    if (never !== null) return this.knownOr(id, { status: 422, body: { error: never } });
-    if (this.states.has(id)) return this.knownOr(id, BUSY);
+    if (never !== null) return this.knownOr(id, signal, { status: 422, body: { error: never } });
+    if (this.states.has(id)) return this.knownOr(id, signal, BUSY);
     return this.add(parsed.value, signal);
   }
 
@@ -97,20 +104,31 @@
       case 'added':
         return { status: 201, body: this.answer(id, this.states.remembered(id)) };
       case 'known':
-        return this.knownOr(id, BUSY);
+        return this.knownOr(id, signal, BUSY);
+      case 'too large':
+        return this.knownOr(id, signal, TOO_LARGE);
       case 'unknown dependency': {
         const error = `waitsOn: ${accepted.id} was never accepted`;
-        return this.knownOr(id, { status: 422, body: { error } });
+        return this.knownOr(id, signal, { status: 422, body: { error } });
       }
     }
   }
 
   /** The state of a job that is in the store already; else `otherwise`. */
-  private async knownOr(id: string | null, otherwise: Answer): Promise<Answer> {
-    const job = id === null ? null : await this.states.current(id);
+  private async knownOr(
+    id: string | null,
+    signal: AbortSignal,
+    otherwise: Answer,
+  ): Promise<Answer> {
+    const job = id === null ? null : await this.states.current(id, signal);
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
+  private get machineTypes(): ReadonlySet<string> | null {
+    const types = this.catalogue.types.value;
+    return types && new Set(types.keys());
+  }
+
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
       const entry = await this.store.get(KEYS.job(id), 0, signal);
@@ -123,8 +141,15 @@
       }
       let { version } = entry;
       if (record.phase === 'open') {
-        const value: JobRecord = { ...record, w: this.runtime.random.unique(), phase: 'cancelled' };
-        const outcome = await this.acceptance.commit(
+        const w = this.runtime.random.unique();
+        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
+        // One accepted under larger limits may have to lose what means nothing.
+        const { valueBytes } = this.store.limits.effective();
+        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
+        const outcome = await commitForUser(
+          this.store,
+          this.runtime.clock,
+          this.cancelWaits,
           [{ key: KEYS.job(id), version }],
           [{ put: KEYS.job(id), value }],
           signal,
@@ -133,7 +158,6 @@
         version = outcome.revision;
       }
       this.rememberOver(id, version, { ...record, phase: 'cancelled' });
-      this.cancelled(id);
       return { status: 200, body: wire.jobAnswer(id, this.tellWithdrawn(id)) };
     }
   }
@@ -148,7 +172,7 @@
 
   /** Whoever tells a user that a job is withdrawn does it here, whichever way it was cancelled. */
   private tellWithdrawn(id: string): wire.PhaseName {
-    this.runtime.log.debug({ job: id }, 'told withdrawn');
+    this.cancelled(id);
     return 'withdrawn';
   }
 
@@ -175,7 +199,8 @@
       return await Promise.race([body(control.signal), late]);
     } catch (error) {
       this.runtime.log.debug({ error: String(error) }, 'request not served');
-      return BUSY;
+      if (!(error instanceof Overloaded)) return BUSY;
+      return { ...BUSY, retryAfter: Math.ceil(error.delayMs / 1000) };
     } finally {
       control.abort();
     }
@@ -183,4 +208,8 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
+const TOO_LARGE: Answer = {
+  status: 422,
+  body: { error: 'the description of the job is larger than the state service takes' },
+};
 const UNKNOWN: Answer = { status: 404, body: { error: 'unknown job' } };
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -19,7 +19,7 @@
 const held = (w: World, ref: string): Job | undefined => leaderOf(w).jobs.get(ref);
 
 async function abort(w: World, node: number, ref: string): Promise<string> {
-  const answer = await w.ask(w.nodes[node]!.controller!.jobApi.abort(ref));
+  const answer = await w.ask(w.user(node).abort(ref));
   assert.equal(answer.status, 200);
   return (answer.body as { phase: string }).phase;
 }
@@ -225,9 +225,7 @@
 test('a job that names what was done long ago starts at once, whoever leads', async () => {
   const w = new World(FOUR);
   // More jobs than a leader remembers.
-  for (let i = 0; i < 6000; i++) {
-    w.store.write(`jobs/req-1${String(i).padStart(5, '0')}`, { w: 'w', phase: 'done', tasks: 1 });
-  }
+  for (let i = 0; i < 6000; i++) w.doneBefore(`req-1${String(i).padStart(5, '0')}`);
   await w.start();
   const job = await w.submit({ waitsOn: ['req-100000', 'req-105999'] });
   await w.until(() => startsOf(w, job) === 1, 10, 'starts');
@@ -259,7 +257,7 @@
   const w = new World(FOUR);
   await w.start();
   const all = many(600);
-  for (const ref of all) w.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
+  for (const ref of all) w.doneBefore(ref);
   const open = await w.submit({ runMs: 15_000 });
   const job = await w.submit({ runMs: 3000, waitsOn: [...all, open] });
   const pieces = (): number =>
@@ -278,7 +276,7 @@
   const w = new World(FOUR);
   await w.start();
   const all = many(600);
-  for (const ref of all) w.store.write(`jobs/${ref}`, { w: 'w', phase: 'done', tasks: 1 });
+  for (const ref of all) w.doneBefore(ref);
   w.nodes[w.leader]!.fate = (_m, path) =>
     path.startsWith('/store?starts=needs') ? 'refuse' : 'serve';
   const job = await w.submit({ runMs: 3000, waitsOn: all }, 1 - w.leader);
