--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -8,6 +8,7 @@
 import { whyNever } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
+import { fitJobRecord } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -69,6 +69,7 @@
         forgotten: () => undefined,
         contradiction: (what) => assert.fail(what),
         settled: () => undefined,
+        ended: () => undefined,
       },
     );
   }
