--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -173,7 +173,6 @@
       bootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < bootMs * PATIENCE_BOOTS,
-    bootShare: bootMs === null ? 1 : Math.min(1, spec.estimateMs / bootMs),
     waiting: job.waiting,
     unfinished: spec.tasks - job.doneCount,
     zones,
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -12,6 +12,7 @@
   type RangedRunRecord,
   type RunRecord,
 } from './records.js';
+import { fitJobRecord } from './record-size.js';
 import type { LayoutPolicy, Section, StoredSection } from './run-layout.js';
 
 /**
@@ -279,7 +280,9 @@
   /** Of a job that is over and of which something is still left. */
   private finalRecord(job: Job, w: string): JobRecord {
     const { phase, spec, submittedAt } = job;
-    const record: JobRecord = { w, phase, tasks: spec.tasks, at: submittedAt, spec };
+    const whole: JobRecord = { w, phase, tasks: spec.tasks, at: submittedAt, spec };
+    // One accepted under larger limits may have to lose its machine types, which matter no more.
+    const record = fitJobRecord(whole, this.limitsFor(job).valueBytes, new Set()) ?? whole;
     if (phase !== 'done') return record;
     // Those that need it are ready from then on, also for a new leader.
     job.doneAt ??= Math.round(this.runtime.clock.wall());
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -120,11 +120,6 @@
     this.txn({ when: [], then: [{ write: key, value }] });
   }
 
-  /** A key that was written before the story begins. */
-  seed(key: string, value: unknown): void {
-    this.keys.set(key, { value, stamp: ++this.revision, hold: null });
-  }
-
   /** After an outage every lease has its full time again. */
   restore(): void {
     this.down = false;
