--- a/test/meeting-limits.test.ts
+++ b/test/meeting-limits.test.ts
@@ -14,7 +14,8 @@
   return jobs;
 }
 
-const LARGE = machines('aaaaaabbbbbb');
+/** More room than the teams' limits allow: only these keep what waits from starting. */
+const LARGE = machines('aaaaaaaabbbbbbbb');
 
 const MEETINGS: Meeting[] = [
   {
