--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -9,6 +9,7 @@
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import type { Job } from '../jobs/live.js';
+import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import type { Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -16,6 +17,8 @@
 import type { Operator } from '../settings/operator.js';
 import type { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
+import type { CancellationVouch } from '../peer/cancellation-vouch.js';
+import { CancellationView, cancellationViewLimitMs } from './cancellation-view.js';
 import { DependencyTracker } from './dependency-tracker.js';
 import { DecisionRounds } from './decision-rounds.js';
 import { GangGate } from './gang-gate.js';
@@ -25,6 +28,7 @@
 import { longestHoldMs, ReportHandler } from './report-handler.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
   store: Store;
@@ -36,8 +40,13 @@
   operator: Operator;
   runtime: Runtime;
   cloudTimeoutMs: number;
+  vouches: CancellationVouch;
+  silentTerms: SilentTerms;
 }
 
+/** After what share of the leader lease without news of the job records the others are asked. */
+const SILENT_STORE_SHARE = 0.5;
+
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
@@ -51,6 +60,10 @@
   readonly rentals: Rentals;
   readonly gate: GangGate;
   readonly reconciler: MachineReconciler;
+  /** How long the leader lease lasts. */
+  readonly lifetimeMs: number;
+  readonly view: CancellationView;
+  readonly silence: WorkerSilence;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -71,10 +84,13 @@
     readonly resign: () => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
+    this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
+    this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
+    this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
-      zoneDelegateRightMs(settings.workers.leaseMs * parts.operator.election.lifetime),
+      zoneDelegateRightMs(this.lifetimeMs),
     );
     this.fleet = new Fleet(
       {
@@ -88,9 +104,11 @@
       this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
-    const mayUseRanges = (): boolean =>
-      parts.membership.allCurrent && store.limits.recordsMustShrink;
-    this.ledger = new Ledger(store, runtime, term, store.limits, mayUseRanges, endsWaitMs, {
+    const layouts: LayoutPolicy = {
+      rangesReadable: () => parts.membership.allCurrent,
+      rangesWanted: () => store.limits.recordsMustShrink,
+    };
+    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
       jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
@@ -106,7 +124,7 @@
       ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
       settled: (job) => this.jobs.delete(job.id),
     });
-    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, mayUseRanges);
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
@@ -152,6 +170,11 @@
     return this.parts.runtime.clock.now();
   }
 
+  /** Whether a worker's lease may be renewed now. */
+  mayAnswer(now: number): boolean {
+    return this.term.active(now) && this.view.mayRenew(now);
+  }
+
   /** How soon a request that failed is made again. */
   get retryMs(): number {
     return this.parts.settings.workers.leaseMs / 50;
@@ -170,11 +193,12 @@
     const { runtime } = this.parts;
     const { signal } = this.term;
     const restartMs = this.parts.settings.workers.reportMs;
-    const revision = await this.records.recover(signal);
+    await this.records.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
-      duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(revision, s)),
+      duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
+      duty(runtime, 'vouches', signal, restartMs, (s) => this.askForVouches(s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
       duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
@@ -182,13 +206,14 @@
     ]);
   }
 
-  report(r: Report): Order[] | Promise<Order[]> {
+  /** What to answer a worker's report; null if its lease must not be renewed now. */
+  report(r: Report): Order[] | null | Promise<Order[] | null> {
     return this.reports.report(r);
   }
 
-  /** A user's node has just cancelled this job; the store's own news of it may take longer. */
-  hint(id: string): void {
-    this.stops.hint(id);
+  /** A user was told that the job is cancelled; the store's own news of it may take longer. */
+  announceCancelled(id: string): void {
+    this.records.announceCancelled(id);
   }
 
   counts(id: string): Counts | null {
@@ -205,6 +230,27 @@
     return list;
   }
 
+  /**
+   * While the store brings no news of the job records, the other controllers can tell which of them
+   * their users know to be cancelled.
+   */
+  private async askForVouches(signal: AbortSignal): Promise<void> {
+    const { clock } = this.parts.runtime;
+    while (!signal.aborted) {
+      const silent = this.view.ageMs(this.now) > this.lifetimeMs * SILENT_STORE_SHARE;
+      if (silent && this.term.active(this.now)) await this.collectVouches();
+      await clock.sleep(this.lifetimeMs / 8, signal);
+    }
+  }
+
+  private async collectVouches(): Promise<void> {
+    const vouched = await this.parts.vouches.collect(this.view.completeAsOf, this.lifetimeMs / 8);
+    this.parts.runtime.log.debug({ jobs: vouched?.cancelled.size ?? null }, 'asked for vouches');
+    if (!vouched) return;
+    for (const id of vouched.cancelled) this.announceCancelled(id);
+    this.view.completeAt(vouched.asOf);
+  }
+
   private async listMachines(signal: AbortSignal): Promise<void> {
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
