Tests: one sample submission and one list of running tasks in place of copies

Three test files each held the same submission, and two stories of the scheduler the same list of victims.

--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -2,6 +2,7 @@
 import { JobApi, type Answer } from '../../src/jobs/job-api.js';
 import type { Settings } from '../../src/settings/deploy.js';
 import { Store } from '../../src/state/store.js';
+import { SUBMISSION } from './samples.js';
 import { FakeClock } from './clock.js';
 import { TYPE } from './samples.js';
 import { FakeStore, type Fate } from './store.js';
@@ -87,24 +88,4 @@
   }
 }
 
-const BODY = {
-  lane: 'train',
-  crew: 'vision',
-  shape: 'array',
-  urgency: 'standard',
-  pieces: 1,
-  vcpus: 1,
-  gpus: 1,
-  memoryGb: 4,
-  crate: 'img-1',
-  sizeGb: 4,
-  hulls: null,
-  yard: null,
-  samePlace: false,
-  apart: false,
-  driftwood: false,
-  guessS: 20,
-  snapshotEveryS: 10,
-  stowS: 1,
-  dueS: null,
-};
+const BODY = { ...SUBMISSION, hulls: null, yard: null, dueS: null };
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -32,3 +32,23 @@
   saveMs: 1000,
   deadlineMs: null,
 };
+
+/** A sound submission but for its `ref`; what may be null is left out. */
+export const SUBMISSION = {
+  lane: 'train',
+  crew: 'vision',
+  shape: 'array',
+  urgency: 'standard',
+  pieces: 1,
+  vcpus: 1,
+  gpus: 1,
+  memoryGb: 4,
+  crate: 'img-1',
+  sizeGb: 4,
+  samePlace: false,
+  apart: false,
+  driftwood: false,
+  guessS: 20,
+  snapshotEveryS: 10,
+  stowS: 1,
+};
--- a/test/job-api.test.ts
+++ b/test/job-api.test.ts
@@ -4,6 +4,7 @@
 import type { Reply, Transport } from '../src/http/client.js';
 import { JobApi, type Answer } from '../src/jobs/job-api.js';
 import { Store } from '../src/state/store.js';
+import { SUBMISSION } from './fakes/samples.js';
 import { FakeClock } from './fakes/clock.js';
 import { FakeStore, type Fate } from './fakes/store.js';
 import { fakeRandom, settings } from './fakes/world.js';
@@ -29,25 +30,7 @@
 };
 
 function job(n: number): object {
-  return {
-    ref: `req-${n}`,
-    lane: 'train',
-    crew: 'vision',
-    shape: 'array',
-    urgency: 'standard',
-    pieces: 1,
-    vcpus: 1,
-    gpus: 1,
-    memoryGb: 4,
-    crate: 'img-1',
-    sizeGb: 4,
-    samePlace: false,
-    apart: false,
-    driftwood: false,
-    guessS: 20,
-    snapshotEveryS: 10,
-    stowS: 1,
-  };
+  return { ref: `req-${n}`, ...SUBMISSION };
 }
 
 /** Controllers that answer users from one store; each has its own way to it. */
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
-import type { JobView, MachineView, Snapshot, TeamView } from '../src/scheduler/model.js';
+import type {
+  JobView,
+  MachineView,
+  Snapshot,
+  TeamView,
+  VictimView,
+} from '../src/scheduler/model.js';
 import { withinGuarantee } from '../src/scheduler/order.js';
 import { plan } from '../src/scheduler/plan.js';
 import { SPEC, TYPE } from './fakes/samples.js';
@@ -73,6 +79,19 @@
     .filter((s) => s.job === id)
     .reduce((sum, s) => sum + s.on.reduce((k, o) => k + o.count, 0), 0);
 
+/** The first tasks of a job, as they run on one machine and lose nothing by a stop. */
+const runningTasks = (of: JobView, count: number): VictimView[] =>
+  Array.from({ length: count }, (_, task) => ({
+    job: of.id,
+    task,
+    machine: 'm1',
+    spec: of.spec,
+    priority: of.priority,
+    lossMs: 0,
+    wholeGang: false,
+    stopping: false,
+  }));
+
 test('what is told to stop counts against its team until it is gone', () => {
   // The team is at its limit; one of its tasks makes way for a replica of another team. Its share
   // of the limit must not be given out again in the same round.
@@ -237,16 +256,7 @@
 
 test('work is not displaced for what comes after it in the order: it would take the room back', () => {
   const batch = job({ priority: Priority.Low, tasks: 8 }, { waiting: 0 });
-  const victims = Array.from({ length: 8 }, (_, task) => ({
-    job: batch.id,
-    task,
-    machine: 'm1',
-    spec: batch.spec,
-    priority: batch.priority,
-    lossMs: 0,
-    wholeGang: false,
-    stopping: false,
-  }));
+  const victims = runningTasks(batch, 8);
   const gang = job({ kind: 'gang', team: 'speech', tasks: 1, need: TYPE.room });
   const stops = (guarantee: number): number =>
     plan(
@@ -323,16 +333,7 @@
 test('what is patient makes nobody leave, and rents only what its like does not leave', () => {
   const need = { cpus: 8, gpus: 0, memoryGb: 4 };
   const batch = job({ priority: Priority.Low, tasks: 8 }, { waiting: 0 });
-  const victims = Array.from({ length: 8 }, (_, task) => ({
-    job: batch.id,
-    task,
-    machine: 'm1',
-    spec: batch.spec,
-    priority: batch.priority,
-    lossMs: 0,
-    wholeGang: false,
-    stopping: false,
-  }));
+  const victims = runningTasks(batch, 8);
   const offers = [{ type: TYPE, zone: 'a', spot: false, price: 20 }];
   const steps = job({ tasks: 25, need });
   const gang = job({ kind: 'gang', tasks: 2, need });
--- a/test/rule-checker.test.ts
+++ b/test/rule-checker.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobApi } from '../src/jobs/job-api.js';
+import { SUBMISSION } from './fakes/samples.js';
 import { RuleChecker, type MachineSeen, type Rule, type TaskState } from './fakes/rule-checker.js';
 import { World } from './fakes/world.js';
 
@@ -71,24 +72,7 @@
   }
 }
 
-const BODY = {
-  lane: 'train',
-  crew: 'vision',
-  shape: 'array',
-  urgency: 'standard',
-  pieces: 2,
-  vcpus: 1,
-  gpus: 1,
-  memoryGb: 4,
-  crate: 'img-1',
-  sizeGb: 4,
-  samePlace: false,
-  apart: false,
-  driftwood: false,
-  guessS: 20,
-  snapshotEveryS: 0,
-  stowS: 1,
-};
+const BODY = { ...SUBMISSION, pieces: 2, snapshotEveryS: 0 };
 
 /** What happens, and the rule that it breaks; null: none. */
 const CASES: [string, Rule | null, (s: Scene) => void][] = [
