--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,16 +1,16 @@
 import { Election } from '../election/election.js';
 import type { Term } from '../election/term.js';
-import { Keeper, keeperRightMs } from '../election/keeper.js';
+import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
 import { Catalogue } from '../fleet/catalogue.js';
-import type { Callers } from '../fleet/halts.js';
+import type { Callers } from '../fleet/stop-commands.js';
 import type { Transport } from '../http/client.js';
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
-import { Desk, type Counts } from '../jobs/desk.js';
-import { beats, type Message } from '../peer/frames.js';
-import type { Mesh } from '../peer/mesh.js';
+import { JobApi, type Counts } from '../jobs/job-api.js';
+import { heartbeats, type Message } from '../peer/frames.js';
+import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
-import { Reach } from '../peer/reach.js';
+import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import { Store } from '../state/store.js';
@@ -18,26 +18,26 @@
 import { Leader } from './leader.js';
 
 export interface Links {
-  mesh: Mesh;
+  peerTransport: PeerTransport;
   store: Transport;
   cloud: Transport;
   workers: Callers;
 }
 
 /** The leader speaks once a report interval; after so many of them without a word it is mute. */
-const BEATS_MISSED = 1.2;
+const HEARTBEATS_MISSED = 1.2;
 
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
-  readonly desk: Desk;
+  readonly jobApi: JobApi;
   private readonly store: Store;
   private readonly election: Election;
-  private readonly reach: Reach;
+  private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   private leader: Leader | null = null;
-  private readonly keeper: Keeper;
+  private readonly zoneDelegate: ZoneDelegate;
   /** When the leader was last heard; a controller that has just started may find none alive. */
-  private beatAt = -Infinity;
+  private heartbeatAt = -Infinity;
   private readonly strayAsked = new Map<string, number>();
   private readonly strayCancelled = new Set<string>();
   private readonly counts = new Map<string, Counts>();
@@ -52,16 +52,22 @@
     const lifetimeMs = workers.leaseMs * operator.election.lifetime;
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
-    this.election = new Election(this.store, links.mesh, runtime, settings.member, lifetimeMs);
-    this.reach = new Reach(runtime.clock, settings.workers.reportMs);
-    this.keeper = new Keeper(
+    this.election = new Election(
+      this.store,
+      links.peerTransport,
+      runtime,
+      settings.member,
+      lifetimeMs,
+    );
+    this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
+    this.zoneDelegate = new ZoneDelegate(
       this.store,
       runtime,
       settings.member,
       settings.zone,
-      keeperRightMs(lifetimeMs),
+      zoneDelegateRightMs(lifetimeMs),
     );
-    this.desk = new Desk(
+    this.jobApi = new JobApi(
       this.store,
       this.catalogue,
       settings,
@@ -77,15 +83,15 @@
   private tellCancelled(id: string): void {
     if (this.leader) this.leader.hint(id);
     else
-      for (const peer of this.links.mesh.peers) {
-        this.links.mesh.send(peer, { kind: 'cancelled', id });
+      for (const peer of this.links.peerTransport.peers) {
+        this.links.peerTransport.send(peer, { kind: 'cancelled', id });
       }
   }
 
   private onPeer(message: Message): void {
     if (message.kind === 'cancelled') this.leader?.hint(message.id);
-    else if (message.kind === 'beat') {
-      this.beatAt = this.runtime.clock.now();
+    else if (message.kind === 'heartbeat') {
+      this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
       this.strayAsked.clear();
       this.strayCancelled.clear();
@@ -95,20 +101,21 @@
   }
 
   /** The leader tells the others how far jobs are, for display. */
-  private async beat(signal: AbortSignal): Promise<void> {
+  private async heartbeat(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
       const role = this.election.role.value;
       if (this.leader && role.kind === 'leader') {
-        for (const message of beats(role.term.token, this.leader.allCounts())) {
-          for (const peer of this.links.mesh.peers) this.links.mesh.send(peer, message);
+        for (const message of heartbeats(role.term.token, this.leader.allCounts())) {
+          for (const peer of this.links.peerTransport.peers)
+            this.links.peerTransport.send(peer, message);
         }
       }
       const { reportMs } = this.settings.workers;
       const { failingSince, answeredAt } = this.store;
       const serves = failingSince === null && clock.now() - answeredAt < reportMs * 2;
-      for (const peer of this.links.mesh.peers)
-        this.links.mesh.send(peer, { kind: 'store', serves });
+      for (const peer of this.links.peerTransport.peers)
+        this.links.peerTransport.send(peer, { kind: 'store', serves });
       await clock.sleep(reportMs, signal);
     }
   }
@@ -122,7 +129,7 @@
     const subscription = this.election.role.subscribe((role) => {
       if (role.kind !== 'leader') {
         // A new leader has time to be heard before its workers count as strays.
-        if (role.leader !== null) this.beatAt = this.runtime.clock.now();
+        if (role.leader !== null) this.heartbeatAt = this.runtime.clock.now();
         return;
       }
       const leader = new Leader(
@@ -152,13 +159,13 @@
           if (this.leader === leader) this.leader = null;
         });
     });
-    const peers = this.links.mesh.heard.subscribe(({ from, message }) => {
-      if (message.kind === 'store') this.reach.heard(from, message.serves);
+    const peers = this.links.peerTransport.heard.subscribe(({ from, message }) => {
+      if (message.kind === 'store') this.storeReachability.heard(from, message.serves);
       else this.onPeer(message);
     });
     try {
       await Promise.all([
-        duty(this.runtime, 'beat', signal, restartMs, (s) => this.beat(s)),
+        duty(this.runtime, 'heartbeat', signal, restartMs, (s) => this.heartbeat(s)),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
@@ -203,7 +210,7 @@
    * that, it is only we who do not hear it.
    */
   private leaderIsMute(now: number): boolean {
-    const silentMs = now - this.beatAt - this.settings.workers.reportMs * BEATS_MISSED;
+    const silentMs = now - this.heartbeatAt - this.settings.workers.reportMs * HEARTBEATS_MISSED;
     return (
       silentMs > 0 && silentMs < this.settings.workers.leaseMs * this.operator.election.lifetime
     );
@@ -218,13 +225,13 @@
       token > 0 &&
       report.token <= token &&
       report.zone === this.settings.zone &&
-      now - this.beatAt > this.settings.workers.reportMs * 2.5
+      now - this.heartbeatAt > this.settings.workers.reportMs * 2.5
     );
   }
 
   /** Keeps a stray's lease alive, with no orders but to stop what its user has cancelled. */
   private async keep(report: Report, token: number, leader: string | null): Promise<ReportOutcome> {
-    if (!(await this.keeper.holds(token))) return { kind: 'elsewhere', leader };
+    if (!(await this.zoneDelegate.holds(token))) return { kind: 'elsewhere', leader };
     void this.learnCancelled(report);
     const orders: Order[] = report.tasks
       .filter((t) => t.state !== 'exited' && this.strayCancelled.has(t.job))
@@ -242,10 +249,13 @@
       this.strayAsked.set(t.job, now);
       ids.add(t.job);
     }
-    for (const id of await this.desk.cancelledAmong(ids)) this.strayCancelled.add(id);
+    for (const id of await this.jobApi.cancelledAmong(ids)) this.strayCancelled.add(id);
   }
 
   ready(): boolean {
-    return this.catalogue.types.value !== null && !this.reach.aloneCutOff(this.store.failingSince);
+    return (
+      this.catalogue.types.value !== null &&
+      !this.storeReachability.aloneCutOff(this.store.failingSince)
+    );
   }
 }
--- a/src/control/gatekeeper.ts
+++ b/src/control/gang-gate.ts
@@ -6,7 +6,7 @@
  * The all-or-nothing gate's bookkeeping (KEP-349): admission, readiness, timeout and the
  * inadmissible list. Which gang passes is decided by the scheduler.
  */
-export class GateKeeper {
+export class GangGate {
   constructor(private readonly operator: Operator) {}
 
   /** The gang holds the gate until it is ready; its time runs from here. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -1,14 +1,14 @@
 import { Subject } from 'rxjs';
-import { KeeperWatch, keeperRightMs } from '../election/keeper.js';
+import { ZoneDelegateWatch, zoneDelegateRightMs } from '../election/zone-delegate.js';
 import type { Term } from '../election/term.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
 import { Rentals } from '../fleet/rentals.js';
-import { Halts, type Callers } from '../fleet/halts.js';
+import { StopCommands, type Callers } from '../fleet/stop-commands.js';
 import type { Machine } from '../fleet/machine.js';
 import type { MachineType } from '../fleet/types.js';
 import type { Transport } from '../http/client.js';
-import type { Counts } from '../jobs/desk.js';
+import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
 import { Job, type Placement } from '../jobs/live.js';
 import { parseJob, parseRun, tasksPerRecord, type JobRecord } from '../jobs/records.js';
@@ -20,10 +20,10 @@
 import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry, type Store } from '../state/store.js';
 import type { ExitWhy, Order, Report } from '../wire/report.js';
-import { checkTimeout, GateKeeper } from './gatekeeper.js';
-import { Holds } from './holds.js';
+import { checkTimeout, GangGate } from './gang-gate.js';
+import { LongPoll } from './long-poll.js';
 import { takeSnapshot } from './snapshot.js';
-import { Upkeep } from './upkeep.js';
+import { MachineReconciler } from './machine-reconciler.js';
 
 export interface LeaderParts {
   store: Store;
@@ -66,12 +66,12 @@
   readonly jobs = new Map<string, Job>();
   readonly fleet: Fleet;
   readonly rentals: Rentals;
-  readonly gate: GateKeeper;
-  readonly upkeep: Upkeep;
+  readonly gate: GangGate;
+  readonly reconciler: MachineReconciler;
   private readonly ledger: Ledger;
-  private readonly keepers: KeeperWatch;
-  private readonly holds: Holds;
-  private readonly halts: Halts;
+  private readonly zoneDelegates: ZoneDelegateWatch;
+  private readonly longPoll: LongPoll;
+  private readonly stopCommands: StopCommands;
   private readonly wake = new Subject<void>();
   private ready = false;
   private listedOnce = false;
@@ -84,10 +84,10 @@
     private readonly resign: () => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
-    this.keepers = new KeeperWatch(
+    this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
-      keeperRightMs(settings.workers.leaseMs * parts.operator.election.lifetime),
+      zoneDelegateRightMs(settings.workers.leaseMs * parts.operator.election.lifetime),
     );
     this.fleet = new Fleet(
       {
@@ -98,14 +98,14 @@
       term.token,
       term.startedAt,
       settings.workers.leaseMs,
-      this.keepers,
+      this.zoneDelegates,
     );
     const endsWaitMs = settings.workers.leaseMs;
     this.ledger = new Ledger(store, runtime, term, settings.state.txnOps, endsWaitMs, {
       jobChanged: (job, version, record) => this.onJobRecord(job.id, version, record),
       recorded: (placements) => {
         for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
-        for (const p of placements) this.holds.release(p.machine);
+        for (const p of placements) this.longPoll.release(p.machine);
       },
       forgotten: (placements) => {
         for (const p of placements) this.fleet.recorded(p);
@@ -128,20 +128,26 @@
         this.touch();
       },
       listed: (machines) => {
-        this.upkeep.listed(machines, this.now);
+        this.reconciler.listed(machines, this.now);
         this.touch();
       },
       returned: (ids) => {
-        this.upkeep.returned(ids, this.now);
+        this.reconciler.returned(ids, this.now);
         this.touch();
       },
     });
-    this.holds = new Holds(runtime, this.longestHoldMs);
-    this.halts = new Halts(parts.workers, runtime, term, settings.workers.reportMs, (r) => {
-      this.fleet.direct(r);
-    });
-    this.gate = new GateKeeper(parts.operator);
-    this.upkeep = new Upkeep(
+    this.longPoll = new LongPoll(runtime, this.longestHoldMs);
+    this.stopCommands = new StopCommands(
+      parts.workers,
+      runtime,
+      term,
+      settings.workers.reportMs,
+      (r) => {
+        this.fleet.direct(r);
+      },
+    );
+    this.gate = new GangGate(parts.operator);
+    this.reconciler = new MachineReconciler(
       this.fleet,
       this.rentals,
       settings,
@@ -177,7 +183,7 @@
     const revision = await this.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
-      duty(runtime, 'held reports', signal, restartMs, (s) => this.holds.run(s)),
+      duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.followJobs(revision, s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds(s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
@@ -194,14 +200,14 @@
         const jobs = await store.range(KEYS.jobs, signal);
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
-        await this.keepers.look(signal);
+        await this.zoneDelegates.look(signal);
         this.jobs.clear();
         for (const e of jobs.items) this.onJobEntry(e);
         for (const e of runs.items) this.restoreRun(e);
         for (const e of rentals.items) {
           this.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
-        this.upkeep.recovered(this.jobs.size > 0);
+        this.reconciler.recovered(this.jobs.size > 0);
         this.ready = true;
         for (const job of this.jobs.values()) this.ledger.flush(job);
         runtime.log.info({ jobs: this.jobs.size, runs: runs.items.length }, 'recovered');
@@ -315,12 +321,12 @@
     const m = this.fleet.machines.get(r.machine);
     const before = m ? Number(m.confirmed) + (m.noticeAt === null ? 0 : 2) : -1;
     const fresh = this.ready && (m?.newer(r.session, r.seq) ?? true);
-    if (fresh) this.holds.supersede(r.machine);
+    if (fresh) this.longPoll.supersede(r.machine);
     const orders = this.fleet.report(r, type, this.now, this.ready);
     this.heardAt = this.now;
     const after = this.fleet.machines.get(r.machine)!;
     if (Number(after.confirmed) + (after.noticeAt === null ? 0 : 2) !== before) this.touch();
-    // On others' pledges alone running work is kept, but nothing is begun.
+    // On others' votes alone running work is kept, but nothing is begun.
     if (!this.term.leased(this.now)) return orders.filter((o) => o.op !== 'start');
     const holdMs = orders.length === 0 && fresh ? this.holdMs(after) : 0;
     return holdMs === 0 ? orders : this.laterOrders(after, holdMs);
@@ -334,7 +340,7 @@
   }
 
   private async laterOrders(m: Machine, holdMs: number): Promise<Order[]> {
-    const newest = await this.holds.wait(m.id, holdMs);
+    const newest = await this.longPoll.wait(m.id, holdMs);
     if (!newest || !this.term.leased(this.now)) return [];
     return this.fleet.machines.get(m.id) === m ? this.fleet.pending(m) : [];
   }
@@ -430,7 +436,7 @@
     if (p.stop && p.stop.graceMs <= graceMs) return;
     p.stop = { graceMs };
     if (p.stage === 'recording' || p.stage === 'recorded') this.fleet.withdraw(p);
-    else if (!this.holds.release(p.machine)) this.halt(p, graceMs);
+    else if (!this.longPoll.release(p.machine)) this.halt(p, graceMs);
   }
 
   private halt(p: Placement, graceMs: number): void {
@@ -440,7 +446,7 @@
     if (!m || p.session !== m.session || m.heardAt === null) return;
     if (this.now - m.heardAt > reportMs * 2) return;
     const { task, attempt } = p;
-    this.halts.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
+    this.stopCommands.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
   }
 
   // ---- cloud
@@ -556,7 +562,7 @@
 
   private async lookForKeepers(): Promise<void> {
     try {
-      await this.keepers.look(this.term.signal);
+      await this.zoneDelegates.look(this.term.signal);
       this.touch();
     } catch {
       // The next round asks again.
@@ -587,7 +593,7 @@
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
   private drain(now: number): void {
     for (const m of this.fleet.machines.values()) {
-      if (m.stillborn(now)) this.upkeep.giveBack(m);
+      if (m.stillborn(now)) this.reconciler.giveBack(m);
       if (m.noticeAt === null && !m.faulty) continue;
       for (const p of m.placements.values()) {
         if (p.stop || p.job.phase !== 'open') continue;
@@ -595,7 +601,7 @@
         if (p.job.gang) this.stopAll(p.job, grace);
         else this.stop(p, grace);
       }
-      if (m.faulty && m.placements.size === 0) this.upkeep.giveBack(m);
+      if (m.faulty && m.placements.size === 0) this.reconciler.giveBack(m);
     }
   }
 
@@ -632,7 +638,7 @@
     for (const job of touched) this.ledger.flush(job);
     if (!mayRent) return;
     for (const rent of result.rents) this.rentals.rent(rent);
-    this.upkeep.giveBackSurplus(result.spare, now);
+    this.reconciler.giveBackSurplus(result.spare, now);
   }
 
   private place(job: Job, on: { machine: string; count: number }[], now: number): void {
--- a/src/control/holds.ts
+++ b/src/control/long-poll.ts
@@ -13,7 +13,7 @@
  * between two of them a start would have to wait; so the answer to a worker that has nothing new to
  * tell is kept back a little, until there is an order for it.
  */
-export class Holds {
+export class LongPoll {
   private readonly held = new Map<string, Held>();
 
   constructor(
--- a/src/control/upkeep.ts
+++ b/src/control/machine-reconciler.ts
@@ -11,7 +11,7 @@
 const GONE_LAGS = 6;
 
 /** Which machines there are, as the cloud lists them, and which of them go back. */
-export class Upkeep {
+export class MachineReconciler {
   private spares: Spares;
   /** Machines that went back, and when: the list lags, and shows them as running for a while. */
   private readonly wentBack = new Map<string, number>();
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -35,7 +35,7 @@
     const up = m.usable(now, workers.leaseMs / 3);
     const booting = m.coming(now, workers.leaseMs);
     if (!up && !booting) continue;
-    views.push(machineView(m, m.type, up, leader.upkeep.keepMs(m.type)));
+    views.push(machineView(m, m.type, up, leader.reconciler.keepMs(m.type)));
   }
   leader.rentals.onOrder(now).forEach((r, i) => {
     const type = leader.parts.catalogue.types.value?.get(r.type);
@@ -52,7 +52,7 @@
         incomingGb: 0,
         tasksOf: new Map(),
         replicas: 0,
-        keepMs: leader.upkeep.keepMs(type),
+        keepMs: leader.reconciler.keepMs(type),
       });
     }
   });
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -2,8 +2,8 @@
 import { BehaviorSubject } from 'rxjs';
 import { z } from 'zod/mini';
 import { NoAnswer } from '../http/client.js';
-import type { Mesh } from '../peer/mesh.js';
-import { Pledges } from '../peer/pledges.js';
+import type { PeerTransport } from '../peer/peer-transport.js';
+import { LeaseExtensionVote } from '../peer/lease-extension-vote.js';
 import { DRIFT } from '../runtime/clock.js';
 import type { Runtime } from '../runtime/duty.js';
 import { jitter } from '../runtime/random.js';
@@ -20,19 +20,19 @@
 export class Election {
   readonly role = new BehaviorSubject<Role>({ kind: 'follower', leader: null, token: 0 });
 
-  private readonly pledges: Pledges;
+  private readonly extensionVote: LeaseExtensionVote;
   /** An attempt to take office is under way, or may still be carried out by the store. */
   private contesting = false;
   private contestFrom = 0;
 
   constructor(
     private readonly store: Store,
-    private readonly mesh: Mesh,
+    private readonly peerTransport: PeerTransport,
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
   ) {
-    this.pledges = new Pledges(mesh, runtime, {
+    this.extensionVote = new LeaseExtensionVote(peerTransport, runtime, {
       mayLead: () => this.role.value.kind === 'leader' || this.contesting,
       storeServes: () => this.storeServes(),
     });
@@ -40,7 +40,7 @@
 
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random, log } = this.runtime;
-    const subscription = this.pledges.listen();
+    const subscription = this.extensionVote.listen();
     signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true });
     while (!signal.aborted) {
       try {
@@ -99,11 +99,11 @@
     const { clock } = this.runtime;
     const forgotten = this.runtime.startedAt + this.pledgeMs * (1 + DRIFT);
     while (!signal.aborted && clock.now() < forgotten) {
-      if (await this.pledges.allFree(this.lifetimeMs / 20)) break;
+      if (await this.extensionVote.allFree(this.lifetimeMs / 20)) break;
       await clock.sleep(this.lifetimeMs / 20, signal);
     }
     for (;;) {
-      const wait = Math.max(this.pledges.heldForMs, this.contestFrom - clock.now());
+      const wait = Math.max(this.extensionVote.heldForMs, this.contestFrom - clock.now());
       if (wait <= 0 || signal.aborted) return;
       await clock.sleep(Math.min(wait, this.lifetimeMs / 10), signal);
     }
@@ -118,8 +118,9 @@
     const { clock, startedAt } = this.runtime;
     const role = this.role.value;
     const last = role.kind === 'follower' ? role.leader : null;
-    const younger = this.mesh.peers.some(
-      (p) => p !== last && (this.mesh.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
+    const younger = this.peerTransport.peers.some(
+      (p) =>
+        p !== last && (this.peerTransport.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
     );
     if (younger) await clock.sleep(this.lifetimeMs / 10, signal);
   }
@@ -130,7 +131,7 @@
     const sentAt = clock.now();
     const lease = await this.store.grant(this.lifetimeMs, signal);
     // From here on until the store's definite answer nothing may be pledged, and nothing is.
-    if (this.pledges.heldForMs > 0) return null;
+    if (this.extensionVote.heldForMs > 0) return null;
     this.contesting = true;
     try {
       const token = await this.create(value, lease, signal);
@@ -209,8 +210,8 @@
   private async askPledges(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
-    const granted = await this.pledges.collect(term.token, this.pledgeMs, this.pledgeMs / 2);
-    log.debug({ granted }, 'asked for pledges');
+    const granted = await this.extensionVote.collect(term.token, this.pledgeMs, this.pledgeMs / 2);
+    log.debug({ granted }, 'asked for votes');
     if (granted) term.pledged(clock.now(), sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS);
   }
 
--- a/src/election/term.ts
+++ b/src/election/term.ts
@@ -20,7 +20,7 @@
     setMaxListeners(0, this.over.signal);
   }
 
-  /** True while no other node can have taken office: by the store's lease or by others' pledges. */
+  /** True while no other node can have taken office: by the store's lease or by others' votes. */
   active(now: number): boolean {
     return !this.over.signal.aborted && now < Math.max(this.until, this.pledgedUntil);
   }
@@ -34,7 +34,7 @@
     this.until = Math.max(this.until, until);
   }
 
-  /** Pledges only prolong a right that has not lapsed: in a gap another may have come and gone. */
+  /** Votes only prolong a right that has not lapsed: in a gap another may have come and gone. */
   pledged(now: number, until: number): void {
     if (this.active(now)) this.pledgedUntil = Math.max(this.pledgedUntil, until);
   }
--- a/src/election/keeper.ts
+++ b/src/election/zone-delegate.ts
@@ -4,12 +4,12 @@
 import { KEYS } from '../state/keys.js';
 import type { Store } from '../state/store.js';
 
-const keeperValue = z.object({ member: z.string(), token: z.number() });
+const zoneDelegateValue = z.object({ member: z.string(), token: z.number() });
 
-/** How long one write of the keeper key is good for, as a share of the leader lease. */
+/** How long one write of the zone delegate key is good for, as a share of the leader lease. */
 const RIGHT_SHARE = 0.5;
 
-export const keeperRightMs = (lifetimeMs: number): number => lifetimeMs * RIGHT_SHARE;
+export const zoneDelegateRightMs = (lifetimeMs: number): number => lifetimeMs * RIGHT_SHARE;
 
 /**
  * A follower's right to keep alive the workers of its own zone that cannot reach the leader. It
@@ -17,7 +17,7 @@
  * key is the one whose token the workers know. The leader reads these keys before it takes a
  * silent machine for gone.
  */
-export class Keeper {
+export class ZoneDelegate {
   private until = -Infinity;
   private token = 0;
   private version: number | null = null;
@@ -45,7 +45,7 @@
 
   private async write(token: number): Promise<void> {
     const { clock, log, random } = this.runtime;
-    const key = KEYS.keeper(this.zone);
+    const key = KEYS.zoneDelegate(this.zone);
     try {
       this.version ??= (await this.store.get(key, 0))?.version ?? 0;
       const sentAt = clock.now();
@@ -68,13 +68,13 @@
     } catch (error) {
       // Whether it was written is read again before the next try; nothing is answered on a guess.
       this.version = null;
-      log.debug({ error: String(error) }, 'keeper key not written');
+      log.debug({ error: String(error) }, 'zone delegate key not written');
     }
   }
 }
 
-/** The leader's view of the keepers: until when one may have answered a zone's workers. */
-export class KeeperWatch {
+/** The leader's view of the zone delegates: until when one may have answered a zone's workers. */
+export class ZoneDelegateWatch {
   private readonly versions = new Map<string, number>();
   private readonly bounds = new Map<string, number>();
   /** When the last complete look began. */
@@ -87,7 +87,7 @@
     private readonly rightMs: number,
   ) {}
 
-  /** Until when a keeper may have answered; for an unknown zone the latest of all. */
+  /** Until when a zone delegate may have answered; for an unknown zone the latest of all. */
   boundOf(zone: string): number {
     if (zone !== '') return this.bounds.get(zone) ?? -Infinity;
     return Math.max(-Infinity, ...this.bounds.values());
@@ -98,12 +98,12 @@
     this.looking = true;
     try {
       const sentAt = this.runtime.clock.now();
-      const { items } = await this.store.range(KEYS.keepers, signal);
+      const { items } = await this.store.range(KEYS.zoneDelegates, signal);
       const now = this.runtime.clock.now();
       for (const item of items) {
-        const zone = decodeURIComponent(item.key.slice(KEYS.keepers.length));
+        const zone = decodeURIComponent(item.key.slice(KEYS.zoneDelegates.length));
         if (
-          !z.safeParse(keeperValue, item.value).success ||
+          !z.safeParse(zoneDelegateValue, item.value).success ||
           this.versions.get(zone) !== item.version
         ) {
           this.bounds.set(zone, now + this.rightMs * (1 + DRIFT));
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -13,7 +13,7 @@
 }
 
 /** Who else may have answered a zone's workers, and when that was last looked up. */
-export interface KeeperBounds {
+export interface ZoneDelegateBounds {
   boundOf(zone: string): number;
   readonly confirmedFrom: number;
 }
@@ -32,7 +32,7 @@
     /** From when on no other controller could answer a worker. */
     private readonly soleSince: number,
     private readonly leaseMs: number,
-    private readonly keepers: KeeperBounds,
+    private readonly zoneDelegates: ZoneDelegateBounds,
   ) {}
 
   /** How many machines have been heard in this term. */
@@ -231,13 +231,13 @@
     const answered = Math.max(
       m.answeredAt ?? -Infinity,
       this.soleSince,
-      this.keepers.boundOf(m.zone),
+      this.zoneDelegates.boundOf(m.zone),
     );
     return answered + this.leaseMs * (1 + DRIFT) + 50;
   }
 
   /**
-   * Gives up what is on machines whose leases have run out. Answers true if the keepers have to be
+   * Gives up what is on machines whose leases have run out. Answers true if the zone delegates have to be
    * looked up first: one that came after the last look may have kept a lease alive.
    */
   sweep(now: number): boolean {
@@ -245,7 +245,7 @@
     for (const m of this.machines.values()) {
       const from = this.silentFrom(m);
       if (m.placements.size === 0 || now <= from) continue;
-      if (this.keepers.confirmedFrom < from) {
+      if (this.zoneDelegates.confirmedFrom < from) {
         unsure = true;
         continue;
       }
--- a/src/fleet/halts.ts
+++ b/src/fleet/stop-commands.ts
@@ -12,7 +12,7 @@
  * command may be carried out minutes late, and a stop is meant for ever while a start is not. What
  * is lost on the way is repeated in the answers to reports.
  */
-export class Halts {
+export class StopCommands {
   private readonly waiting = new Map<Machine, Order[]>();
 
   constructor(
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,14 +1,14 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createServer as createNetServer, type Server } from 'node:net';
 import express, { type ErrorRequestHandler, type Express, type Response } from 'express';
-import type { Answer, Desk } from '../jobs/desk.js';
+import type { Answer, JobApi } from '../jobs/job-api.js';
 import type { Logger } from '../runtime/log.js';
 import { parseReport, redirectAnswer, reportAnswer, type Report } from '../wire/report.js';
 import { Connections } from './connections.js';
 import { MAX_BODY, readReports, REPORT_PATH, type ReportOutcome } from './workers.js';
 
 export interface Service {
-  desk: Desk;
+  jobApi: JobApi;
   report(report: Report): ReportOutcome | Promise<ReportOutcome>;
   ready(): boolean;
 }
@@ -29,15 +29,15 @@
     .all(wrongMethod);
   app
     .route('/work')
-    .post(json, async (req, res) => answer(res, await service.desk.submit(req.body)))
+    .post(json, async (req, res) => answer(res, await service.jobApi.submit(req.body)))
     .all(wrongMethod);
   app
     .route('/work/:id')
-    .get(async (req, res) => answer(res, await service.desk.query(req.params.id)))
+    .get(async (req, res) => answer(res, await service.jobApi.query(req.params.id)))
     .all(wrongMethod);
   app
     .route('/work/:id/abort')
-    .post(async (req, res) => answer(res, await service.desk.abort(req.params.id)))
+    .post(async (req, res) => answer(res, await service.jobApi.abort(req.params.id)))
     .all(wrongMethod);
   // Reports of unusual form; the others are read from the socket.
   app
--- a/src/jobs/desk.ts
+++ b/src/jobs/job-api.ts
@@ -47,7 +47,7 @@
  * it, and every answer that may still change rests on a comparison with the store that began after
  * the question came. One comparison serves all questions that wait for it.
  */
-export class Desk {
+export class JobApi {
   private readonly known = new Map<string, Known>();
   private asking = new Map<string, Waiter[]>();
   private comparing = false;
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,7 +3,7 @@
 import { httpTransport, httpTransports } from './http/client.js';
 import { listen } from './http/server.js';
 import { systemClock } from './runtime/clock.js';
-import { TcpMesh } from './peer/mesh.js';
+import { TcpPeerTransport } from './peer/peer-transport.js';
 import { createLogger } from './runtime/log.js';
 import { systemRandom } from './runtime/random.js';
 import { parseArguments } from './settings/cli.js';
@@ -33,9 +33,9 @@
   const toStore = Math.max(4, Math.floor(sockets / 20));
   const toWorkers = Math.max(4, Math.floor(sockets / 20));
   const toCloud = Math.max(2, Math.ceil(settings.cloud.rps / 2));
-  const mesh = new TcpMesh(settings, runtime, settings.workers.reportMs / 4);
+  const peerTransport = new TcpPeerTransport(settings, runtime, settings.workers.reportMs / 4);
   const controller = new Controller(settings, operator, runtime, {
-    mesh,
+    peerTransport,
     store: httpTransport(settings.stateAddress, toStore),
     cloud: httpTransport(settings.cloudAddress, toCloud),
     workers: httpTransports(toWorkers),
@@ -48,7 +48,7 @@
   };
   await listen(controller, log, settings.publicAddress, limits, stop.signal);
   log.info({ address: settings.publicAddress }, 'listening');
-  await Promise.all([controller.run(stop.signal), mesh.run(stop.signal)]);
+  await Promise.all([controller.run(stop.signal), peerTransport.run(stop.signal)]);
   process.exit(0);
 }
 
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -8,7 +8,7 @@
   /** The first frame of a connection: who speaks, and how long its process has run. */
   | { kind: 'hello'; member: string; ageMs: number }
   /** The leader lives, and how far open jobs are, for display; `first`: of one or more frames. */
-  | { kind: 'beat'; token: number; first: boolean; counts: JobCounts[] }
+  | { kind: 'heartbeat'; token: number; first: boolean; counts: JobCounts[] }
   /** A user has cancelled a job; the store's own news of it may take longer. */
   | { kind: 'cancelled'; id: string }
   /** The leader asks not to be contested while the store serves nobody. */
@@ -28,7 +28,7 @@
 
 const KINDS = [
   'hello',
-  'beat',
+  'heartbeat',
   'cancelled',
   'askPledge',
   'pledge',
@@ -43,12 +43,12 @@
 /** How many jobs' counts fit into one frame, however long their names are. */
 const MOST_COUNTS = Math.floor((MAX_PAYLOAD - 13) / (1 + 255 + 8));
 
-/** A leader's beat in as many frames as its jobs need. */
-export function beats(token: number, counts: JobCounts[]): Message[] {
+/** A leader's heartbeat in as many frames as its jobs need. */
+export function heartbeats(token: number, counts: JobCounts[]): Message[] {
   const messages: Message[] = [];
   for (let from = 0; from === 0 || from < counts.length; from += MOST_COUNTS) {
     const part = counts.slice(from, from + MOST_COUNTS);
-    messages.push({ kind: 'beat', token, first: from === 0, counts: part });
+    messages.push({ kind: 'heartbeat', token, first: from === 0, counts: part });
   }
   return messages;
 }
@@ -140,7 +140,7 @@
   switch (m.kind) {
     case 'hello':
       return w.text(m.member).u64(m.ageMs);
-    case 'beat':
+    case 'heartbeat':
       w.u64(m.token)
         .u8(m.first ? 1 : 0)
         .u32(m.counts.length);
@@ -165,7 +165,7 @@
   switch (kind) {
     case 'hello':
       return { kind, member: r.text(), ageMs: r.u64() };
-    case 'beat': {
+    case 'heartbeat': {
       const token = r.u64();
       const first = r.u8() === 1;
       const counts: JobCounts[] = [];
--- a/src/peer/pledges.ts
+++ b/src/peer/lease-extension-vote.ts
@@ -2,7 +2,7 @@
 import { DRIFT } from '../runtime/clock.js';
 import type { Runtime } from '../runtime/duty.js';
 import type { Message } from './frames.js';
-import type { Mesh } from './mesh.js';
+import type { PeerTransport } from './peer-transport.js';
 
 export interface PledgeFacts {
   /** This controller leads, or an attempt of its own to lead may still be under way. */
@@ -16,19 +16,19 @@
  * not renew goes on answering workers only while every other controller has given one. A
  * controller that reaches the store gives none, so a leader that is refused alone loses office.
  */
-export class Pledges {
+export class LeaseExtensionVote {
   private pledgedUntil = -Infinity;
   private asks = 0;
   private readonly waiting = new Map<number, { yes: Set<string>; no: boolean; done(): void }>();
 
   constructor(
-    private readonly mesh: Mesh,
+    private readonly peerTransport: PeerTransport,
     private readonly runtime: Runtime,
     private readonly facts: PledgeFacts,
   ) {}
 
   listen(): Subscription {
-    return this.mesh.heard.subscribe(({ from, message }) => void this.on(from, message));
+    return this.peerTransport.heard.subscribe(({ from, message }) => void this.on(from, message));
   }
 
   /** How long this controller must not contest. */
@@ -47,13 +47,13 @@
   }
 
   private async askAll(withinMs: number, message: (ask: number) => Message): Promise<boolean> {
-    const { peers } = this.mesh;
+    const { peers } = this.peerTransport;
     if (peers.length === 0) return true;
     const ask = ++this.asks;
     const enough = new AbortController();
     const state = { yes: new Set<string>(), no: false, done: () => enough.abort() };
     this.waiting.set(ask, state);
-    for (const peer of peers) this.mesh.send(peer, message(ask));
+    for (const peer of peers) this.peerTransport.send(peer, message(ask));
     await this.runtime.clock.sleep(withinMs, enough.signal);
     this.waiting.delete(ask);
     return !state.no && peers.every((p) => state.yes.has(p));
@@ -64,10 +64,10 @@
     else if (m.kind === 'free') this.count(m.ask, from, m.free);
     else if (m.kind === 'askFree') {
       const free = !this.facts.mayLead() && this.heldForMs === 0;
-      this.mesh.send(from, { kind: 'free', ask: m.ask, free });
+      this.peerTransport.send(from, { kind: 'free', ask: m.ask, free });
     } else if (m.kind === 'askPledge') {
       const granted = await this.grant(m.forMs);
-      this.mesh.send(from, { kind: 'pledge', ask: m.ask, granted });
+      this.peerTransport.send(from, { kind: 'pledge', ask: m.ask, granted });
     }
   }
 
@@ -90,6 +90,6 @@
     if (!state) return;
     if (yes) state.yes.add(from);
     else state.no = true;
-    if (state.no || this.mesh.peers.every((p) => state.yes.has(p))) state.done();
+    if (state.no || this.peerTransport.peers.every((p) => state.yes.has(p))) state.done();
   }
 }
--- a/src/peer/mesh.ts
+++ b/src/peer/peer-transport.ts
@@ -4,7 +4,7 @@
 import type { Settings } from '../settings/deploy.js';
 import { Decoder, encode, type Message } from './frames.js';
 
-export interface Mesh {
+export interface PeerTransport {
   /** What other controllers say, with the speaker's name. */
   readonly heard: Observable<{ from: string; message: Message }>;
   /** Sends to one controller if it is connected; nothing is kept for later. */
@@ -21,7 +21,7 @@
  * One connection to each other controller, for what we say; what they say comes on theirs. All of
  * it is advice or is asked for again, so a lost connection costs a retry and nothing else.
  */
-export class TcpMesh implements Mesh {
+export class TcpPeerTransport implements PeerTransport {
   readonly heard = new Subject<{ from: string; message: Message }>();
   readonly peers: string[];
   private readonly out = new Map<string, Socket>();
--- a/src/peer/reach.ts
+++ b/src/peer/store-reachability.ts
@@ -9,7 +9,7 @@
  * load balancer moves them only if this controller calls itself unable. In an outage that all meet
  * it must not, since nobody would be left to tell users when to come back.
  */
-export class Reach {
+export class StoreReachability {
   private readonly said = new Map<string, { serves: boolean; at: number }>();
 
   constructor(
--- a/src/scheduler/gather.ts
+++ b/src/scheduler/gather.ts
@@ -51,7 +51,7 @@
   jobs: ReadonlyMap<string, JobView>,
 ): boolean {
   const free = new Map(targets.map((m) => [m, { ...m.free }]));
-  const holds = new Set<string>();
+  const holding = new Set<string>();
   return moves.every(({ job, spec }) => {
     const view = jobs.get(job);
     if (!view) return false;
@@ -65,7 +65,7 @@
         !view.avoid.has(m.id) &&
         // Its fellows are elsewhere, so that one loss takes little.
         !m.tasksOf.has(job) &&
-        !holds.has(`${job} ${m.id}`) &&
+        !holding.has(`${job} ${m.id}`) &&
         m.images.has(spec.image) &&
         fetchSeconds(spec, m) === 0 &&
         // Several of one job may leave together: a zone that takes one has room for what left it.
@@ -73,7 +73,7 @@
     );
     if (!target) return false;
     take(free.get(target)!, spec.need);
-    holds.add(`${job} ${target.id}`);
+    holding.add(`${job} ${target.id}`);
     return true;
   });
 }
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -157,11 +157,11 @@
       this.record(job, placed);
       return;
     }
-    const holds = job.gang?.holdsGate ?? false;
-    const behind = !holds && (this.s.gateShut || this.result.admit !== null);
+    const holdsGate = job.gang?.holdsGate ?? false;
+    const behind = !holdsGate && (this.s.gateShut || this.result.admit !== null);
     if (!this.reserveGang(job)) return;
     this.charge(team, job.spec, job.spec.tasks);
-    if (!holds && !behind) this.result.admit = job.id;
+    if (!holdsGate && !behind) this.result.admit = job.id;
   }
 
   /**
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -5,10 +5,10 @@
   jobs: 'jobs/',
   runs: 'runs/',
   rentals: 'rent/',
-  keepers: 'keeper/',
+  zoneDelegates: 'keeper/',
   job: (id: string): string => `jobs/${id}`,
   run: (id: string, chunk: number): string => `runs/${id}/${chunk}`,
-  keeper: (zone: string): string => `keeper/${encodeURIComponent(zone)}`,
+  zoneDelegate: (zone: string): string => `keeper/${encodeURIComponent(zone)}`,
   rental: (request: string): string => `rent/${request}`,
 } as const;
 
