--- /dev/null
+++ b/src/jobs/job-transaction.ts
@@ -0,0 +1,157 @@
+import type { Term } from '../election/term.js';
+import type { Runtime } from '../runtime/duty.js';
+import { KEYS } from '../state/keys.js';
+import { jsonBytes } from '../state/limits.js';
+import type { Change, Condition } from '../state/store.js';
+import type { Job } from './live.js';
+import { fitJobRecord } from './record-size.js';
+import type { JobRecord, RangedRunRecord, RunRecord } from './records.js';
+import type { Section, StoredSection } from './run-layout.js';
+import type { WriteRefusals } from './write-refusals.js';
+
+/** The store takes 64 KiB in one transaction; some are left for its frame and conditions. */
+const MOST_TXN_BYTES = 56 * 1024;
+/** The key and the condition that go with a value. */
+const BYTES_PER_OPERATION = 200;
+
+interface SectionRecord {
+  section: Section;
+  record: RunRecord | RangedRunRecord;
+}
+
+/** One transaction of a job, and what it does. */
+export interface JobTransaction {
+  when: Condition[];
+  then: Change[];
+  /** What is written. */
+  sections: Section[];
+  /** What is deleted. */
+  removed: StoredSection[];
+  jobRecord: JobRecord | null;
+  /** True if only the final state is left after it. */
+  closes: boolean;
+  /** It changes nothing: records are moved to another layout. */
+  background: boolean;
+}
+
+/** A job that is over and of which nothing can run any more keeps only its final state. */
+export function canClose(job: Job): boolean {
+  return job.phase !== 'open' && job.live.size === 0 && !job.closed && !job.blind;
+}
+
+/** Builds the transactions that bring the stored records of a job up to date. */
+export class TransactionBuilder {
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly term: Term,
+    private readonly refusals: WriteRefusals,
+  ) {}
+
+  /** The next transaction of a job; `w` marks its records. */
+  build(job: Job, w: string): JobTransaction {
+    return canClose(job) ? this.closing(job, w) : this.progress(job, w);
+  }
+
+  private empty(): JobTransaction {
+    return {
+      when: [{ key: KEYS.leader, version: this.term.token }],
+      then: [],
+      sections: [],
+      removed: [],
+      jobRecord: null,
+      closes: false,
+      background: false,
+    };
+  }
+
+  /**
+   * Deletes the records of a job that is over and leaves its final state. Where that takes several
+   * transactions the job's own record says first that it is over: with some of its records gone and
+   * its own still open, a successor would run tasks again.
+   */
+  private closing(job: Job, w: string): JobTransaction {
+    const transaction = this.empty();
+    const stored = job.layout.stored();
+    const most = this.refusals.limitsFor(job).txnOps - 1;
+    if (stored.length > most && !job.phaseStored) {
+      transaction.jobRecord = this.finalRecord(job, w);
+      return transaction;
+    }
+    transaction.removed = stored.slice(0, most);
+    for (const { key, version } of transaction.removed) {
+      transaction.when.push({ key, version });
+      transaction.then.push({ delete: key });
+    }
+    if (stored.length > most) return transaction;
+    const { phase, tasks, doneAt } = this.finalRecord(job, w);
+    transaction.jobRecord = { w, phase, tasks, ...(doneAt === undefined ? {} : { doneAt }) };
+    transaction.closes = true;
+    return transaction;
+  }
+
+  /** Of a job that is over and of which something is still left. */
+  private finalRecord(job: Job, w: string): JobRecord {
+    const { phase, spec, submittedAt } = job;
+    const whole: JobRecord = { w, phase, tasks: spec.tasks, at: submittedAt, spec };
+    // One accepted under larger limits may have to lose its machine types, which matter no more.
+    const record = fitJobRecord(whole, this.refusals.limitsFor(job).valueBytes, new Set()) ?? whole;
+    if (phase !== 'done') return record;
+    // Those that need it are ready from then on, also for a new leader.
+    job.doneAt ??= Math.round(this.runtime.clock.wall());
+    return { ...record, doneAt: job.doneAt };
+  }
+
+  /** What has changed of a job, as much of it as one transaction may carry. */
+  private progress(job: Job, w: string): JobTransaction {
+    const transaction = this.empty();
+    if (job.phase === 'open') this.addSections(job, w, transaction);
+    else if (!job.phaseStored) transaction.jobRecord = this.finalRecord(job, w);
+    if (!job.rewriting) return transaction;
+    const written = new Set(transaction.sections);
+    for (const record of job.layout.removable(written)) {
+      if (transaction.then.length >= this.refusals.limitsFor(job).txnOps - 1) break;
+      transaction.removed.push(record);
+      transaction.when.push({ key: record.key, version: record.version });
+      transaction.then.push({ delete: record.key });
+    }
+    return transaction;
+  }
+
+  private addSections(job: Job, w: string, transaction: JobTransaction): void {
+    const limits = this.refusals.limitsFor(job);
+    const records = this.recordsToWrite(job, w, limits.valueBytes);
+    let bytes = 0;
+    for (const { section, record } of records) {
+      bytes += jsonBytes(record) + BYTES_PER_OPERATION;
+      // One change is left for the job's own record.
+      if (transaction.then.length >= limits.txnOps - 1) return;
+      if (bytes > MOST_TXN_BYTES && transaction.then.length > 0) return;
+      transaction.when.push({ key: section.key, version: section.version });
+      transaction.then.push({ put: section.key, value: record });
+      transaction.sections.push(section);
+    }
+  }
+
+  /** The records that have to be written; ranged ones are split until each fits. */
+  private recordsToWrite(job: Job, w: string, valueBytes: number): SectionRecord[] {
+    const { layout } = job;
+    const { clock } = this.runtime;
+    const wall = (steady: number): number => Math.round(clock.wall() + steady - clock.now());
+    const due = (s: Section): boolean => s.dirty || (job.rewriting && s.inherited);
+    const list: SectionRecord[] = [];
+    for (let i = 0; i < layout.sections.length; i++) {
+      const section = layout.sections[i]!;
+      if (!due(section)) continue;
+      let record = job.toRecord(section, w, wall);
+      while (layout.kind === 'ranged' && section.to - section.from > 1) {
+        if (jsonBytes(record) <= valueBytes) break;
+        layout.split(section);
+        record = job.toRecord(section, w, wall);
+      }
+      list.push({ section, record });
+    }
+    if (layout.kind === 'indexed') return list;
+    // Later tasks first: see `RunLayout` on splitting. Changes before what is only moved.
+    return list.reverse().sort((a, b) => Number(b.section.dirty) - Number(a.section.dirty));
+  }
+}
--- /dev/null
+++ b/src/jobs/transaction-committer.ts
@@ -0,0 +1,101 @@
+import type { Term } from '../election/term.js';
+import { KEYS } from '../state/keys.js';
+import { Refused, type Change, type Store, type Urgency } from '../state/store.js';
+import type { JobTransaction } from './job-transaction.js';
+import type { Job } from './live.js';
+import { parseJob, type JobRecord } from './records.js';
+import type { StoredSection } from './run-layout.js';
+
+export interface CommitEvents {
+  /** The job's own record was changed by another node: cancelled by its user. */
+  jobChanged(job: Job, version: number, record: JobRecord): void;
+  /** The store refuses this write for good. */
+  refused(job: Job, changes: Change[], error: Refused): void;
+}
+
+/** Commits transactions of jobs, and finds out what became of those that failed. */
+export class TransactionCommitter {
+  constructor(
+    private readonly store: Store,
+    private readonly term: Term,
+    private readonly events: CommitEvents,
+  ) {}
+
+  /** The revision at which it was applied; null if it was not, and the job has to try again. */
+  async commit(job: Job, w: string, transaction: JobTransaction): Promise<number | null> {
+    const { when, then } = transaction;
+    const urgency = urgencyOf(job, transaction);
+    try {
+      const outcome = await this.store.commit(when, then, urgency, this.term.signal);
+      if (outcome.ok) return outcome.revision;
+      const applied = outcome.doubtful ? await this.appliedAt(then, w) : null;
+      if (applied === null) await this.conflict(job, transaction, outcome.failed);
+      return applied;
+    } catch (error) {
+      if (!(error instanceof Refused)) throw error;
+      // A copy of it that got no answer may have been applied before the limits fell.
+      const applied = error.doubtful ? await this.appliedAt(then, w) : null;
+      if (applied === null) this.events.refused(job, then, error);
+      return applied;
+    }
+  }
+
+  /** The version of our own write, if an unanswered copy of it was applied after all. */
+  private async appliedAt(then: Change[], w: string): Promise<number | null> {
+    // All keys of a transaction change together, so that one tells of all.
+    const put = then.find((c) => 'put' in c) ?? null;
+    if (!put || !('put' in put)) return null;
+    const entry = await this.store.read(put.put, this.term.signal);
+    return entry && (entry.value as { w?: unknown }).w === w ? entry.version : null;
+  }
+
+  private async conflict(job: Job, transaction: JobTransaction, failed: string[]): Promise<void> {
+    if (failed.includes(KEYS.leader)) {
+      this.term.end();
+      return;
+    }
+    if (failed.includes(KEYS.job(job.id))) {
+      const entry = await this.store.read(KEYS.job(job.id), this.term.signal);
+      const record = entry && parseJob(entry.value);
+      if (!entry || !record) throw new Error('its record is missing or unreadable');
+      this.events.jobChanged(job, entry.version, record);
+      return;
+    }
+    for (const key of failed) await this.reconcile(job, transaction, key);
+  }
+
+  /**
+   * A run record has another version than we know. Under the leader key only our own writes can have
+   * changed it: one without an answer that was then given up, since a repeat was refused.
+   */
+  private async reconcile(job: Job, transaction: JobTransaction, key: string): Promise<void> {
+    const entry = await this.store.read(key, this.term.signal);
+    const removed = transaction.removed.find((r) => r.key === key);
+    if (removed && !entry) return recordRemoved(job, removed);
+    const known = job.layout.stored().find((s) => s.key === key);
+    const section = known ?? job.layout.sections.find((s) => s.key === key);
+    const mark = (entry?.value as { w?: unknown } | undefined)?.w;
+    if (!section || !entry || typeof mark !== 'string' || !mark.startsWith(`${this.term.id}/`)) {
+      throw new Error(`unexpected version of ${key}`);
+    }
+    section.version = entry.version;
+  }
+}
+
+/** A record of the job is no longer in the store. */
+export function recordRemoved(job: Job, record: StoredSection): void {
+  record.version = 0;
+  job.layout.removed(record);
+}
+
+/**
+ * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
+ * job that others wait for holds up all their tasks, until it is stored. What was cancelled with
+ * another job is known to be cancelled already, and no task of it runs.
+ */
+function urgencyOf(job: Job, transaction: JobTransaction): Urgency {
+  if (transaction.background) return 2;
+  if (job.phase === 'open') return job.spec.kind === 'array' ? 2 : 1;
+  if (job.phaseStored || job.cancelledWith !== null) return 2;
+  return job.phase === 'done' && job.awaited ? 0 : 1;
+}
--- /dev/null
+++ b/src/jobs/write-refusals.ts
@@ -0,0 +1,80 @@
+import type { StoreLimits } from '../state/limits.js';
+import type { Job } from './live.js';
+
+/**
+ * A refused write of a job is tried again after this share of the time for which ends wait, doubled
+ * with every refusal up to that time.
+ */
+const FIRST_RETRY_SHARE = 1 / 50;
+
+/** How often a transaction is made half as large before it is left at that. */
+const MOST_HALVINGS = 3;
+
+/** How much of the limit for a value is used: the store may count some more bytes than we do. */
+const VALUE_SHARE = 0.9;
+
+/** A write of one job that the store refused for good: too large, say. */
+interface Refusal {
+  /** How long the job waits after the next one. */
+  nextWaitMs: number;
+  /** How many times its transactions have been given half as many changes. */
+  halvedOps: number;
+  /** How many times its values have been made half as large; only ranged records can be. */
+  halvedBytes: number;
+  /** No write of the job is tried before this time. */
+  until: number;
+}
+
+/** Which jobs the store has refused to write, when each is tried again, and how large it may be. */
+export class WriteRefusals {
+  private readonly byJob = new WeakMap<Job, Refusal>();
+
+  constructor(
+    private readonly limits: StoreLimits,
+    private readonly longestWaitMs: number,
+  ) {}
+
+  has(job: Job): boolean {
+    return this.byJob.has(job);
+  }
+
+  /** Steady time before which no write of the job is tried. */
+  retryAt(job: Job): number {
+    return this.byJob.get(job)?.until ?? 0;
+  }
+
+  /** Notes that a write of the job was refused; answers how long it waits, in milliseconds. */
+  add(job: Job, now: number): number {
+    const before = this.byJob.get(job);
+    const waitMs = before?.nextWaitMs ?? this.firstRetryMs;
+    const half = (times: number): number => Math.min(times + 1, MOST_HALVINGS);
+    this.byJob.set(job, {
+      nextWaitMs: Math.min(waitMs * 2, this.longestWaitMs),
+      // The first refusal may mean no more than that the announced limits hold by now.
+      halvedOps: before ? half(before.halvedOps) : 0,
+      halvedBytes: before && job.layout.kind === 'ranged' ? half(before.halvedBytes) : 0,
+      until: now + waitMs,
+    });
+    return waitMs;
+  }
+
+  /** What was refused has another form now, and may be tried again soon. */
+  layoutChanged(job: Job): void {
+    const refusal = this.byJob.get(job);
+    if (refusal) refusal.nextWaitMs = this.firstRetryMs;
+  }
+
+  /** Limits for one job's transaction: smaller ones after the store has refused it. */
+  limitsFor(job: Job): { valueBytes: number; txnOps: number } {
+    const { valueBytes, txnOps } = this.limits.effective();
+    const refusal = this.byJob.get(job);
+    return {
+      valueBytes: Math.floor((valueBytes * VALUE_SHARE) / 2 ** (refusal?.halvedBytes ?? 0)),
+      txnOps: Math.max(2, Math.floor(txnOps / 2 ** (refusal?.halvedOps ?? 0))),
+    };
+  }
+
+  private get firstRetryMs(): number {
+    return this.longestWaitMs * FIRST_RETRY_SHARE;
+  }
+}
