Split scheduler/plan.ts: room, rentals, reservations and gangs have modules of their own

One class of 330 lines held a whole round of decisions. The round keeps the order of the steps; finding room, planning rentals, setting room aside and reserving for whole gangs are classes of their own. Behaviour is unchanged; no test is touched.

--- /dev/null
+++ b/src/scheduler/gang-reservations.ts
@@ -0,0 +1,106 @@
+import { howMany } from '../fleet/types.js';
+import type { JobSpec } from '../jobs/job.js';
+import type { JobView, MachineView } from './model.js';
+import { rank } from './order.js';
+import { allows, shapeOf, ZoneRules } from './placement.js';
+import type { Preemption } from './preemption.js';
+import type { RentalPlan } from './rental-plan.js';
+import type { Reservations } from './reservations.js';
+import type { RoomFinder } from './room-finder.js';
+
+/** Sets aside room for whole gangs that do not find it free. */
+export class GangReservations {
+  /** Gangs that found no room, by shape and rank: the fewest tasks that did not. */
+  private readonly tooLarge = new Map<string, number>();
+
+  constructor(
+    private readonly machines: MachineView[],
+    private readonly up: MachineView[],
+    private readonly guaranteed: ReadonlySet<string>,
+    private readonly finder: RoomFinder,
+    private readonly rentals: RentalPlan,
+    private readonly reservations: Reservations,
+    private readonly preemption: Preemption,
+  ) {}
+
+  /**
+   * Sets aside room for a whole gang: what is free, what lesser work makes when it is stopped (sooner
+   * than a machine boots, and it loses little where it can be saved), what boots, what can be rented.
+   *
+   * A gang behind the gate is not admitted. But its room is made or rented ahead and kept from
+   * smaller work, so that it passes with its whole room free: one boot after another, gangs would
+   * wait for as many boots as there are gangs before them. Since every round gives what there is to
+   * the first in order, two gangs cannot keep half of the machines each.
+   */
+  reserve(job: JobView): boolean {
+    const { spec } = job;
+    // Room only shrinks while a round goes on: where a gang found none, one of its kind that is no
+    // smaller finds none either.
+    const kind = `${shapeOf(spec)}|${spec.oneZone}|${rank(job.priority, this.isGuaranteed(job))}`;
+    const usual = job.avoid.size === 0 && job.zones.size === 0;
+    if (usual && spec.tasks >= (this.tooLarge.get(kind) ?? Infinity)) return false;
+    const best = this.bestZone(job);
+    if (best) return this.reserveIn(job, best.zone);
+    if (usual) this.tooLarge.set(kind, spec.tasks);
+    return false;
+  }
+
+  /** The zone in which the fewest tasks would need a machine to be rented; null: there is none. */
+  private bestZone(job: JobView): { zone: string | null } | null {
+    const { spec } = job;
+    const { coming } = this.reservations;
+    const zones = spec.oneZone
+      ? [...new Set([...this.machines.map((m) => m.zone), ...this.rentals.zones])]
+      : [null];
+    let best: { zone: string | null; missing: number } | null = null;
+    for (const zone of zones) {
+      const missing = this.missingIn(job, zone, coming);
+      if (missing > 0 && !this.rentals.offersFor(spec, zone)) continue;
+      if (!best || missing < best.missing) best = { zone, missing };
+    }
+    return best;
+  }
+
+  /**
+   * How many tasks find no room in a zone. Room that is being made or can be made counts, so that the
+   * choice of the zone stands until it is there, and so that a gang is admitted also where nothing
+   * can be rented.
+   */
+  private missingIn(job: JobView, zone: string | null, coming: MachineView[]): number {
+    const { spec } = job;
+    const guaranteed = this.isGuaranteed(job);
+    let missing = spec.tasks;
+    for (const m of this.finder.suitable(spec)) {
+      if (missing <= 0) break;
+      if (isIn(zone, m) && !job.avoid.has(m.id)) {
+        missing -= howMany(spec.need, this.preemption.potential(job, m, guaranteed));
+      }
+    }
+    for (const m of coming) {
+      if (isIn(zone, m) && suits(job, spec, m)) missing -= howMany(spec.need, m.free);
+    }
+    return Math.max(0, missing);
+  }
+
+  private reserveIn(job: JobView, zone: string | null): boolean {
+    const { spec } = job;
+    const rules = new ZoneRules(spec, job.zones);
+    const { coming } = this.reservations;
+    const here = this.up.filter((m) => isIn(zone, m));
+    let left = spec.tasks - this.reservations.setAside(job, spec.tasks, here, rules);
+    if (left > 0) left -= this.preemption.free(job, left, this.isGuaranteed(job), here, rules);
+    const comingHere = coming.filter((m) => isIn(zone, m));
+    left -= this.reservations.setAside(job, left, comingHere, rules);
+    return this.rentals.rent(job, left, rules, zone) === 0;
+  }
+
+  private isGuaranteed(job: JobView): boolean {
+    return this.guaranteed.has(job.id);
+  }
+}
+
+/** `zone` null stands for any. */
+const isIn = (zone: string | null, m: MachineView): boolean => zone === null || m.zone === zone;
+
+const suits = (job: JobView, spec: JobSpec, m: MachineView): boolean =>
+  allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.id);
