Split test/fakes/world.ts: controllers, machines, users, submissions and settings

The world keeps the story's clock, the checker and its calls; what it calls stands in modules of one job each, and the old exports stay where stories import them. No test file changes.

--- /dev/null
+++ b/test/fakes/controllers.ts
@@ -0,0 +1,215 @@
+import assert from 'node:assert/strict';
+import { Controller } from '../../src/control/controller.js';
+import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
+import type { Clock } from '../../src/runtime/clock.js';
+import type { Settings } from '../../src/settings/deploy.js';
+import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
+import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
+import { fakeRandom } from './random.js';
+import { settings, settingsAmong } from './sample-settings.js';
+import type { Fate } from './store.js';
+import type { Front } from './users.js';
+import type { Answered, FakeWorker } from './worker.js';
+import type { World } from './world.js';
+
+const silent = {
+  error: (): void => {},
+  warn: (): void => {},
+  info: (): void => {},
+  debug: (): void => {},
+};
+
+export interface Node {
+  name: string;
+  controller: Controller | null;
+  stop: AbortController;
+  fate(method: string, path: string, body: unknown): Fate;
+  /** False while workers cannot reach it. */
+  open: boolean;
+  /** Until when it stands still while its clocks run on. */
+  frozenUntil: number;
+  /** For how long its answers to users and workers are held up on their way. */
+  heldMs: number;
+}
+
+/** The controllers of a story: processes that start, stand still and end, and their connections. */
+export class Controllers {
+  readonly nodes: Node[] = [];
+  /** The zones cannot reach each other; both reach the store. */
+  apart = false;
+  private lives = 0;
+
+  constructor(
+    private readonly world: World,
+    count: 2 | 3,
+    /** What the settings say of the store, where it differs from the sample. */
+    private readonly state: Partial<Settings['state']>,
+  ) {
+    for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, count)) {
+      this.nodes.push({
+        name,
+        controller: null,
+        stop: new AbortController(),
+        fate: () => 'serve',
+        open: true,
+        frozenUntil: 0,
+        heldMs: 0,
+      });
+    }
+  }
+
+  /** One controller as its users see it. */
+  front(i: number): Front {
+    const node = this.nodes[i]!;
+    return {
+      name: node.name,
+      jobApi: () => node.controller?.jobApi ?? null,
+      alive: node.stop.signal,
+      heldMs: node.heldMs,
+      thaw: () => this.thaw(node),
+    };
+  }
+
+  boot(i: number): void {
+    const node = this.nodes[i]!;
+    const stop = new AbortController();
+    node.stop = stop;
+    const controller = new Controller(
+      settingsAmong(
+        node.name,
+        this.nodes.map((n) => n.name),
+        this.state,
+      ),
+      OPERATOR_DEFAULTS,
+      {
+        clock: this.clockOf(node),
+        random: fakeRandom(`${node.name}.${++this.lives}`, this.world.seed * 37 * this.lives),
+        log: silent,
+        startedAt: this.world.clock.now(),
+      },
+      {
+        peerTransport: this.world.wire.attach(
+          node.name,
+          this.nodes.map((n) => n.name),
+        ),
+        store: this.through(
+          node,
+          this.world.store.link((m, p, b) => this.fate(node, stop.signal, m, p, b)),
+        ),
+        cloud: this.through(node, this.world.cloud.link()),
+        workers: (address) => ({
+          request: async (_method, _path, body, timeoutMs) => {
+            await this.world.clock.sleep(2);
+            const worker = this.world.workers.get(address.split(':')[0]!);
+            const answer =
+              worker && this.directReaches(node, worker)
+                ? await this.world.trouble.direct(worker, body as never, timeoutMs)
+                : null;
+            await this.world.clock.sleep(2);
+            if (!answer) throw new NoAnswer('no answer');
+            return JSON.parse(JSON.stringify(answer)) as Reply;
+          },
+        }),
+      },
+    );
+    node.controller = controller;
+    void controller.run(node.stop.signal);
+  }
+
+  /** What becomes of a request of one process to the store. */
+  private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
+    if (life.aborted) return 'refuse';
+    const own = node.fate(method, path, body);
+    return own === 'serve' ? this.world.trouble.storeFate(path) : own;
+  }
+
+  private directReaches(node: Node, worker: FakeWorker): boolean {
+    return this.world.directOpen && !(this.apart && worker.yard !== this.zoneOf(node));
+  }
+
+  zoneOf(node: Node): string {
+    return settings(node.name).zone;
+  }
+
+  /** It stands still from now on: what comes to it meanwhile it sees afterwards. */
+  freeze(i: number, ms: number): void {
+    this.nodes[i]!.frozenUntil = this.world.clock.now() + ms;
+  }
+
+  private async thaw(node: Node): Promise<void> {
+    while (this.world.clock.now() < node.frozenUntil) {
+      // A moment more, or rounding could leave a wait of no length.
+      await this.world.clock.sleep(node.frozenUntil - this.world.clock.now() + 1);
+    }
+  }
+
+  private clockOf(node: Node): Clock {
+    return {
+      now: () => this.world.clock.now(),
+      wall: () => this.world.clock.wall(),
+      sleep: async (ms, signal) => {
+        await this.world.clock.sleep(ms, signal);
+        await this.thaw(node);
+      },
+    };
+  }
+
+  /** Requests leave at once; their answers are seen when the controller moves again. */
+  private through(node: Node, link: Transport): Transport {
+    return {
+      request: async (...args) => {
+        await this.thaw(node);
+        try {
+          return await link.request(...args);
+        } finally {
+          await this.thaw(node);
+        }
+      },
+    };
+  }
+
+  /** Ends a controller as a kill would: nothing is handed over. */
+  crash(i: number): void {
+    const node = this.nodes[i]!;
+    node.fate = () => 'lose request';
+    node.controller = null;
+    this.world.wire.detach(node.name);
+    node.stop.abort();
+  }
+
+  restart(i: number): void {
+    this.nodes[i]!.fate = () => 'serve';
+    this.boot(i);
+  }
+
+  /** Whether two controllers are in zones that cannot reach each other now. */
+  separated(from: string, to: string): boolean {
+    return this.apart && settings(from).zone !== settings(to).zone;
+  }
+
+  get leader(): number {
+    const holder = this.world.store.get('leader') as { member: string } | undefined;
+    return this.nodes.findIndex((n) => n.name === holder?.member);
+  }
+
+  /** A report's way to a controller; also for copies that come late. */
+  async deliver(node: number, report: object): Promise<Answered> {
+    const { controller } = this.nodes[node]!;
+    await this.thaw(this.nodes[node]!);
+    const { yard } = report as { yard: string };
+    const cutOff = this.apart && yard !== this.zoneOf(this.nodes[node]!);
+    const open = this.nodes[node]!.open && !cutOff;
+    await this.world.clock.sleep(1);
+    if (!controller || !open) {
+      if (!open) await this.world.clock.sleep(5000);
+      throw new Error('no connection');
+    }
+    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
+    assert.ok(parsed);
+    const outcome = await controller.report(parsed);
+    await this.world.clock.sleep(1 + this.nodes[node]!.heldMs);
+    return outcome.kind === 'orders'
+      ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
+      : { status: 421, body: redirectAnswer(outcome.leader) };
+  }
+}
--- /dev/null
+++ b/test/fakes/job-wishes.ts
@@ -0,0 +1,57 @@
+import type { JobFacts } from './worker.js';
+
+export interface JobWish {
+  shape?: 'array' | 'gang' | 'service';
+  pieces?: number;
+  gpus?: number;
+  crew?: string;
+  urgency?: string;
+  runMs?: number;
+  fetchMs?: number;
+  samePlace?: boolean;
+  apart?: boolean;
+  driftwood?: boolean;
+  yard?: string;
+  hulls?: string[];
+  vcpus?: number;
+  waitsOn?: string[];
+}
+
+/** Makes submissions, and remembers what is true of their jobs. */
+export class JobWishes {
+  readonly facts = new Map<string, JobFacts>();
+  /** The jobs that each job needs. */
+  readonly needs = new Map<string, string[]>();
+  private nextId = 1;
+
+  wish(w: JobWish): { ref: string; body: object } {
+    const ref = `req-${String(this.nextId++).padStart(6, '0')}`;
+    const body = {
+      ref,
+      lane: 'train',
+      crew: w.crew ?? 'vision',
+      shape: w.shape ?? 'array',
+      urgency: w.urgency ?? 'standard',
+      pieces: w.pieces ?? 1,
+      vcpus: w.vcpus ?? 1,
+      gpus: w.gpus ?? 1,
+      memoryGb: 4,
+      crate: 'img-1',
+      sizeGb: 4,
+      hulls: w.hulls ?? null,
+      yard: w.yard ?? null,
+      samePlace: w.samePlace ?? false,
+      apart: w.apart ?? false,
+      driftwood: w.driftwood ?? false,
+      guessS: (w.runMs ?? 20_000) / 1000,
+      snapshotEveryS: 10,
+      stowS: 1,
+      ...(w.waitsOn ? { waitsOn: w.waitsOn } : {}),
+    };
+    const { shape, pieces, vcpus, gpus, memoryGb } = body;
+    const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
+    this.needs.set(ref, w.waitsOn ?? []);
+    this.facts.set(ref, { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 });
+    return { ref, body };
+  }
+}
--- a/test/fakes/random.ts
+++ b/test/fakes/random.ts
@@ -1,3 +1,5 @@
+import type { Random } from '../../src/runtime/random.js';
+
 /** A reproducible source of numbers in [0, 1): mulberry32. */
 export class SeededRandom {
   constructor(private state: number) {}
@@ -18,3 +20,9 @@
     return items[Math.floor(this.next() * items.length)]!;
   }
 }
+
+/** Numbers and names as one process draws them; the same ones for the same name and seed. */
+export function fakeRandom(name: string, seed = 0): Random {
+  let n = seed;
+  return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
+}
--- /dev/null
+++ b/test/fakes/sample-settings.ts
@@ -0,0 +1,74 @@
+import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
+
+export const SETTINGS = `
+member = "berth-0"
+site = "a"
+public_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[external]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[facts]
+size = 2
+zones = ["a", "b"]
+clock_error_ms = 100.0
+[[facts.teams]]
+name = "vision"
+gpus = 16.0
+gpus_max = 32.0
+[[facts.teams]]
+name = "speech"
+gpus = 16.0
+gpus_max = 64.0
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[facts.state]
+rps = 200.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 20
+[facts.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[facts.resources]
+core_share = 0.136
+ram_mb = 114.0
+sockets = 500
+`;
+
+/** A team whose work needs no GPUs. */
+const DESK = `
+[[facts.teams]]
+name = "desk"
+cpus = 4.0
+cpus_max = 16.0
+`;
+
+/** The second controller is in zone b, the others are in zone a. */
+export function settings(member = 'berth-0'): Settings {
+  const text = SETTINGS.replace('berth-0', member).replace(
+    '[facts.workers]',
+    `${DESK}[facts.workers]`,
+  );
+  return parseDeploy(
+    member === 'berth-1' ? text.replace('site = "a"', 'site = "b"') : text,
+    'settings',
+  );
+}
+
+/** The settings of one of several controllers that know each other. */
+export function settingsAmong(
+  member: string,
+  all: string[],
+  state: Partial<Settings['state']>,
+): Settings {
+  const own = settings(member);
+  const peers = all
+    .filter((name) => name !== member)
+    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
+  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+}
