--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -7,8 +7,8 @@
 import type { ReportOutcome } from '../http/workers.js';
 import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
-import { CancellationVouch } from '../peer/cancellation-vouch.js';
-import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { CancellationQuery } from '../peer/cancellation-query.js';
+import { heartbeats, MOST_CANCELLATIONS, type Message } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -20,7 +20,7 @@
 import { cancellationViewLimitMs } from './cancellation-view.js';
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
-import { StrayWorkers } from './stray-workers.js';
+import { PartitionedWorkers } from './partitioned-workers.js';
 import { SilentTerms } from './worker-silence.js';
 
 export interface Links {
@@ -38,7 +38,7 @@
 
 const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
 
-/** How many report intervals pass between two looks at who has been upgraded. */
+/** How many report intervals pass between two checks of who has been upgraded. */
 const REPORTS_PER_LOOK = 2;
 
 /** One controller: answers users at all times, and leads while it holds the leader key. */
@@ -51,9 +51,9 @@
   readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly silentTerms = new SilentTerms();
-  private readonly strays: StrayWorkers;
+  private readonly partitioned: PartitionedWorkers;
   private readonly cancellationLog: CancellationLog;
-  private readonly vouches: CancellationVouch;
+  private readonly cancellationQuery: CancellationQuery;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
   private readonly counts = new Map<string, Counts>();
@@ -90,9 +90,9 @@
       runtime.clock,
       runtime.startedAt,
       workers.cancelMs * LOGGED_CANCELS,
-      MOST_VOUCHED,
+      MOST_CANCELLATIONS,
     );
-    this.vouches = new CancellationVouch(
+    this.cancellationQuery = new CancellationQuery(
       links.peerTransport,
       runtime,
       this.cancellationLog,
@@ -108,7 +108,7 @@
       // Users wait 5 s for a submission and 2 s for a poll.
       { submitMs: 4000, pollMs: 1600 },
     );
-    this.strays = new StrayWorkers(
+    this.partitioned = new PartitionedWorkers(
       new ZoneDelegate(
         this.store,
         runtime,
@@ -144,8 +144,8 @@
     if (message.kind === 'cancelled') this.leader?.announceCancelled(message.id);
     else if (message.kind === 'heartbeat') {
       this.heartbeatAt = this.runtime.clock.now();
-      // The leader is within reach again: the strays go back to it.
-      this.strays.clear();
+      // The leader is within reach again: the workers go back to it.
+      this.partitioned.clear();
       if (message.counts.some((c) => c.running > 0)) this.silentTerms.workersHeard();
       if (message.first) this.counts.clear();
       for (const c of message.counts) this.counts.set(c.id, c);
@@ -180,7 +180,7 @@
     const restartMs = this.settings.workers.reportMs;
     const subscription = this.election.role.subscribe((role) => {
       if (role.kind !== 'leader') {
-        // A new leader has time to be heard before its workers count as strays.
+        // A new leader has time to be heard before its workers count as partitioned.
         if (role.leader !== null) this.heartbeatAt = this.runtime.clock.now();
         return;
       }
@@ -195,7 +195,7 @@
           operator: this.operator,
           runtime: this.runtime,
           cloudTimeoutMs: this.cloudTimeoutMs,
-          vouches: this.vouches,
+          cancellationQuery: this.cancellationQuery,
           silentTerms: this.silentTerms,
         },
         role.term,
@@ -218,7 +218,7 @@
       if (message.kind === 'store') this.storeReachability.heard(from, message.serves);
       else this.onPeer(message);
     });
-    const vouches = this.vouches.listen();
+    const cancellationQuery = this.cancellationQuery.listen();
     try {
       await Promise.all([
         duty(this.runtime, 'heartbeat', signal, restartMs, (s) => this.heartbeat(s)),
@@ -235,7 +235,7 @@
     } finally {
       subscription.unsubscribe();
       peers.unsubscribe();
-      vouches.unsubscribe();
+      cancellationQuery.unsubscribe();
     }
   }
 
@@ -245,7 +245,7 @@
     if (role.kind === 'follower') {
       const leader = role.leader === this.settings.member ? null : role.leader;
       if (this.isStray(report, role.token, now)) {
-        return this.strays.report(report, role.token, leader);
+        return this.partitioned.report(report, role.token, leader);
       }
       return { kind: 'elsewhere', leader: this.leaderIsMute(now) ? null : leader };
     }
--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -1,4 +1,4 @@
-import type { Job, Placement } from '../jobs/live.js';
+import type { Job, Placement } from '../jobs/tracked-job.js';
 import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
 import { checkTimeout } from './gang-gate.js';
@@ -31,7 +31,7 @@
       if (stoodStill || !this.leader.mayAnswer(startedAt)) this.leader.silence.excuse(startedAt);
       if (this.leader.term.active(startedAt)) this.round();
       // The longer a round takes, or the more writes of earlier ones still wait for their share of
-      // the store's rate, the longer the next one gathers work: each write then carries more.
+      // the store's rate, the longer the next one collects work: each write then carries more.
       // But never for longer than a report interval: a controller that stood still in the middle of a
       // round took long for another reason.
       const took = clock.now() - startedAt;
@@ -54,7 +54,7 @@
   private round(): void {
     const now = this.leader.now;
     this.dirty = false;
-    if (this.leader.fleet.sweep(now)) void this.lookForKeepers();
+    if (this.leader.fleet.sweep(now)) void this.refreshZoneDelegates();
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
@@ -67,7 +67,7 @@
       if (job.gang) {
         checkTimeout(this.leader, job, now);
       }
-      if (job.phase !== 'open' && job.live.size > 0) this.leader.stops.stopAll(job, 0);
+      if (job.phase !== 'open' && job.placements.size > 0) this.leader.stops.stopAll(job, 0);
     }
     if (this.leader.types.size === 0) return;
     // Before the first reports and the list are in, free machines look missing.
@@ -104,9 +104,9 @@
     );
   }
 
-  private async lookForKeepers(): Promise<void> {
+  private async refreshZoneDelegates(): Promise<void> {
     try {
-      await this.leader.zoneDelegates.look(this.leader.term.signal);
+      await this.leader.zoneDelegates.refresh(this.leader.term.signal);
       this.leader.touch();
     } catch {
       // The next round asks again.
@@ -151,7 +151,7 @@
       touched.add(job);
     }
     for (const { job, task } of result.stops) {
-      const p = this.leader.jobs.get(job)?.live.get(task);
+      const p = this.leader.jobs.get(job)?.placements.get(task);
       if (p) this.leader.stops.stop(p, this.leader.stops.graceToMakeWay(p.job));
     }
     for (const job of touched) this.leader.ledger.flush(job);
@@ -182,7 +182,7 @@
           runningSince: null,
           stop: null,
         };
-        job.live.set(task, p);
+        job.placements.set(task, p);
         this.leader.fleet.add(p, now);
         job.touch(task);
       }
--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -1,7 +1,7 @@
 import { readDependencies } from '../jobs/dependencies.js';
 import type { JobPhase } from '../jobs/job.js';
 import { readJobEntries } from '../jobs/job-reader.js';
-import type { Job } from '../jobs/live.js';
+import type { Job } from '../jobs/tracked-job.js';
 import type { NeedsRecord } from '../jobs/records.js';
 import { jitter } from '../runtime/random.js';
 import { KEYS } from '../state/keys.js';
--- a/src/control/gang-gate.ts
+++ b/src/control/gang-gate.ts
@@ -1,4 +1,4 @@
-import type { Job } from '../jobs/live.js';
+import type { Job } from '../jobs/tracked-job.js';
 import type { Operator } from '../settings/operator.js';
 import type { Leader } from './leader.js';
 
@@ -38,8 +38,8 @@
   /** A gang that lost a task cannot go on: the rest is stopped, and it queues again when all are gone. */
   broken(job: Job, stopAll: (graceMs: number) => void): void {
     const gang = job.gang!;
-    if (job.live.size > 0) {
-      if (![...job.live.values()].some((p) => p.stop && p.stop.graceMs > 0)) stopAll(0);
+    if (job.placements.size > 0) {
+      if (![...job.placements.values()].some((p) => p.stop && p.stop.graceMs > 0)) stopAll(0);
       return;
     }
     if (gang.phase === 'placed' || gang.phase === 'started') {
@@ -65,7 +65,7 @@
   const gang = job.gang!;
   if (job.phase !== 'open') return;
   if (gang.phase === 'suspended') {
-    if (now >= gang.until && job.live.size === 0) gang.phase = 'queued';
+    if (now >= gang.until && job.placements.size === 0) gang.phase = 'queued';
     return;
   }
   if (gang.phase !== 'admitted' && gang.phase !== 'placed') return;
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import { Job, type StoredRuns } from '../jobs/live.js';
+import { Job, type StoredRuns } from '../jobs/tracked-job.js';
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { readRuns } from '../jobs/run-reader.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
@@ -40,8 +40,8 @@
         const jobs = await store.range(KEYS.jobs, signal);
         const runs = await store.range(KEYS.runs, signal);
         const rentals = await store.range(KEYS.rentals, signal);
-        await this.leader.zoneDelegates.look(signal);
-        await this.leader.parts.membership.look(signal);
+        await this.leader.zoneDelegates.refresh(signal);
+        await this.leader.parts.membership.refresh(signal);
         this.leader.jobs.clear();
         this.leader.dependencies.clear();
         for (const e of jobs.items) this.onJobEntry(e);
@@ -73,7 +73,7 @@
     for (const { key, job } of unreadable) {
       // What cannot be read may still run: the job is left alone rather than started again.
       runtime.log.error({ key }, 'unreadable run record, left as occupied');
-      if (job) job.blind = true;
+      if (job) job.unreadable = true;
     }
     for (const [job, stored] of runs) this.restoreJob(job, stored, perRange);
   }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -8,7 +8,7 @@
 import type { Transport } from '../http/client.js';
 import type { Counts } from '../jobs/job-api.js';
 import { Ledger } from '../jobs/ledger.js';
-import type { Job } from '../jobs/live.js';
+import type { Job } from '../jobs/tracked-job.js';
 import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import type { Membership } from '../membership/membership.js';
@@ -17,7 +17,7 @@
 import type { Operator } from '../settings/operator.js';
 import type { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
-import type { CancellationVouch } from '../peer/cancellation-vouch.js';
+import type { CancellationQuery } from '../peer/cancellation-query.js';
 import { CancellationView, cancellationViewLimitMs } from './cancellation-view.js';
 import { DependencyTracker } from './dependency-tracker.js';
 import { DecisionRounds } from './decision-rounds.js';
@@ -40,7 +40,7 @@
   operator: Operator;
   runtime: Runtime;
   cloudTimeoutMs: number;
-  vouches: CancellationVouch;
+  cancellationQuery: CancellationQuery;
   silentTerms: SilentTerms;
 }
 
@@ -198,7 +198,7 @@
     await Promise.all([
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
-      duty(runtime, 'vouches', signal, restartMs, (s) => this.askForVouches(s)),
+      duty(runtime, 'cancellation query', signal, restartMs, (s) => this.queryCancellations(s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
       duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
@@ -234,21 +234,27 @@
    * While the store brings no news of the job records, the other controllers can tell which of them
    * their users know to be cancelled.
    */
-  private async askForVouches(signal: AbortSignal): Promise<void> {
+  private async queryCancellations(signal: AbortSignal): Promise<void> {
     const { clock } = this.parts.runtime;
     while (!signal.aborted) {
       const silent = this.view.ageMs(this.now) > this.lifetimeMs * SILENT_STORE_SHARE;
-      if (silent && this.term.active(this.now)) await this.collectVouches();
+      if (silent && this.term.active(this.now)) await this.collectCancellations();
       await clock.sleep(this.lifetimeMs / 8, signal);
     }
   }
 
-  private async collectVouches(): Promise<void> {
-    const vouched = await this.parts.vouches.collect(this.view.completeAsOf, this.lifetimeMs / 8);
-    this.parts.runtime.log.debug({ jobs: vouched?.cancelled.size ?? null }, 'asked for vouches');
-    if (!vouched) return;
-    for (const id of vouched.cancelled) this.announceCancelled(id);
-    this.view.completeAt(vouched.asOf);
+  private async collectCancellations(): Promise<void> {
+    const known = await this.parts.cancellationQuery.collect(
+      this.view.completeAsOf,
+      this.lifetimeMs / 8,
+    );
+    this.parts.runtime.log.debug(
+      { jobs: known?.cancelled.size ?? null },
+      'asked for cancellations',
+    );
+    if (!known) return;
+    for (const id of known.cancelled) this.announceCancelled(id);
+    this.view.completeAt(known.asOf);
   }
 
   private async listMachines(signal: AbortSignal): Promise<void> {
--- a/src/control/long-poll.ts
+++ b/src/control/long-poll.ts
@@ -1,7 +1,7 @@
 import type { Runtime } from '../runtime/duty.js';
 
-/** How often it is looked which reports have waited long enough, within the time they may wait. */
-const LOOKS = 10;
+/** How often it is checked which reports have waited long enough, within the time they may wait. */
+const CHECKS_PER_WAIT = 10;
 
 interface Held {
   until: number;
@@ -40,7 +40,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
-      await clock.sleep(this.longestMs / LOOKS, signal);
+      await clock.sleep(this.longestMs / CHECKS_PER_WAIT, signal);
       const now = clock.now();
       for (const [machine, { until }] of this.held) if (now >= until) this.release(machine);
     }
--- a/src/control/stray-workers.ts
+++ b/src/control/partitioned-workers.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../runtime/clock.js';
 import type { Order, Report } from '../wire/report.js';
 
-export interface StrayLimits {
+export interface PartitionedLimits {
   /** How often a job is asked about again. */
   refreshMs: number;
   /** How old the knowledge of a job may be when the lease of a worker with its tasks is renewed. */
@@ -14,11 +14,11 @@
 }
 
 /**
- * Keeps alive workers of our own zone that cannot reach the leader, with the zone delegate's right
+ * Keeps alive workers of our own zone that are partitioned from the leader, with the zone delegate's right
  * and no orders but to stop what its user has cancelled. A lease is renewed only while the store
  * told recently enough, of every job on that worker, whether it is cancelled.
  */
-export class StrayWorkers {
+export class PartitionedWorkers {
   /** When the question was sent that showed a job not to be cancelled. */
   private readonly uncancelledAsOf = new Map<string, number>();
   private readonly cancelled = new Set<string>();
@@ -28,10 +28,10 @@
     private readonly zoneDelegate: ZoneDelegate,
     private readonly phaseOf: (job: string) => Promise<JobPhase | null>,
     private readonly clock: Clock,
-    private readonly limits: StrayLimits,
+    private readonly limits: PartitionedLimits,
   ) {}
 
-  /** The leader is within reach again: the strays go back to it. */
+  /** The leader is within reach again: these workers go back to it. */
   clear(): void {
     this.uncancelledAsOf.clear();
     this.cancelled.clear();
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,5 +1,5 @@
 import type { Machine } from '../fleet/machine.js';
-import type { Job } from '../jobs/live.js';
+import type { Job } from '../jobs/tracked-job.js';
 import type { JobSpec } from '../jobs/job.js';
 import type { MachineType } from '../fleet/types.js';
 import type {
@@ -123,7 +123,7 @@
   if (bootMs === null) return views;
   const wall = leader.parts.runtime.clock.wall();
   for (const job of leader.jobs.values()) {
-    if (job.phase !== 'open' || job.readyAt !== null || job.blind) continue;
+    if (job.phase !== 'open' || job.readyAt !== null || job.unreadable) continue;
     const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
     if (job.spec.need.gpus > 0 || readyInMs > bootMs) continue;
     views.push(jobView(leader, job, wall + readyInMs, bootMs, now, urgencies));
@@ -140,8 +140,8 @@
 
 function leavingCpus(leader: Leader): number {
   let cpus = 0;
-  for (const { spec, live } of leader.jobs.values()) {
-    if (spec.kind !== 'service' && spec.need.gpus === 0) cpus += spec.need.cpus * live.size;
+  for (const { spec, placements } of leader.jobs.values()) {
+    if (spec.kind !== 'service' && spec.need.gpus === 0) cpus += spec.need.cpus * placements.size;
   }
   return cpus;
 }
@@ -156,9 +156,9 @@
 ): JobView {
   const { spec, gang } = job;
   const zones = new Map<string, number>();
-  for (const p of job.live.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
+  for (const p of job.placements.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
   // A gang is placed anew only when nothing of its last attempt can be left.
-  const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
+  const gangMay = !gang || (job.placements.size === 0 && gang.phase !== 'suspended');
   const urgency = urgencies.get(job.id);
   const waitedMs = leader.parts.runtime.clock.wall() - readyAt;
   return {
@@ -178,7 +178,7 @@
     zones,
     avoid: job.failedOn,
     gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
-    admissible: gangMay && !job.blind && job.retryAt <= now,
+    admissible: gangMay && !job.unreadable && job.retryAt <= now,
   };
 }
 
@@ -210,7 +210,7 @@
   if (spec.kind === 'service') return 0;
   if (job.waiting > 0) return startMs(leader, spec) + spec.estimateMs;
   let most = 0;
-  for (const p of job.live.values()) {
+  for (const p of job.placements.values()) {
     const left =
       p.runningSince === null
         ? startMs(leader, spec) + spec.estimateMs
@@ -252,7 +252,7 @@
   for (const job of leader.jobs.values()) {
     const team = teams.get(job.spec.team);
     if (!team) continue;
-    const tasks = job.blind ? job.spec.tasks : job.live.size;
+    const tasks = job.unreadable ? job.spec.tasks : job.placements.size;
     team.used.cpus += job.spec.need.cpus * tasks;
     team.used.gpus += job.spec.need.gpus * tasks;
   }
@@ -281,7 +281,7 @@
   for (const job of leader.jobs.values()) {
     if (job.spec.kind === 'service') continue;
     const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
-    for (const p of job.live.values()) {
+    for (const p of job.placements.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
       const { checkpointMs } = job.spec;
       list.push({
@@ -303,7 +303,7 @@
   const list: ReplicaView[] = [];
   for (const job of leader.jobs.values()) {
     if (job.spec.kind !== 'service' || job.phase !== 'open') continue;
-    for (const p of job.live.values()) {
+    for (const p of job.placements.values()) {
       if (p.stop) return [];
       if (p.state !== 'running') continue;
       list.push({ job: job.id, task: p.task, machine: p.machine, spec: job.spec });
--- a/src/control/task-progress.ts
+++ b/src/control/task-progress.ts
@@ -1,4 +1,4 @@
-import type { Job, Placement } from '../jobs/live.js';
+import type { Job, Placement } from '../jobs/tracked-job.js';
 import type { ExitWhy } from '../wire/report.js';
 import type { Leader } from './leader.js';
 
@@ -15,7 +15,7 @@
     job.failures = 0;
     if (job.gang && job.gang.phase === 'placed') {
       let ready = job.doneCount;
-      for (const other of job.live.values()) {
+      for (const other of job.placements.values()) {
         if (other.state === 'running' && !job.isDone(other.task)) ready++;
       }
       if (ready >= job.spec.tasks) {
@@ -31,7 +31,7 @@
 
   onExited(p: Placement, why: ExitWhy, saved: boolean): void {
     const { job } = p;
-    job.live.delete(p.task);
+    job.placements.delete(p.task);
     job.exited.push(p);
     job.touch(p.task);
     if (why === 'done') {
@@ -68,7 +68,7 @@
 
   onLost(p: Placement): void {
     const { job } = p;
-    job.live.delete(p.task);
+    job.placements.delete(p.task);
     job.touch(p.task);
     this.leader.parts.runtime.log.debug(
       { task: `${job.id}/${p.task}`, attempt: p.attempt, machine: p.machine },
--- a/src/control/task-stops.ts
+++ b/src/control/task-stops.ts
@@ -1,4 +1,4 @@
-import type { Job, Placement } from '../jobs/live.js';
+import type { Job, Placement } from '../jobs/tracked-job.js';
 import type { Leader } from './leader.js';
 
 /** Work is little that is done again in this many times what saving it takes. */
@@ -10,7 +10,7 @@
 
   /** Stops every task of a job; what was never sent is taken back at once. */
   stopAll(job: Job, graceMs: number): void {
-    for (const p of [...job.live.values()]) this.stop(p, graceMs);
+    for (const p of [...job.placements.values()]) this.stop(p, graceMs);
   }
 
   stop(p: Placement, graceMs: number): void {
--- a/src/election/zone-delegate.ts
+++ b/src/election/zone-delegate.ts
@@ -77,9 +77,9 @@
 export class ZoneDelegateWatch {
   private readonly versions = new Map<string, number>();
   private readonly bounds = new Map<string, number>();
-  /** When the last complete look began. */
+  /** When the last complete refresh began. */
   confirmedFrom = -Infinity;
-  private looking = false;
+  private refreshing = false;
 
   constructor(
     private readonly store: Store,
@@ -93,9 +93,9 @@
     return Math.max(-Infinity, ...this.bounds.values());
   }
 
-  async look(signal: AbortSignal): Promise<void> {
-    if (this.looking) return;
-    this.looking = true;
+  async refresh(signal: AbortSignal): Promise<void> {
+    if (this.refreshing) return;
+    this.refreshing = true;
     try {
       const sentAt = this.runtime.clock.now();
       const { items } = await this.store.range(KEYS.zoneDelegates, signal);
@@ -112,7 +112,7 @@
       }
       this.confirmedFrom = sentAt;
     } finally {
-      this.looking = false;
+      this.refreshing = false;
     }
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,4 +1,4 @@
-import type { Placement } from '../jobs/live.js';
+import type { Placement } from '../jobs/tracked-job.js';
 import { DRIFT } from '../runtime/clock.js';
 import type { ExitWhy, Order, Report, TaskReport } from '../wire/report.js';
 import { Machine, startKey, taskKey } from './machine.js';
@@ -116,7 +116,7 @@
     for (const [key, p] of [...m.placements]) {
       if (p.session !== r.session) continue;
       if (!seen.has(key) && p.stage !== 'recording') this.absent(m, p, r, starts);
-      else if (p.stop && p.stage === 'live') {
+      else if (p.stop && p.stage === 'reported') {
         stops.push({
           op: 'stop',
           job: p.job.id,
@@ -153,7 +153,7 @@
       this.events.exited(p, t.why ?? 'error', t.saved);
       return true;
     }
-    p.stage = 'live';
+    p.stage = 'reported';
     const before = p.state;
     p.state = t.state;
     if (t.state !== before) {
@@ -181,7 +181,7 @@
   pendingStops(m: Machine): Order[] {
     const orders: Order[] = [];
     for (const p of m.placements.values()) {
-      if (p.session !== m.session || p.stage !== 'live' || !p.stop) continue;
+      if (p.session !== m.session || p.stage !== 'reported' || !p.stop) continue;
       const { task, attempt, stop } = p;
       orders.push({ op: 'stop', job: p.job.id, task, attempt, graceMs: stop.graceMs });
     }
@@ -210,7 +210,7 @@
     // term the next newer report proves it, whatever token it knows: the worker had then already
     // taken or dropped the answer that carried the order.
     if (p.stage === 'recovered' && r.token < this.token) return;
-    if (p.stage === 'live' || p.stop) {
+    if (p.stage === 'reported' || p.stop) {
       // Seen before and now gone, or never executed and no longer wanted.
       this.lose(m, p);
       return;
@@ -261,7 +261,7 @@
 
   /**
    * Gives up what is on machines whose leases have run out. Answers true if the zone delegates have to be
-   * looked up first: one that came after the last look may have kept a lease alive.
+   * looked up first: one that came after the last refresh may have kept a lease alive.
    */
   sweep(now: number): boolean {
     let unsure = false;
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,4 +1,4 @@
-import type { Placement } from '../jobs/live.js';
+import type { Placement } from '../jobs/tracked-job.js';
 import type { MachineType, Need } from './types.js';
 import { take } from './types.js';
 
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -36,7 +36,7 @@
 /** So many dependencies take as much memory as a job that is remembered. */
 const DEPENDENCIES_PER_JOB = 4;
 
-/** For how small a share of a poll's time questions gather before they are compared together. */
+/** For how small a share of a poll's time questions are collected before they are compared together. */
 const GATHERINGS = 16;
 
 /** How many comparisons are under way at once. */
--- a/src/jobs/job-transaction.ts
+++ b/src/jobs/job-transaction.ts
@@ -3,7 +3,7 @@
 import { KEYS } from '../state/keys.js';
 import { jsonBytes } from '../state/limits.js';
 import type { Change, Condition } from '../state/store.js';
-import type { Job } from './live.js';
+import type { Job } from './tracked-job.js';
 import { fitJobRecord } from './record-size.js';
 import type { JobRecord, RangedRunRecord, RunRecord } from './records.js';
 import type { Section, StoredSection } from './run-layout.js';
@@ -36,7 +36,7 @@
 
 /** A job that is over and of which nothing can run any more keeps only its final state. */
 export function canClose(job: Job): boolean {
-  return job.phase !== 'open' && job.live.size === 0 && !job.closed && !job.blind;
+  return job.phase !== 'open' && job.placements.size === 0 && !job.closed && !job.unreadable;
 }
 
 /** Builds the transactions that bring the stored records of a job up to date. */
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -5,7 +5,7 @@
 import type { Change, Refused, Store } from '../state/store.js';
 import type { JobPhase } from './job.js';
 import { canClose, TransactionBuilder, type JobTransaction } from './job-transaction.js';
-import type { Job, Placement } from './live.js';
+import type { Job, Placement } from './tracked-job.js';
 import { tasksPerRange, type JobRecord } from './records.js';
 import type { LayoutPolicy } from './run-layout.js';
 import { recordRemoved, TransactionCommitter } from './transaction-committer.js';
@@ -69,7 +69,7 @@
   }
 
   flush(job: Job): void {
-    if (job.writing || job.blind || this.term.signal.aborted || !this.needsWrite(job)) return;
+    if (job.writing || job.unreadable || this.term.signal.aborted || !this.needsWrite(job)) return;
     if (this.refusals.retryAt(job) > this.runtime.clock.now()) return;
     job.writing = true;
     void this.write(job)
@@ -92,7 +92,7 @@
     if (job.phase !== 'open') return this.flush(job);
     if (job.endsWait) return;
     job.endsWait = true;
-    void this.gatherEnds(job).then(() => {
+    void this.collectEnds(job).then(() => {
       job.endsWait = false;
       this.flush(job);
     });
@@ -103,12 +103,12 @@
    * `rewriting` is false again once it is done.
    */
   rewrite(job: Job): void {
-    if (job.phase !== 'open' || job.blind || job.closed) return;
+    if (job.phase !== 'open' || job.unreadable || job.closed) return;
     job.rewriting = true;
     this.flush(job);
   }
 
-  private async gatherEnds(job: Job): Promise<void> {
+  private async collectEnds(job: Job): Promise<void> {
     for (let i = 0; i < MOST_ENDS_WAITS; i++) {
       await this.runtime.clock.sleep(this.endsWaitMs, this.term.signal);
       if (this.store.writesWaiting === 0 || !job.dirty) return;
@@ -150,7 +150,7 @@
   /** The next transaction of a job, and the starts and ends of its tasks that it stores. */
   private prepare(job: Job, w: string): JobWrite {
     const transaction = this.builder.build(job, w);
-    const fresh = [...job.live.values()].filter((p) => p.stage === 'recording');
+    const fresh = [...job.placements.values()].filter((p) => p.stage === 'recording');
     // Starts in sections that did not fit into this transaction stay unsent until theirs is written.
     const inside = (p: Placement): boolean =>
       transaction.sections.some((s) => p.task >= s.from && p.task < s.to);
--- a/src/jobs/run-reader.ts
+++ b/src/jobs/run-reader.ts
@@ -1,6 +1,6 @@
 import { parseRunKey } from '../state/keys.js';
 import type { Entry } from '../state/store.js';
-import type { Job, StoredRuns } from './live.js';
+import type { Job, StoredRuns } from './tracked-job.js';
 import { parseRangedRun, parseRun } from './records.js';
 
 /** What the run records of all jobs say, and which of them no job can be found for or be read. */
--- a/src/jobs/run-rewriter.ts
+++ b/src/jobs/run-rewriter.ts
@@ -1,7 +1,7 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Store } from '../state/store.js';
 import type { Ledger } from './ledger.js';
-import type { Job } from './live.js';
+import type { Job } from './tracked-job.js';
 import type { LayoutPolicy } from './run-layout.js';
 
 /**
@@ -45,12 +45,12 @@
 
 /** Some of its records are indexed ones, and something of it is still to be written. */
 function isDue(job: Job): boolean {
-  if (job.phase !== 'open' || job.blind || job.closed) return false;
+  if (job.phase !== 'open' || job.unreadable || job.closed) return false;
   return job.layout.kind === 'indexed' ? job.layout.stored().length > 0 : job.layout.unfinished;
 }
 
 /** Running jobs of high priority first: they change soonest. */
 function mostUrgentFirst(a: Job, b: Job): number {
-  const running = Number(b.live.size > 0) - Number(a.live.size > 0);
+  const running = Number(b.placements.size > 0) - Number(a.placements.size > 0);
   return running || a.spec.priority - b.spec.priority;
 }
--- a/src/jobs/live.ts
+++ b/src/jobs/tracked-job.ts
@@ -6,9 +6,9 @@
 /**
  * How far a start has come. `recording`: not yet in the store. `recorded`: may be sent.
  * `recovered`: recorded by an earlier leader, may or may not have been sent. `offered`: sent in the
- * answer to a report. `live`: reported by its worker.
+ * answer to a report. `reported`: its worker has shown it.
  */
-export type Stage = 'recording' | 'recorded' | 'recovered' | 'offered' | 'live';
+export type Stage = 'recording' | 'recorded' | 'recovered' | 'offered' | 'reported';
 
 /** One start of one task. It occupies its place until it is proven gone. */
 export interface Placement {
@@ -45,7 +45,7 @@
 export class Job {
   phase: JobPhase = 'open';
   attempt = 0;
-  readonly live = new Map<number, Placement>();
+  readonly placements = new Map<number, Placement>();
   readonly gang: Gang | null;
   readonly layout: RunLayout;
   /** Its records are being rewritten in the background. */
@@ -64,7 +64,7 @@
   /** True once the job's own record says what `phase` says. */
   phaseStored = true;
   /** A record of it cannot be read: all of its tasks count as running, and none is started. */
-  blind = false;
+  unreadable = false;
   /** Users were told that it is cancelled, though its record has not been read here yet. */
   cancelAnnounced = false;
   /** Jobs that have to be done before any task of this one starts. */
@@ -113,13 +113,13 @@
 
   get waiting(): number {
     if (this.phase !== 'open' || this.cancelAnnounced) return 0;
-    return this.spec.tasks - this.doneCount - this.liveUndone();
+    return this.spec.tasks - this.doneCount - this.placedUndone();
   }
 
-  private liveUndone(): number {
-    if (this.doneCount === 0) return this.live.size;
+  private placedUndone(): number {
+    if (this.doneCount === 0) return this.placements.size;
     let n = 0;
-    for (const task of this.live.keys()) if (!this.isDone(task)) n++;
+    for (const task of this.placements.keys()) if (!this.isDone(task)) n++;
     return n;
   }
 
@@ -127,14 +127,14 @@
   waitingTasks(limit: number): number[] {
     const tasks: number[] = [];
     for (let t = 0; t < this.spec.tasks && tasks.length < limit; t++) {
-      if (this.done[t] === 0 && !this.live.has(t)) tasks.push(t);
+      if (this.done[t] === 0 && !this.placements.has(t)) tasks.push(t);
     }
     return tasks;
   }
 
   get running(): number {
     let n = 0;
-    for (const p of this.live.values()) if (p.state === 'running') n++;
+    for (const p of this.placements.values()) if (p.state === 'running') n++;
     return n;
   }
 
@@ -155,7 +155,7 @@
 
   /** True if nothing of these tasks has to be in the store. */
   private isEmpty(from: number, to: number): boolean {
-    for (let t = from; t < to; t++) if (this.done[t] === 1 || this.live.has(t)) return false;
+    for (let t = from; t < to; t++) if (this.done[t] === 1 || this.placements.has(t)) return false;
     return true;
   }
 
@@ -170,7 +170,7 @@
     wallOf: (steady: number) => number,
   ): RunRecord | RangedRunRecord {
     const { from, to } = section;
-    const placements = [...this.live.values()].filter((p) => p.task >= from && p.task < to);
+    const placements = [...this.placements.values()].filter((p) => p.task >= from && p.task < to);
     const done = this.doneRanges(from, to);
     if (this.layout.kind === 'ranged') {
       const gang = from === 0 ? this.gangRecord(wallOf) : {};
@@ -230,12 +230,12 @@
       }));
       this.layout.restoreRanged(sections, perRange, (from, to) => this.isEmpty(from, to));
     }
-    return [...this.live.values()];
+    return [...this.placements.values()];
   }
 
   private restoreRange(record: RangedRunRecord, now: number, sinceWall: number): void {
     for (let t = record.from; t < record.to && t < this.spec.tasks; t++) {
-      this.live.delete(t);
+      this.placements.delete(t);
       if (this.done[t] === 1) this.doneCount--;
       this.done[t] = 0;
     }
@@ -275,7 +275,7 @@
     start: Pick<Placement, 'task' | 'attempt' | 'machine' | 'session' | 'zone'>,
     now: number,
   ): void {
-    this.live.set(start.task, {
+    this.placements.set(start.task, {
       job: this,
       ...start,
       stage: 'recovered',
--- a/src/jobs/transaction-committer.ts
+++ b/src/jobs/transaction-committer.ts
@@ -2,7 +2,7 @@
 import { KEYS } from '../state/keys.js';
 import { Refused, type Change, type Store, type Urgency } from '../state/store.js';
 import type { JobTransaction } from './job-transaction.js';
-import type { Job } from './live.js';
+import type { Job } from './tracked-job.js';
 import { parseJob, type JobRecord } from './records.js';
 import type { StoredSection } from './run-layout.js';
 
--- a/src/jobs/write-refusals.ts
+++ b/src/jobs/write-refusals.ts
@@ -1,5 +1,5 @@
 import type { StoreLimits } from '../state/limits.js';
-import type { Job } from './live.js';
+import type { Job } from './tracked-job.js';
 
 /**
  * A refused write of a job is tried again after this share of the time for which ends wait, doubled
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -51,7 +51,7 @@
     private readonly store: Store,
     private readonly runtime: Runtime,
     private readonly names: MembershipNames,
-    private readonly lookEveryMs: number,
+    private readonly refreshMs: number,
   ) {}
 
   /** True once all controllers understand the newest record format. */
@@ -68,8 +68,8 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.announce(signal);
     while (!signal.aborted && !this.complete) {
-      await this.look(signal).catch(() => undefined);
-      if (!this.complete) await this.runtime.clock.sleep(this.lookEveryMs, signal);
+      await this.refresh(signal).catch(() => undefined);
+      if (!this.complete) await this.runtime.clock.sleep(this.refreshMs, signal);
     }
   }
 
@@ -83,7 +83,7 @@
       recordFormat: RECORD_FORMAT,
       frameVersions: [...FRAME_VERSIONS],
     };
-    let waitMs = this.lookEveryMs / 4;
+    let waitMs = this.refreshMs / 4;
     while (!signal.aborted) {
       try {
         await this.store.txn([], [{ put: KEYS.member(record.name), value: record }], 1, signal);
@@ -92,13 +92,13 @@
       } catch (error) {
         log.debug({ error: String(error) }, 'member record not written');
         await clock.sleep(jitter(waitMs, random), signal);
-        waitMs = Math.min(waitMs * 2, this.lookEveryMs * 4);
+        waitMs = Math.min(waitMs * 2, this.refreshMs * 4);
       }
     }
   }
 
   /** Reads the records of all controllers once; throws if the store does not serve. */
-  async look(signal?: AbortSignal): Promise<void> {
+  async refresh(signal?: AbortSignal): Promise<void> {
     if (this.complete) return;
     const { items } = await this.store.range(KEYS.members, signal);
     for (const entry of items) {
--- a/src/peer/cancellation-vouch.ts
+++ b/src/peer/cancellation-query.ts
@@ -6,7 +6,7 @@
 import type { PeerTransport } from './peer-transport.js';
 
 /** The jobs that any controller has told users to be cancelled, without a gap up to `asOf`. */
-export interface Vouched {
+export interface KnownCancellations {
   asOf: number;
   cancelled: Set<string>;
 }
@@ -19,13 +19,13 @@
 }
 
 /**
- * Vouches for cancellations. While the store brings no news of the job records, the leader asks
- * every other controller for the full list of jobs that it has told users to be cancelled since the
- * leader last knew all records. A controller whose process is younger than that, or whose log has
- * dropped an entry since, gives none; nor does one that cannot be reached in time. Without all of
- * them nothing is concluded.
+ * Queries all controllers for cancellations. While the store brings no news of the job records, the
+ * leader asks every other controller for the full list of jobs that it has told users to be cancelled
+ * since the leader last knew all records. A controller whose process is younger than that, or whose
+ * log has dropped an entry since, gives none; nor does one that cannot be reached in time. Without
+ * all of them nothing is concluded.
  */
-export class CancellationVouch {
+export class CancellationQuery {
   private asks = 0;
   private readonly collections = new Map<number, Collection>();
 
@@ -41,8 +41,8 @@
     return this.peerTransport.heard.subscribe(({ from, message }) => this.on(from, message));
   }
 
-  /** Null unless every other controller has vouched, within `withinMs`, for the time since `from`. */
-  async collect(from: number, withinMs: number): Promise<Vouched | null> {
+  /** Null unless every other controller has answered, within `withinMs`, for the time since `from`. */
+  async collect(from: number, withinMs: number): Promise<KnownCancellations | null> {
     const { clock } = this.runtime;
     const { peers } = this.peerTransport;
     if (!peers.every((p) => this.speaksCurrent(p))) return null;
@@ -59,7 +59,8 @@
       done: () => answered.abort(),
     };
     this.collections.set(ask, collection);
-    for (const peer of peers) this.peerTransport.send(peer, { kind: 'askVouch', ask, sinceMs });
+    for (const peer of peers)
+      this.peerTransport.send(peer, { kind: 'askCancellations', ask, sinceMs });
     if (peers.length > 0) await clock.sleep(withinMs, answered.signal);
     this.collections.delete(ask);
     const own = this.log.since(from);
@@ -71,14 +72,14 @@
   }
 
   private on(from: string, message: Message): void {
-    if (message.kind === 'askVouch') this.answer(from, message.ask, message.sinceMs);
-    else if (message.kind === 'vouch') this.count(from, message.ask, message.cancelled);
+    if (message.kind === 'askCancellations') this.answer(from, message.ask, message.sinceMs);
+    else if (message.kind === 'cancellations') this.count(from, message.ask, message.cancelled);
   }
 
   private answer(to: string, ask: number, sinceMs: number): void {
     if (!this.speaksCurrent(to)) return;
     const since = this.runtime.clock.now() - sinceMs * (1 + DRIFT);
-    this.peerTransport.send(to, { kind: 'vouch', ask, cancelled: this.log.since(since) });
+    this.peerTransport.send(to, { kind: 'cancellations', ask, cancelled: this.log.since(since) });
   }
 
   private count(from: string, ask: number, cancelled: string[] | null): void {
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -23,9 +23,9 @@
    * The leader asks which jobs the receiver has told users to be cancelled within this time, and
    * whether it can be sure to have left none out.
    */
-  | { kind: 'askVouch'; ask: number; sinceMs: number }
+  | { kind: 'askCancellations'; ask: number; sinceMs: number }
   /** `cancelled`: all of them; null: the speaker cannot be sure. */
-  | { kind: 'vouch'; ask: number; cancelled: string[] | null };
+  | { kind: 'cancellations'; ask: number; cancelled: string[] | null };
 
 export interface JobCounts {
   id: string;
@@ -42,8 +42,8 @@
   'askFree',
   'free',
   'store',
-  'askVouch',
-  'vouch',
+  'askCancellations',
+  'cancellations',
 ] as const;
 const MAGIC = 0x4c48;
 /** The version of all kinds up to `store`; who knows no later one closes a connection that brings it. */
@@ -52,13 +52,13 @@
 const CURRENT_VERSION = 4;
 /** The versions of frames that this program understands. */
 export const FRAME_VERSIONS: readonly number[] = [VERSION, CURRENT_VERSION];
-const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
+const FIRST_CURRENT_KIND = KINDS.indexOf('askCancellations');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
 const MOST_COUNTS = Math.floor((MAX_PAYLOAD - 13) / (1 + 255 + 8));
-/** How many jobs' names fit into one vouch, however long they are. */
-export const MOST_VOUCHED = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
+/** How many jobs' names fit into one answer, however long they are. */
+export const MOST_CANCELLATIONS = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
 
 const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
 
@@ -178,9 +178,9 @@
       return w.u32(m.ask).u8(m.free ? 1 : 0);
     case 'store':
       return w.u8(m.serves ? 1 : 0);
-    case 'askVouch':
+    case 'askCancellations':
       return w.u32(m.ask).u32(m.sinceMs);
-    case 'vouch':
+    case 'cancellations':
       w.u32(m.ask)
         .u8(m.cancelled ? 1 : 0)
         .u32(m.cancelled?.length ?? 0);
@@ -214,9 +214,9 @@
       return { kind, ask: r.u32(), free: r.u8() === 1 };
     case 'store':
       return { kind, serves: r.u8() === 1 };
-    case 'askVouch':
+    case 'askCancellations':
       return { kind, ask: r.u32(), sinceMs: r.u32() };
-    case 'vouch': {
+    case 'cancellations': {
       const ask = r.u32();
       const sure = r.u8() === 1;
       const cancelled: string[] = [];
--- a/src/scheduler/gather.ts
+++ b/src/scheduler/consolidation.ts
@@ -11,7 +11,7 @@
  * there, on machines that hold others: each is away for the few seconds of a stop and a start, and
  * the machine can be given back. One machine at a time, so that little is away at once.
  */
-export function gather(
+export function consolidate(
   movable: ReplicaView[],
   up: MachineView[],
   jobs: JobView[],
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -73,10 +73,10 @@
  * then the fullest machine, so that whole machines stay free for gangs and can be given back. The
  * replicas of one service keep apart, so that one loss takes little.
  */
-export function placementCost(job: JobView, m: MachineView, scarcity: number): number {
+export function placementCost(job: JobView, m: MachineView, contention: number): number {
   const { spec } = job;
   const leftover = m.type.room.gpus > 0 ? m.free.gpus / m.type.room.gpus : 0;
-  let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + scarcity;
+  let cost = fetchSeconds(spec, m) * FETCH_WEIGHT + leftover * 8 + contention;
   // Beside what needs GPUs first, and then together, so that whole machines stay free for gangs.
   if (spec.need.gpus === 0) cost += (m.free.cpus / m.type.room.cpus) * FULLEST_SECONDS;
   if (spec.kind === 'service') {
@@ -90,7 +90,7 @@
 }
 
 /** What it is worth, in seconds of waiting, to leave a type to those who can use no other. */
-const SCARCE_SECONDS = 12;
+const CONTENDED_SECONDS = 12;
 /** The same where there is little of it left for them. */
 const SHORT_SECONDS = 60;
 /** Room for this share of what the dependents have open is kept for those that come next. */
@@ -105,7 +105,7 @@
 }
 
 /** Types that some open jobs depend on: jobs that fit elsewhere too leave them alone if they can. */
-export class ScarceTypes {
+export class ContendedTypes {
   private readonly dependents = new Map<string, Dependents>();
   private readonly byShape = new Map<string, MachineType[]>();
 
@@ -133,7 +133,7 @@
     if (this.dependents.size === 0 || this.fitting(spec).length < 2) return () => 0;
     const byType = new Map<string, number>();
     for (const [name, d] of this.dependents) {
-      const price = this.short(name, d) ? SHORT_SECONDS : SCARCE_SECONDS;
+      const price = this.short(name, d) ? SHORT_SECONDS : CONTENDED_SECONDS;
       byType.set(name, spec.priority === Priority.Low ? price * 4 : price);
     }
     return (m) => {
@@ -201,11 +201,11 @@
   count: number,
   machines: MachineView[],
   rules: ZoneRules,
-  scarce: ScarceTypes,
+  contended: ContendedTypes,
   onlyBesideGpus = false,
 ): Placed[] {
   const { spec } = job;
-  const price = scarce.prices(spec);
+  const price = contended.prices(spec);
   const candidates = machines
     .filter(
       (m) =>
@@ -227,7 +227,7 @@
   };
   // Replicas of one service go to different machines as far as there are any.
   if (spec.kind === 'service') for (const { machine } of candidates) put(machine, 1);
-  // Where no GPU is left without its processors, they are nobody else's: a scarce type too.
+  // Where no GPU is left without its processors, they are nobody else's: a contended type too.
   if (spec.need.gpus === 0) {
     const beside = candidates
       .map(({ machine, cost }) => ({ machine, cost: cost - price(machine) }))
@@ -247,13 +247,19 @@
 export function placeGang(
   job: JobView,
   machines: MachineView[],
-  scarce: ScarceTypes,
+  contended: ContendedTypes,
 ): Placed[] | null {
   const zones = job.spec.oneZone ? [...new Set(machines.map((m) => m.zone))] : [null];
   let best: { placed: Placed[]; cost: number } | null = null;
   for (const zone of zones) {
     const inZone = zone === null ? machines : machines.filter((m) => m.zone === zone);
-    const placed = place(job, job.spec.tasks, inZone, new ZoneRules(job.spec, job.zones), scarce);
+    const placed = place(
+      job,
+      job.spec.tasks,
+      inZone,
+      new ZoneRules(job.spec, job.zones),
+      contended,
+    );
     const size = placed.reduce((n, p) => n + p.count, 0);
     unplace(job.spec.need, placed);
     if (size < job.spec.tasks) continue;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -1,6 +1,6 @@
 import { Priority, type JobSpec } from '../jobs/job.js';
 import { GangReservations } from './gang-reservations.js';
-import { gather } from './gather.js';
+import { consolidate } from './consolidation.js';
 import { inOrder, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Plan, Snapshot, TeamView } from './model.js';
 import {
@@ -8,7 +8,7 @@
   FETCH_WEIGHT,
   fetchSeconds,
   placeGang,
-  ScarceTypes,
+  ContendedTypes,
   ZoneRules,
 } from './placement.js';
 import { Preemption } from './preemption.js';
@@ -47,7 +47,7 @@
   private readonly up: MachineView[];
   private readonly result: Plan = { starts: [], admit: null, stops: [], rents: [], spare: [] };
   private readonly guaranteed: Set<string>;
-  private readonly scarce: ScarceTypes;
+  private readonly contended: ContendedTypes;
   private readonly finder: RoomFinder;
   private readonly rentals: RentalPlan;
   private readonly reservations: Reservations;
@@ -59,10 +59,10 @@
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
     const booting = s.machines.filter((m) => !m.up);
-    this.scarce = new ScarceTypes(s.jobs, s.types, this.up);
+    this.contended = new ContendedTypes(s.jobs, s.types, this.up);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
-    this.finder = new RoomFinder(this.up, this.scarce);
+    this.finder = new RoomFinder(this.up, this.contended);
     this.rentals = new RentalPlan(s.offers, s.machines);
     this.reservations = new Reservations(this.finder, this.rentals, booting);
     this.gangs = new GangReservations(
@@ -87,7 +87,9 @@
     this.servePatient();
     // Moves only while nothing waits: what is stopped has to start again at once.
     this.result.stops =
-      waiting.length === 0 ? gather(this.s.movable, this.up, this.s.jobs) : this.preemption.stops;
+      waiting.length === 0
+        ? consolidate(this.s.movable, this.up, this.s.jobs)
+        : this.preemption.stops;
     this.result.rents = this.rentals.rents();
     this.result.spare = this.up
       .filter((m) => !this.reservations.needed.has(m.id) && m.tasksOf.size === 0)
@@ -149,9 +151,9 @@
   private startHot(job: JobView, count: number, rules: ZoneRules, team: TeamView): number {
     const { spec } = job;
     if (spec.kind !== 'service' || spec.priority > Priority.High) return 0;
-    const price = this.scarce.prices(spec);
-    // Where a type is scarce, its image there is not worth more than a fetch elsewhere.
-    const elsewhere = FETCH_WEIGHT * this.scarce.fetchSecondsOutside(spec);
+    const price = this.contended.prices(spec);
+    // Where a type is contended, its image there is not worth more than a fetch elsewhere.
+    const elsewhere = FETCH_WEIGHT * this.contended.fetchSecondsOutside(spec);
     const hot = this.up.filter(
       (m) => m.images.has(spec.image) && fetchSeconds(spec, m) < QUICK_S && price(m) <= elsewhere,
     );
@@ -196,7 +198,7 @@
     if (limitRoom(team, job.spec) < job.spec.tasks) return;
     const placed = this.finder.isFull(job.spec, this.up)
       ? null
-      : placeGang(job, this.up, this.scarce);
+      : placeGang(job, this.up, this.contended);
     if (placed) {
       this.charge(team, job.spec, job.spec.tasks);
       this.record(job, placed);
--- a/src/scheduler/room-finder.ts
+++ b/src/scheduler/room-finder.ts
@@ -6,7 +6,7 @@
   place,
   shapeOf,
   type Placed,
-  type ScarceTypes,
+  type ContendedTypes,
   type ZoneRules,
 } from './placement.js';
 
@@ -18,7 +18,7 @@
 
   constructor(
     private readonly up: MachineView[],
-    private readonly scarce: ScarceTypes,
+    private readonly contended: ContendedTypes,
   ) {}
 
   /**
@@ -34,7 +34,7 @@
     onlyBesideGpus = false,
   ): Placed[] {
     if (this.isFull(job.spec, machines)) return [];
-    return place(job, count, machines, rules, this.scarce, onlyBesideGpus);
+    return place(job, count, machines, rules, this.contended, onlyBesideGpus);
   }
 
   /** True if no task of this shape fits on any of these machines. */
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -88,7 +88,7 @@
   }
 
   private async serve(): Promise<void> {
-    // A flag rather than the promise: where the bucket fills between two looks at the clock, this
+    // A flag rather than the promise: where the bucket fills between two readings of the clock, this
     // ends before its promise is known to anybody, and a promise kept then would look like a
     // queue that is being served for ever after.
     this.serving = true;
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,4 +1,8 @@
-/** The names under which the service keeps its state. */
+/**
+ * The names under which the service keeps its state. They are a contract with the versions that run
+ * beside this one, so they stay also where the source calls the same thing otherwise: the key of a
+ * zone delegate begins with `keeper/`.
+ */
 export const KEYS = {
   leader: 'leader',
   types: 'types',
--- a/test/gather.test.ts
+++ b/test/consolidation.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import type { JobView, MachineView, ReplicaView } from '../src/scheduler/model.js';
-import { gather } from '../src/scheduler/gather.js';
+import { consolidate } from '../src/scheduler/consolidation.js';
 import { SPEC, TYPE } from './fakes/samples.js';
 
 const REPLICA: JobSpec = {
@@ -69,9 +69,9 @@
 }
 
 const run = (f: ReturnType<typeof fleet>): string[] =>
-  gather(f.movable, f.up, f.jobs).map((m) => `${m.job}/${m.task}`);
+  consolidate(f.movable, f.up, f.jobs).map((m) => `${m.job}/${m.task}`);
 
-test('replicas left alone on two machines gather on one, and stay there', () => {
+test('replicas left alone on two machines are consolidated on one, and stay there', () => {
   assert.deepEqual(run(fleet([['m1'], ['m2']])), ['req-1/0']);
   assert.deepEqual(run(fleet([['m1'], ['m1']])), []);
 });
--- a/test/fakes/machines.ts
+++ b/test/fakes/machines.ts
@@ -37,7 +37,7 @@
   }
 
   /** Machines that are up get their workers. */
-  async hatch(signal: AbortSignal): Promise<void> {
+  async bootWorkers(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       for (const h of this.world.cloud.hosts.values()) {
         if (this.workers.has(h.ref) || this.world.clock.now() < h.upAt) continue;
--- a/test/fakes/persistent-users.ts
+++ b/test/fakes/persistent-users.ts
@@ -33,7 +33,7 @@
   }
 
   /** Users ask at all nodes for a job, and submit it again, within milliseconds. */
-  async lookClosely(ref: string): Promise<void> {
+  async queryEverywhere(ref: string): Promise<void> {
     for (const waitMs of [0, 2, 10, 50]) {
       await this.world.clock.sleep(waitMs);
       for (const [i] of this.world.nodes.entries()) {
--- a/test/fakes/rule-checker.ts
+++ b/test/fakes/rule-checker.ts
@@ -379,7 +379,7 @@
   // ---- looked at again and again
 
   /** Judges the present moment: called at every step of a story and at its end. */
-  look(): void {
+  check(): void {
     const machines = this.options.machines();
     this.judgeQuota(machines);
     for (const m of machines) {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -99,12 +99,12 @@
 
   async start(): Promise<void> {
     for (let i = 0; i < this.nodes.length; i++) this.boot(i);
-    void this.machines.hatch(this.end.signal);
+    void this.machines.bootWorkers(this.end.signal);
     await this.pass(6);
   }
 
   async close(): Promise<void> {
-    this.checker.look();
+    this.checker.check();
     for (const node of this.nodes) node.stop.abort();
     this.end.abort();
     await this.clock.advance(100);
@@ -275,8 +275,8 @@
   }
 
   /** Users ask at all nodes for a job, and submit it again, within milliseconds. */
-  lookClosely(ref: string): Promise<void> {
-    return this.persistent.lookClosely(ref);
+  queryEverywhere(ref: string): Promise<void> {
+    return this.persistent.queryEverywhere(ref);
   }
 
   /** Users go on asking for jobs, at any node, and now and then submit one again. */
@@ -326,6 +326,6 @@
   }
 
   private check(): void {
-    this.checker.look();
+    this.checker.check();
   }
 }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Fleet } from '../src/fleet/fleet.js';
 import type { Machine } from '../src/fleet/machine.js';
-import { Job, type Placement } from '../src/jobs/live.js';
+import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import type { Report, TaskReport } from '../src/wire/report.js';
 import { SPEC, TYPE } from './fakes/samples.js';
 
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -83,7 +83,7 @@
   trouble?(gap: Gap): Promise<void>;
   /** False: nobody is known to read the current frames. */
   announced?: false;
-  /** Everyone can vouch all the same, so that other work goes on. */
+  /** Everyone can answer for the cancellations all the same, so that other work goes on. */
   covered?: true;
 }[] = [
   {
@@ -118,14 +118,14 @@
     },
   },
   {
-    name: 'vouches are lost, promises not to contest are not',
+    name: 'lists of cancellations are lost, promises not to contest are not',
     trouble: ({ w }) => {
-      w.wire.loses = (_from, _to, m) => m.kind === 'cancelled' || m.kind === 'vouch';
+      w.wire.loses = (_from, _to, m) => m.kind === 'cancelled' || m.kind === 'cancellations';
       return Promise.resolve();
     },
   },
   {
-    name: 'vouches come too late',
+    name: 'lists of cancellations come too late',
     trouble: ({ w, leader }) => {
       w.wire.delayMs = (_from, to) => (to === w.nodes[leader]!.name ? 600 : 2);
       return Promise.resolve();
@@ -278,10 +278,10 @@
     assert.deepEqual([frame.readUInt8(2), frame.readUInt8(3)], [3, kind], m.kind);
   });
   const current: Message[] = [
-    { kind: 'askVouch', ask: 7, sinceMs: 1200 },
-    { kind: 'vouch', ask: 7, cancelled: ['req-1', 'req-2'] },
-    { kind: 'vouch', ask: 7, cancelled: [] },
-    { kind: 'vouch', ask: 7, cancelled: null },
+    { kind: 'askCancellations', ask: 7, sinceMs: 1200 },
+    { kind: 'cancellations', ask: 7, cancelled: ['req-1', 'req-2'] },
+    { kind: 'cancellations', ask: 7, cancelled: [] },
+    { kind: 'cancellations', ask: 7, cancelled: null },
   ];
   for (const m of current) assert.equal(encode(m).readUInt8(2), 4);
   const all = [...old, ...current];
--- a/test/gate.test.ts
+++ b/test/gate.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { GangGate } from '../src/control/gang-gate.js';
-import { Job } from '../src/jobs/live.js';
+import { Job } from '../src/jobs/tracked-job.js';
 import { OPERATOR_DEFAULTS } from '../src/settings/operator.js';
 import { SPEC } from './fakes/samples.js';
 import { World } from './fakes/world.js';
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -3,7 +3,7 @@
 import { Term } from '../src/election/term.js';
 import type { JobSpec } from '../src/jobs/job.js';
 import { Ledger } from '../src/jobs/ledger.js';
-import { Job } from '../src/jobs/live.js';
+import { Job } from '../src/jobs/tracked-job.js';
 import type { Runtime } from '../src/runtime/duty.js';
 import { StoreLimits } from '../src/state/limits.js';
 import { Store } from '../src/state/store.js';
@@ -76,7 +76,7 @@
 }
 
 function place(one: Job, task: number, machine = 'host-000001'): void {
-  one.live.set(task, {
+  one.placements.set(task, {
     job: one,
     task,
     attempt: ++one.attempt,
--- a/test/meeting-gap.test.ts
+++ b/test/meeting-gap.test.ts
@@ -54,7 +54,7 @@
     },
   },
   {
-    name: 'gap: the confirming controller ends, and has forgotten them when it is asked to vouch',
+    name: 'gap: the confirming controller ends, and has forgotten them when it is asked for them',
     seeds: SEEDS,
     play: (w, seed) => {
       w.trouble.loseMessages('cancelled');
--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -20,7 +20,7 @@
       if (w.random.next() < 0.5) return;
       await w.clock.sleep(w.random.between(0, 3000));
       await w.cancelling(ref);
-      void w.lookClosely(ref);
+      void w.queryEverywhere(ref);
     });
     await w.clock.sleep(1000);
   }
@@ -164,7 +164,7 @@
       const old = w.leader;
       w.nodes[old]!.open = false;
       for (const ref of refs.slice(0, 6)) {
-        void w.cancelling(ref).then(() => w.lookClosely(ref));
+        void w.cancelling(ref).then(() => w.queryEverywhere(ref));
         await w.pass(0.25 * seed);
       }
       await w.until(() => w.leader !== old && w.leader >= 0, 15, 'handed over');
--- a/test/meeting-pipelines.test.ts
+++ b/test/meeting-pipelines.test.ts
@@ -17,7 +17,7 @@
       const all = [await pipeline(w), await pipeline(w), await pipeline(w)];
       let ends = 0;
       w.onDone = (piece) => {
-        void w.lookClosely(piece.job);
+        void w.queryEverywhere(piece.job);
         if (++ends % 7 === seed) void w.trouble.endLeader(2);
       };
       await w.pass(25);
@@ -36,7 +36,7 @@
         const afterMs = w.random.pick([0, 20, 400, 1000, 1600]) * seed;
         void w.clock.sleep(afterMs).then(async () => {
           await w.cancelling(job);
-          for (const ref of all.find((refs) => refs[0] === job)!) void w.lookClosely(ref);
+          for (const ref of all.find((refs) => refs[0] === job)!) void w.queryEverywhere(ref);
         });
       };
       await w.pass(25);
@@ -77,7 +77,7 @@
       w.trouble.share.lostAnswers = 0.1 * seed;
       for (let i = 0; i < 4; i++) {
         const refs = await pipeline(w);
-        void w.cancelling(refs[i % 3]!).then(() => refs.map((ref) => w.lookClosely(ref)));
+        void w.cancelling(refs[i % 3]!).then(() => refs.map((ref) => w.queryEverywhere(ref)));
         await w.pass(1);
       }
       await w.pass(15);
--- a/test/meeting-store.test.ts
+++ b/test/meeting-store.test.ts
@@ -3,15 +3,15 @@
 
 /** Small jobs come, some of them are cancelled, and users look closely. */
 async function rush(w: World, seconds: number): Promise<void> {
-  w.onDone = (piece) => void w.lookClosely(piece.job);
+  w.onDone = (piece) => void w.queryEverywhere(piece.job);
   for (let i = 0; i < seconds && !w.settling; i++) {
     const wish = { pieces: 1 + (i % 3), runMs: 3000, fetchMs: 500 };
     void w.accepting({ ...wish, crew: i % 2 ? 'vision' : 'speech' }).then(async (ref) => {
-      void w.lookClosely(ref);
+      void w.queryEverywhere(ref);
       if (w.random.next() < 0.6) return;
       await w.clock.sleep(w.random.between(0, 2500));
       await w.cancelling(ref);
-      void w.lookClosely(ref);
+      void w.queryEverywhere(ref);
     });
     await w.pass(1);
   }
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -12,7 +12,7 @@
   for (let i = 0; i < count; i++) {
     const runMs = w.random.between(1500, 4000);
     void w.accepting({ runMs, fetchMs: 500, crew: i % 2 ? 'vision' : 'speech' }).then((ref) => {
-      void w.lookClosely(ref);
+      void w.queryEverywhere(ref);
       then(ref, i);
     });
     await w.pass(everyMs / 1000);
@@ -25,11 +25,11 @@
     play: async (w) => {
       w.onDone = (piece) => {
         for (const ms of [0, 900, 1500, 3000]) {
-          void w.clock.sleep(ms).then(() => w.lookClosely(piece.job));
+          void w.clock.sleep(ms).then(() => w.queryEverywhere(piece.job));
         }
       };
       await stream(w, 16, 1000, (ref, i) => {
-        if (i % 3 === 0) void w.cancelling(ref).then(() => w.lookClosely(ref));
+        if (i % 3 === 0) void w.cancelling(ref).then(() => w.queryEverywhere(ref));
       });
       await w.pass(10);
     },
@@ -40,8 +40,8 @@
       w.onDone = (piece) => {
         const afterMs = w.random.pick([0, 3, 20, 300, 800, 1100, 1500]);
         void w.clock.sleep(afterMs).then(() => {
-          void w.lookClosely(piece.job);
-          void w.cancelling(piece.job).then(() => w.lookClosely(piece.job));
+          void w.queryEverywhere(piece.job);
+          void w.cancelling(piece.job).then(() => w.queryEverywhere(piece.job));
         });
       };
       await stream(w, 20, 500, () => undefined);
@@ -93,11 +93,11 @@
   {
     name: 'users ask closely while answers get lost, the store lags and the leader ends',
     play: async (w) => {
-      w.onDone = (piece) => void w.lookClosely(piece.job);
+      w.onDone = (piece) => void w.queryEverywhere(piece.job);
       w.trouble.share.lostAnswers = 0.3;
       w.trouble.share.lateWrites = 0.2;
       const rush = stream(w, 20, 500, (ref, i) => {
-        if (i % 2 === 0) void w.cancelling(ref).then(() => w.lookClosely(ref));
+        if (i % 2 === 0) void w.cancelling(ref).then(() => w.queryEverywhere(ref));
       });
       await w.pass(4);
       await w.trouble.endLeader(2);
@@ -109,9 +109,9 @@
     name: 'answers of one controller are held up for seconds while users cancel and ask',
     play: async (w, seed) => {
       w.trouble.holdAnswers(seed % 3, 3000);
-      w.onDone = (piece) => void w.lookClosely(piece.job);
+      w.onDone = (piece) => void w.queryEverywhere(piece.job);
       await stream(w, 16, 700, (ref, i) => {
-        if (i % 2 === 0) void w.cancelling(ref).then(() => w.lookClosely(ref));
+        if (i % 2 === 0) void w.cancelling(ref).then(() => w.queryEverywhere(ref));
       });
       await w.pass(10);
     },
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -67,7 +67,7 @@
     frameVersions: [...FRAME_VERSIONS],
   });
   const again = start('berth-1');
-  const looked = again.membership.look();
+  const looked = again.membership.refresh();
   await clock.advance(100);
   await looked;
   assert.equal(again.membership.allCurrent, true);
--- a/test/production-samples.test.ts
+++ b/test/production-samples.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Job, type StoredRuns } from '../src/jobs/live.js';
+import { Job, type StoredRuns } from '../src/jobs/tracked-job.js';
 import { parseJob, parseRental, parseRun, tasksPerRecord } from '../src/jobs/records.js';
 import { readRuns } from '../src/jobs/run-reader.js';
 import { Decoder, encode, type Message } from '../src/peer/frames.js';
@@ -38,9 +38,9 @@
   }
   const restoredJobs = restored().jobs;
   const array = restoredJobs.get(jobs.array)!;
-  assert.equal(array.doneCount + array.live.size, 150);
+  assert.equal(array.doneCount + array.placements.size, 150);
   assert.ok(array.doneCount > 10);
-  assert.equal(restoredJobs.get(jobs.service)!.live.size, 3);
+  assert.equal(restoredJobs.get(jobs.service)!.placements.size, 3);
   assert.equal(restoredJobs.get(jobs.gang)!.gang!.phase, 'started');
   assert.equal(restoredJobs.get(jobs.waiting)!.gang!.holdsGate, true);
 });
--- a/test/rule-checker.test.ts
+++ b/test/rule-checker.test.ts
@@ -62,12 +62,12 @@
   pass(ms: number): void {
     for (const until = this.time + ms; this.time < until;) {
       this.time = Math.min(until, this.time + 1000);
-      this.checker.look();
+      this.checker.check();
     }
   }
 
   rules(): Rule[] {
-    this.checker.look();
+    this.checker.check();
     return [...new Set(this.checker.violations.map((v) => v.rule))];
   }
 }
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -3,7 +3,7 @@
 import { Term } from '../src/election/term.js';
 import type { JobSpec } from '../src/jobs/job.js';
 import { Ledger } from '../src/jobs/ledger.js';
-import { Job, type Placement } from '../src/jobs/live.js';
+import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import { readRuns } from '../src/jobs/run-reader.js';
 import { tasksPerRange, tasksPerRecord } from '../src/jobs/records.js';
 import type { Runtime } from '../src/runtime/duty.js';
@@ -76,8 +76,8 @@
 
   place(task: number): void {
     const { job } = this;
-    if (job.isDone(task) || job.live.has(task)) return;
-    job.live.set(task, {
+    if (job.isDone(task) || job.placements.has(task)) return;
+    job.placements.set(task, {
       job,
       task,
       attempt: ++job.attempt,
@@ -94,9 +94,9 @@
   }
 
   end(task: number): void {
-    const p = this.job.live.get(task);
+    const p = this.job.placements.get(task);
     if (!p || !this.recorded.has(task)) return;
-    this.job.live.delete(task);
+    this.job.placements.delete(task);
     this.recorded.delete(task);
     this.job.exited.push(p);
     this.job.markDone(task);
@@ -118,7 +118,7 @@
   check(): void {
     const job = this.successor();
     for (const [task, p] of this.recorded) {
-      const known = job.live.get(task);
+      const known = job.placements.get(task);
       assert.ok(known, `task ${task} is lost`);
       assert.deepEqual([known.machine, known.attempt], [p.machine, p.attempt], `task ${task}`);
     }
@@ -131,7 +131,7 @@
   /** Once all is written a successor knows all of it. */
   checkAll(): void {
     const job = this.successor();
-    assert.deepEqual([...job.live.keys()].sort(), [...this.job.live.keys()].sort());
+    assert.deepEqual([...job.placements.keys()].sort(), [...this.job.placements.keys()].sort());
     assert.equal(job.doneCount, this.job.doneCount);
     assert.equal(job.attempt, this.job.attempt);
   }
--- a/test/silent-workers.test.ts
+++ b/test/silent-workers.test.ts
@@ -118,8 +118,8 @@
   const job = await w.submit({ pieces: 4, runMs: 120_000 });
   await w.until(() => w.running(job) === 4, 10, 'all run');
   const terms = countTerms(w);
-  // Promises not to contest come, vouches do not: past the bound workers are turned away.
-  w.wire.loses = (_from, _to, m) => m.kind === 'vouch';
+  // Promises not to contest come, lists of cancellations do not: past the bound workers are turned away.
+  w.wire.loses = (_from, _to, m) => m.kind === 'cancellations';
   w.store.down = true;
   await w.pass(60);
   assert.equal(w.running(job), 0);
--- a/test/stop-commands.test.ts
+++ b/test/stop-commands.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Fleet } from '../src/fleet/fleet.js';
-import type { Placement } from '../src/jobs/live.js';
-import { Job } from '../src/jobs/live.js';
+import type { Placement } from '../src/jobs/tracked-job.js';
+import { Job } from '../src/jobs/tracked-job.js';
 import type { Report } from '../src/wire/report.js';
 import { SPEC, TYPE } from './fakes/samples.js';
 import { World } from './fakes/world.js';
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -3,7 +3,7 @@
 import type { Leader } from '../src/control/leader.js';
 import { takeSnapshot } from '../src/control/snapshot.js';
 import { withinGuarantee } from '../src/scheduler/order.js';
-import type { Job } from '../src/jobs/live.js';
+import type { Job } from '../src/jobs/tracked-job.js';
 import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
