Records: indexed ones of another limit are superseded, not overwritten

Which tasks an indexed run record holds follows from its number and the limit of a value in the settings. All controllers that come back to a smaller limit (a restart after the announced one holds, or without any announcement) counted the records differently: a change of tasks 20 to 39 was written over the record of tasks 163 to 249, and the next leader started those again. A record that names a task which it cannot hold as we count now shows that it was laid out for another limit: ranged records go above all indexed ones of such a job. While not all controllers read ranged records the job is left alone and counts in full.

--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -84,6 +84,10 @@
       this.leader.fleet.add(p, clock.now());
       if (job.phase !== 'open') p.stop = { graceMs: 0 };
     }
+    if (!job.foreignLayout || this.leader.parts.membership.allCurrent) return;
+    // Only ranged records could go above them, and not every controller reads those.
+    this.leader.parts.runtime.log.error({ job: job.id }, 'records of another layout, left as is');
+    job.blind = true;
   }
 
   /**
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -65,6 +65,8 @@
   phaseStored = true;
   /** A record of it cannot be read: all of its tasks count as running, and none is started. */
   blind = false;
+  /** Its indexed records were written for another limit of a value, see `RunLayout`. */
+  foreignLayout = false;
   /** Users were told that it is cancelled, though its record has not been read here yet. */
   cancelAnnounced = false;
   /** Jobs that have to be done before any task of this one starts. */
@@ -221,18 +223,27 @@
     }
     const ranged = [...stored.ranged].sort((a, b) => a.record.from - b.record.from);
     for (const { record } of ranged) this.restoreRange(record, now, sinceWall);
-    if (ranged.length > 0) {
-      const sections = ranged.map(({ key, version, record }) => ({
-        key,
-        version,
-        from: record.from,
-        to: Math.min(record.to, this.spec.tasks),
-      }));
-      this.layout.restoreRanged(sections, perRange, (from, to) => this.isEmpty(from, to));
-    }
+    this.restoreLayout(stored.indexed, ranged, perRange);
     return [...this.live.values()];
   }
 
+  private restoreLayout(
+    indexed: StoredRuns['indexed'],
+    ranged: StoredRuns['ranged'],
+    perRange: number,
+  ): void {
+    const sections = ranged.map(({ key, version, record }) => ({
+      key,
+      version,
+      from: record.from,
+      to: Math.min(record.to, this.spec.tasks),
+    }));
+    const isEmpty = (from: number, to: number): boolean => this.isEmpty(from, to);
+    this.foreignLayout = indexed.some((r) => !this.layout.holds(r.index, tasksOf(r.record)));
+    if (this.foreignLayout) this.layout.restoreForeign(indexed, sections, perRange, isEmpty);
+    else if (ranged.length > 0) this.layout.restoreRanged(sections, perRange, isEmpty);
+  }
+
   private restoreRange(record: RangedRunRecord, now: number, sinceWall: number): void {
     for (let t = record.from; t < record.to && t < this.spec.tasks; t++) {
       this.live.delete(t);
@@ -287,6 +298,15 @@
   }
 }
 
+/** The tasks that a record says something of. */
+function* tasksOf({ done, placed }: RunRecord): Iterable<number> {
+  for (const [from, to] of done) {
+    yield from;
+    yield to;
+  }
+  for (const [task] of placed) yield task;
+}
+
 /** Starts of one attempt on one machine share an entry. */
 function byMachine(placements: Placement[]): RangedRunRecord['placed'] {
   const entries = new Map<string, RangedRunRecord['placed'][number]>();
--- a/src/jobs/run-layout.ts
+++ b/src/jobs/run-layout.ts
@@ -120,13 +120,49 @@
     }
   }
 
+  /** Whether these tasks belong to the indexed record of this number, as we count. */
+  holds(index: number, tasks: Iterable<number>): boolean {
+    const section = this.sections[index];
+    if (!section) return false;
+    for (const task of tasks) if (task < section.from || task >= section.to) return false;
+    return true;
+  }
+
   /** Takes over ranged records that were read from the store, in the order of their first tasks. */
   restoreRanged(
     records: StoredSection[],
     perRecord: number,
     isEmpty: (from: number, to: number) => boolean,
   ): void {
-    this.superseded = this.sections.filter((s) => s.version > 0);
+    const superseded = this.sections.filter((s) => s.version > 0);
+    this.restoreAbove(superseded, records, perRecord, isEmpty);
+  }
+
+  /**
+   * Takes over indexed records that were written for another limit of a value than today's: which
+   * tasks each of them holds is not known from its number. What they say of tasks is read all the
+   * same, but none of them may be written again, since it would lose tasks that it holds as well. So
+   * ranged records go above them, and each of them stays until those hold all that any of them says.
+   */
+  restoreForeign(
+    indexed: { index: number; version: number }[],
+    records: StoredSection[],
+    perRecord: number,
+    isEmpty: (from: number, to: number) => boolean,
+  ): void {
+    const superseded = indexed.map(({ index, version }) => {
+      return { key: KEYS.run(this.job, index), from: 0, to: this.tasks, version };
+    });
+    this.restoreAbove(superseded, records, perRecord, isEmpty);
+  }
+
+  private restoreAbove(
+    superseded: StoredSection[],
+    records: StoredSection[],
+    perRecord: number,
+    isEmpty: (from: number, to: number) => boolean,
+  ): void {
+    this.superseded = superseded;
     this.kind = 'ranged';
     this.sections = this.fill(records, perRecord, isEmpty);
   }
