Users: a new dependent of a cancelled job is withdrawn at once; limits met by refusals alone

Now the jobs before it are compared with the store first; where that fails the repeat is answered as known.

Where the store's limits are smaller than any that the settings name (state.next gone after a restart), a 400 was passed on as 503, for good: comparisons of more jobs than the store takes conditions (all asked for together look forgotten), long lists of dependencies, a cancellation of a job whose record no longer fits, jobs too large in any form. Comparisons are halved, acceptance lays out for half the limits up to three times and then says 422, a cancelled record loses what nobody reads any more, pieces are deleted fewer at a time.

A job's last write looked at each end once for every other end: linear now.

--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -5,6 +5,7 @@
 import type { NeedsRecord } from '../jobs/records.js';
 import { jitter } from '../runtime/random.js';
 import { KEYS } from '../state/keys.js';
+import { isRefusedSize } from '../state/store.js';
 import type { Leader } from './leader.js';
 
 type NeedsPieces = Extract<NeedsRecord, { mark: string }>;
@@ -253,10 +254,18 @@
     const { term } = this.leader;
     const when = [{ key: KEYS.leader, version: term.token }];
     const keys = Array.from({ length: pieces }, (_, i) => KEYS.need(id, mark, i));
+    let most = store.limits.smallest().txnOps;
     while (keys.length > 0) {
-      const then = keys.splice(0, store.limits.smallest().txnOps).map((key) => ({ delete: key }));
-      const outcome = await store.commit(when, then, 2, term.signal);
-      if (!outcome.ok) return;
+      const then = keys.slice(0, most).map((key) => ({ delete: key }));
+      try {
+        const outcome = await store.commit(when, then, 2, term.signal);
+        if (!outcome.ok) return;
+        keys.splice(0, then.length);
+      } catch (error) {
+        // The store takes fewer changes than any limit that was announced.
+        if (!isRefusedSize(error) || then.length === 1) throw error;
+        most = then.length >> 1;
+      }
     }
   }
 }
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -1,6 +1,6 @@
 import type { Runtime } from '../runtime/duty.js';
 import { KEYS } from '../state/keys.js';
-import type { Change, Condition, Store } from '../state/store.js';
+import { isRefusedSize, type Change, type Condition, type Store } from '../state/store.js';
 import type { Submission } from '../wire/submission.js';
 import { groupPieces, layOutDependencies, type Piece, type WriteLimits } from './dependencies.js';
 import type { JobStates } from './job-states.js';
@@ -8,6 +8,12 @@
 import type { JobRecord } from './records.js';
 import { commitForUser, hedged, type RequestWaits } from './user-requests.js';
 
+/**
+ * How many times the limits that are laid out for are halved after refusals, where the store takes
+ * less than what is announced, before a job is called too large.
+ */
+const MOST_HALVINGS = 3;
+
 /** What became of a submission that was not in the store when it came. */
 export type Accepted =
   | { kind: 'added' }
@@ -24,6 +30,9 @@
  * accept the same job at once end in one.
  */
 export class Acceptance {
+  /** How many times the limits have been halved so far; it holds for later submissions too. */
+  private halvings = 0;
+
   constructor(
     private readonly store: Store,
     private readonly states: JobStates,
@@ -36,8 +45,27 @@
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
     const unknown = await this.unknownDependency(id, dependencies, signal);
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
+    for (;;) {
+      const { halvings } = this;
+      try {
+        return await this.write({ id, spec, dependencies }, signal);
+      } catch (error) {
+        // Sent away with a 503, the user would come back with the same for ever.
+        if (!isRefusedSize(error)) throw error;
+        if (halvings >= MOST_HALVINGS) return { kind: 'too large' };
+        this.halvings = Math.max(this.halvings, halvings + 1);
+        this.runtime.log.warn({ job: id, halvings: this.halvings }, 'store refused a submission');
+      }
+    }
+  }
+
+  private async write(
+    { id, spec, dependencies }: Submission,
+    signal: AbortSignal,
+  ): Promise<Accepted> {
     const { clock, random } = this.runtime;
-    const { needs, pieces } = layOutDependencies(id, dependencies, this.writeLimits);
+    const limits = this.writeLimits;
+    const { needs, pieces } = layOutDependencies(id, dependencies, limits);
     const record: JobRecord = {
       w: random.unique(),
       phase: 'open',
@@ -47,9 +75,13 @@
       ...(needs ? { needs } : {}),
     };
     // It has to fit also when it is rewritten under the limits to come.
-    const value = fitJobRecord(record, this.writeLimits.valueBytes, this.machineTypes());
+    const types = this.machineTypes();
+    const { valueBytes } = this.store.limits.smallest();
+    // Halved limits are a guess: they make a record smaller, but no job too large.
+    const value =
+      fitJobRecord(record, limits.valueBytes, types) ?? fitJobRecord(record, valueBytes, types);
     if (!value) return { kind: 'too large' };
-    for (const group of groupPieces(pieces, this.writeLimits)) {
+    for (const group of groupPieces(pieces, limits)) {
       await this.addPieces(group, signal);
     }
     const key = KEYS.job(id);
@@ -98,6 +130,8 @@
 
   /** Pieces are never written anew: they are laid out for the smallest limits there will be. */
   private get writeLimits(): WriteLimits {
-    return this.store.limits.smallest();
+    const { valueBytes, txnOps } = this.store.limits.smallest();
+    const share = 1 / 2 ** this.halvings;
+    return { valueBytes: valueBytes * share, txnOps: Math.max(1, Math.floor(txnOps * share)) };
   }
 }
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -1,14 +1,14 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
-import type { Store } from '../state/store.js';
+import { isRefusedSize, type Store } from '../state/store.js';
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
 import { whyNever } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
-import { fitJobRecord } from './record-size.js';
+import { fitJobRecord, smallestCancelled } from './record-size.js';
 import { parseJob, type JobRecord } from './records.js';
 import { commitForUser, HEDGE_SHARE, Overloaded, type RequestWaits } from './user-requests.js';
 
@@ -102,7 +102,7 @@
     const accepted = await this.acceptance.add(submission, signal);
     switch (accepted.kind) {
       case 'added':
-        return { status: 201, body: this.answer(id, this.states.remembered(id)) };
+        return { status: 201, body: this.answer(id, await this.stateOfNew(submission, signal)) };
       case 'known':
         return this.knownOr(id, signal, BUSY);
       case 'too large':
@@ -114,6 +114,20 @@
     }
   }
 
+  /**
+   * What to call a job that was just accepted. One that waits for others may be cancelled with them
+   * already, and what is remembered of those may be old: another node may have told that one of them
+   * is cancelled long ago, and from then on its dependents must not be called pending. Where the
+   * store does not serve the submission is sent again, and answered as known.
+   */
+  private async stateOfNew(
+    { id, dependencies }: wire.Submission,
+    signal: AbortSignal,
+  ): Promise<JobState | null> {
+    if (dependencies.length === 0) return this.states.remembered(id);
+    return this.states.current(id, signal);
+  }
+
   /** The state of a job that is in the store already; else `otherwise`. */
   private async knownOr(
     id: string | null,
@@ -141,19 +155,7 @@
       }
       let { version } = entry;
       if (record.phase === 'open') {
-        const w = this.runtime.random.unique();
-        const cancelled: JobRecord = { ...record, w, phase: 'cancelled' };
-        // One accepted under larger limits may have to lose what means nothing.
-        const { valueBytes } = this.store.limits.effective();
-        const value = fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled;
-        const outcome = await commitForUser(
-          this.store,
-          this.runtime.clock,
-          this.cancelWaits,
-          [{ key: KEYS.job(id), version }],
-          [{ put: KEYS.job(id), value }],
-          signal,
-        );
+        const outcome = await this.writeCancelled(id, version, record, signal);
         if (!outcome.ok) continue;
         version = outcome.revision;
       }
@@ -162,6 +164,39 @@
     }
   }
 
+  private async writeCancelled(
+    id: string,
+    version: number,
+    open: JobRecord,
+    signal: AbortSignal,
+  ): ReturnType<Store['txn']> {
+    const key = KEYS.job(id);
+    const put = (value: JobRecord): ReturnType<Store['txn']> =>
+      commitForUser(
+        this.store,
+        this.runtime.clock,
+        this.cancelWaits,
+        [{ key, version }],
+        [{ put: key, value }],
+        signal,
+      );
+    const cancelled: JobRecord = {
+      ...open,
+      w: this.runtime.random.unique(),
+      phase: 'cancelled',
+    };
+    // One accepted under larger limits may have to lose what means nothing.
+    const { valueBytes } = this.store.limits.effective();
+    try {
+      return await put(fitJobRecord(cancelled, valueBytes, this.machineTypes) ?? cancelled);
+    } catch (error) {
+      // The store's limit is smaller than any that was announced: its user must not be sent away
+      // for good.
+      if (!isRefusedSize(error)) throw error;
+      return put(smallestCancelled(cancelled));
+    }
+  }
+
   private rememberOver(id: string, version: number, { phase, tasks }: JobRecord): void {
     this.states.remember(id, { version, phase, tasks, dependencies: [] });
   }
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -2,7 +2,7 @@
 import type { Settings } from '../settings/deploy.js';
 import { KEYS } from '../state/keys.js';
 import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
-import type { Condition, Entry, Store } from '../state/store.js';
+import { isRefusedSize, type Condition, type Entry, type Store } from '../state/store.js';
 import { readDependencies } from './dependencies.js';
 import type { JobPhase } from './job.js';
 import { readJobEntries } from './job-reader.js';
@@ -61,6 +61,8 @@
   private knownDependencies = 0;
   private asking = new Map<string, Waiter[]>();
   private comparing = false;
+  /** The store refused comparisons of more jobs than this, though the known limits allow them. */
+  private mostCompared = Infinity;
 
   constructor(
     private readonly store: Store,
@@ -223,7 +225,8 @@
 
   private get mostConditions(): number {
     // Looked up each time: a refusal of the last comparison may have lowered it.
-    return this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
+    const known = this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
+    return Math.min(known, this.mostCompared);
   }
 
   /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
@@ -258,12 +261,25 @@
     try {
       await this.compare(batch);
     } catch (error) {
+      if (isRefusedSize(error) && batch.length > 1) return this.compareInSmaller(batch);
       // Whoever asks is told at once that there is no answer now, and when to come back: held until
       // the store serves again, questions would pile up and come late all the same.
       for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
     }
   }
 
+  /**
+   * The store takes fewer conditions than this comparison had. Its limit may have fallen without any
+   * announcement; refused for good, the jobs that are asked for together would look forgotten.
+   */
+  private compareInSmaller(batch: [string, Waiter[]][]): void {
+    if (batch.length <= this.mostConditions) this.mostCompared = batch.length >> 1;
+    for (const [id, waiters] of batch) {
+      const open = waiters.filter((w) => !w.signal?.aborted);
+      if (open.length > 0) this.ask(id, open);
+    }
+  }
+
   private async compare(batch: [string, Waiter[]][]): Promise<void> {
     const compared = new Map(batch.map(([id]) => [id, this.known.get(id) ?? null]));
     const when = [...compared].map(([id, job]) => ({
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -207,7 +207,8 @@
       if (draft.closes) job.closed = true;
       this.events.ended(job, phase);
     }
-    job.exited = job.exited.filter((p) => !ends.includes(p));
+    const ended = new Set(ends);
+    job.exited = job.exited.filter((p) => !ended.has(p));
     this.events.recorded(starts);
     this.events.forgotten(ends);
     if (job.closed) this.events.settled(job);
--- a/src/jobs/record-size.ts
+++ b/src/jobs/record-size.ts
@@ -21,3 +21,15 @@
   const shorter = { ...record, spec: { ...record.spec, types: known } };
   return jsonBytes(shorter) <= most ? shorter : null;
 }
+
+/**
+ * A cancelled record without what nobody reads any more: where it may run, since nothing of it starts
+ * again, and what it waited for. A mark stays, by which the leader removes the pieces that it names.
+ */
+export function smallestCancelled({ needs, spec, ...rest }: JobRecord): JobRecord {
+  return {
+    ...rest,
+    ...(spec ? { spec: { ...spec, types: [] } } : {}),
+    ...(needs && 'mark' in needs ? { needs } : {}),
+  };
+}
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -287,6 +287,10 @@
   return reply.body;
 }
 
+/** The store called a transaction too large: a value of it, or the number of its changes or conditions. */
+export const isRefusedSize = (error: unknown): boolean =>
+  error instanceof Refused && error.status === 400;
+
 const isRetryable = (status: number): boolean => status === 429 || status === 503;
 
 const isLeaseGone = (body: unknown): boolean =>
