Tests run the released controllers beside this tree's, by twos and all three

Two versions share store, workers and connections in an upgrade; until now the old one was imitated by a controller whose member record is refused. scripts/bundle-production.mjs writes the controller of a commit as one module, so that tests need no git history; an adapter lets the world of the fakes run it, with its own frames and reports.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/', 'journal/', 'node_modules/'] },
+  { ignores: ['target/', 'journal/', 'node_modules/', 'test/fixtures/controllers/'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -1,14 +1,25 @@
 import { Subject } from 'rxjs';
-import { Decoder, encode, type Message } from '../../src/peer/frames.js';
+import type { Message } from '../../src/peer/frames.js';
 import type { PeerTransport } from '../../src/peer/peer-transport.js';
 import type { FakeClock } from './clock.js';
+import { CURRENT, type FrameCodec } from './program.js';
 
 /** The version of frames that production read before the current ones. */
 const PREVIOUS_VERSION = 3;
 
+/** For how long a controller whose connection was closed is not heard. */
+const RECONNECT_MS = 1000;
+
+interface End {
+  heard: Subject<{ from: string; message: Message }>;
+  frames: FrameCodec;
+  /** Until when nothing comes from a peer, since a frame of it could not be read. */
+  closedUntil: Map<string, number>;
+}
+
 /** The wire between controllers: real frames, with a delay, and cuts. */
 export class FakeWire {
-  private readonly ends = new Map<string, Subject<{ from: string; message: Message }>>();
+  private readonly ends = new Map<string, End>();
   readonly cut = new Set<string>();
   /** Whether a message gets lost between two that are not cut off; none does unless a story says so. */
   loses: (from: string, to: string, message: Message) => boolean = () => false;
@@ -25,34 +36,53 @@
     private readonly separated: (from: string, to: string) => boolean = () => false,
   ) {}
 
-  attach(name: string, all: string[]): PeerTransport {
-    const heard = new Subject<{ from: string; message: Message }>();
-    this.ends.set(name, heard);
+  attach(name: string, all: string[], frames: FrameCodec = CURRENT.frames): PeerTransport {
+    const end: End = { heard: new Subject(), frames, closedUntil: new Map() };
+    this.ends.set(name, end);
     this.starts.set(name, this.clock.now());
     return {
       startedAt: (peer) => this.starts.get(peer) ?? null,
-      heard,
+      heard: end.heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
-        const bytes = encode(message);
+        const bytes = frames.encode(message);
         const from = this.ends.get(name);
         void this.clock.sleep(this.delayMs(name, to)).then(() => {
           // A message from an earlier life of the process does not come from this one.
-          if (from !== heard || this.cut.has(name) || this.cut.has(to)) return;
-          if (this.separated(name, to) || this.loses(name, to, message)) return;
+          if (from !== end || this.cut.has(name) || this.cut.has(to)) return;
+          if (this.separated(name, to) || this.loses(name, to, asCurrent(bytes))) return;
           if (this.previousVersion.has(to) && bytes.readUInt8(2) > PREVIOUS_VERSION) {
             this.unreadable.push(message);
             return;
           }
-          for (const m of new Decoder().push(bytes)) {
-            this.ends.get(to)?.next({ from: name, message: m });
-          }
+          this.receive(name, to, message, bytes);
         });
       },
     };
   }
 
+  /** What cannot be read closes the connection that brought it; another is opened a little later. */
+  private receive(from: string, to: string, message: Message, bytes: Buffer): void {
+    const end = this.ends.get(to);
+    const now = this.clock.now();
+    if (!end || now < (end.closedUntil.get(from) ?? 0)) return;
+    let messages: Message[];
+    try {
+      messages = new end.frames.Decoder().push(bytes);
+    } catch (error) {
+      // This tree has to read what any version sends it.
+      if (end.frames === CURRENT.frames) throw error;
+      this.unreadable.push(message);
+      end.closedUntil.set(from, now + RECONNECT_MS);
+      return;
+    }
+    for (const m of messages) end.heard.next({ from, message: m });
+  }
+
   detach(name: string): void {
     this.ends.delete(name);
   }
 }
+
+/** A frame of any version, as this tree reads it. */
+const asCurrent = (bytes: Buffer): Message => new CURRENT.frames.Decoder().push(bytes)[0]!;
--- /dev/null
+++ b/test/fakes/released.ts
@@ -0,0 +1,174 @@
+import type { Observable } from 'rxjs';
+import type { Controller } from '../../src/control/controller.js';
+import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
+import type { JobApi } from '../../src/jobs/job-api.js';
+import type { Message } from '../../src/peer/frames.js';
+import type { FrameCodec, Program } from './program.js';
+
+/** The versions from which an upgrade to this tree is supported, by commit. */
+export type Release = '78ff1b1' | '104c759';
+export const RELEASES: readonly Release[] = ['78ff1b1', '104c759'];
+
+/**
+ * What the released constructors take. These types are frozen with the bundles: where this tree
+ * renames something, the compiler shows that the adapter below has to map it.
+ */
+interface ReleasedSettings {
+  member: string;
+  zone: string;
+  publicAddress: string;
+  peerAddress: string;
+  peers: { member: string; zone: string; address: string }[];
+  cloudAddress: string;
+  stateAddress: string;
+  size: number;
+  zones: string[];
+  clockErrorMs: number;
+  teams: Map<
+    string,
+    {
+      name: string;
+      guarantee: { cpus: number; gpus: number };
+      limit: { cpus: number; gpus: number };
+    }
+  >;
+  objectives: {
+    kind: string;
+    jobClass: string | null;
+    withinMs: number | null;
+    share: number | null;
+    times: number;
+  }[];
+  workers: {
+    reportMs: number;
+    leaseMs: number;
+    gangWaitMs: number;
+    gangPeerMs: number;
+    cancelMs: number;
+  };
+  state: {
+    rps: number;
+    writeRps: number;
+    valueBytes: number;
+    txnOps: number;
+    next: { rps?: number; writeRps?: number; valueBytes?: number; txnOps?: number } | null;
+  };
+  cloud: { rps: number; listLagMs: number };
+  machine: { coreShare: number; memoryMb: number; sockets: number };
+}
+
+interface ReleasedRuntime {
+  clock: {
+    now(): number;
+    wall(): number;
+    sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  };
+  random: { next(): number; unique(): string };
+  log: object;
+  startedAt: number;
+}
+
+interface ReleasedPeers {
+  heard: Observable<{ from: string; message: Message }>;
+  peers: string[];
+  send(to: string, message: Message): void;
+  startedAt(peer: string): number | null;
+}
+
+interface ReleasedLinks {
+  /** The name of the wire between controllers in 78ff1b1, and in 104c759. */
+  mesh: ReleasedPeers;
+  peerTransport: ReleasedPeers;
+  store: Transport;
+  cloud: Transport;
+  workers: (address: string) => Transport;
+}
+
+interface ReleasedController {
+  run(signal: AbortSignal): Promise<void>;
+  report(report: unknown): ReleasedOutcome | Promise<ReleasedOutcome>;
+  ready(): boolean;
+  /** The interface of users in 78ff1b1, and in 104c759. */
+  desk?: JobApi;
+  jobApi?: JobApi;
+}
+
+type ReleasedOutcome =
+  | { kind: 'orders'; token: number; orders: unknown[] }
+  | { kind: 'elsewhere'; leader: string | null };
+
+/** What scripts/bundle-production.mjs exports of a version. */
+interface Bundle extends FrameCodec {
+  Controller: new (
+    settings: ReleasedSettings,
+    operator: unknown,
+    runtime: ReleasedRuntime,
+    links: ReleasedLinks,
+  ) => ReleasedController;
+  OPERATOR_DEFAULTS: unknown;
+  NoAnswer: new (message: string) => Error;
+  parseReport(body: unknown): object | null;
+  reportAnswer(token: number, orders: unknown[]): object;
+  redirectAnswer(leader: string | null): object;
+  parseJob(value: unknown): object | null;
+  parseRun(value: unknown): object | null;
+  parseRental(value: unknown): object | null;
+}
+
+const FIXTURES = '../../../../test/fixtures/';
+
+const load = async (release: Release): Promise<Bundle> =>
+  (await import(new URL(`${FIXTURES}controllers/${release}.mjs`, import.meta.url).href)) as Bundle;
+
+/** The modules of the released versions. */
+export const BUNDLES: Record<Release, Bundle> = {
+  '78ff1b1': await load('78ff1b1'),
+  '104c759': await load('104c759'),
+};
+
+function programOf(release: Release): Program {
+  const bundle = BUNDLES[release];
+  const { encode, Decoder, OPERATOR_DEFAULTS } = bundle;
+  return {
+    version: release,
+    frames: { encode, Decoder },
+    create: (settings, runtime, { peerTransport, store, cloud, workers }) => {
+      const controller = new bundle.Controller(settings, OPERATOR_DEFAULTS, runtime, {
+        mesh: peerTransport,
+        peerTransport,
+        store: translated(store, bundle),
+        cloud: translated(cloud, bundle),
+        workers: (address) => translated(workers(address), bundle),
+      });
+      controller.jobApi ??= controller.desk;
+      return controller as unknown as Controller;
+    },
+    answerReport: async (controller, body) => {
+      const report = bundle.parseReport(body);
+      if (!report) return { status: 400, body: {} };
+      const outcome = await (controller as unknown as ReleasedController).report(report);
+      return outcome.kind === 'orders'
+        ? { status: 200, body: bundle.reportAnswer(outcome.token, outcome.orders) }
+        : { status: 421, body: bundle.redirectAnswer(outcome.leader) };
+    },
+  };
+}
+
+/** A bundle tells a request without an answer from other failures by a class of its own. */
+function translated(link: Transport, bundle: Bundle): Transport {
+  return {
+    request: async (...args): Promise<Reply> => {
+      try {
+        return await link.request(...args);
+      } catch (error) {
+        throw error instanceof NoAnswer ? new bundle.NoAnswer(error.message) : error;
+      }
+    },
+  };
+}
+
+/** The released versions, as programs that stories can run. */
+export const RELEASED: Record<Release, Program> = {
+  '78ff1b1': programOf('78ff1b1'),
+  '104c759': programOf('104c759'),
+};
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,15 +1,14 @@
 import assert from 'node:assert/strict';
-import { Controller } from '../../src/control/controller.js';
+import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Answer } from '../../src/jobs/job-api.js';
 import type { Clock } from '../../src/runtime/clock.js';
 import type { Random } from '../../src/runtime/random.js';
 import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
-import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
-import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
 import { FakeClock } from './clock.js';
 import { FakeCloud, type Host } from './cloud.js';
 import { FakeWire } from './peer-transport.js';
+import { CURRENT, type Program } from './program.js';
 import { SeededRandom } from './random.js';
 import { RuleChecker, type MachineSeen, type TaskSeen } from './rule-checker.js';
 import { FakeStore, type Fate } from './store.js';
@@ -113,6 +112,8 @@
 
 export interface Node {
   name: string;
+  /** The version that its next process runs. */
+  program: Program;
   controller: Controller | null;
   stop: AbortController;
   fate(method: string, path: string, body: unknown): Fate;
@@ -195,6 +196,7 @@
     for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, controllers)) {
       this.nodes.push({
         name,
+        program: CURRENT,
         controller: null,
         stop: new AbortController(),
         fate: () => 'serve',
@@ -259,13 +261,12 @@
     const node = this.nodes[i]!;
     const stop = new AbortController();
     node.stop = stop;
-    const controller = new Controller(
+    const controller = node.program.create(
       settingsAmong(
         node.name,
         this.nodes.map((n) => n.name),
         this.state,
       ),
-      OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.seed * 37 * this.lives),
@@ -276,6 +277,7 @@
         peerTransport: this.wire.attach(
           node.name,
           this.nodes.map((n) => n.name),
+          node.program.frames,
         ),
         store: this.through(
           node,
@@ -619,7 +621,7 @@
 
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
-    const { controller } = this.nodes[node]!;
+    const { controller, program } = this.nodes[node]!;
     await this.thaw(this.nodes[node]!);
     const { yard } = report as { yard: string };
     const cutOff = this.apart && yard !== this.zoneOf(this.nodes[node]!);
@@ -629,13 +631,10 @@
       if (!open) await this.clock.sleep(5000);
       throw new Error('no connection');
     }
-    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
-    assert.ok(parsed);
-    const outcome = await controller.report(parsed);
+    const answer = await program.answerReport(controller, JSON.parse(JSON.stringify(report)));
+    assert.notEqual(answer.status, 400);
     await this.clock.sleep(1 + this.nodes[node]!.heldMs);
-    return outcome.kind === 'orders'
-      ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
-      : { status: 421, body: redirectAnswer(outcome.leader) };
+    return answer;
   }
 
   private assembled(job: string, attempt: number): boolean {
