A job that fails on several machines is suspected itself, and no machine is blamed for it

Cause: a job with a mistake fails wherever it is tried. Its pause began anew each time one of its tasks ran for a moment, so all of its tasks were placed again every few seconds, each on other machines; and two such jobs made every machine that both had been on faulty, which was drained and given back.

Change: FailureHistory tells from where and how long a job's tasks failed whether the job is suspected. A suspected job is tried with one task (a gang as a whole) on room that is free after all else, after a pause that is doubled up to 16 report intervals, until a task of it runs well. It takes no part in its team's guarantee beyond what it holds, is not admitted at the gate, and nothing is rented or stopped for it; one that found no room for 48 report intervals is treated as others are for one attempt. A machine is faulty only if two jobs failed on it that run well elsewhere; while nothing shows yet, it gets no work. Nothing of it is stored: a new leader tries such a job as a whole at most twice.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -64,6 +64,7 @@
     }
     this.drain(now);
     for (const job of this.leader.jobs.values()) {
+      this.leader.progress.judge(job, now);
       if (job.gang) {
         checkTimeout(this.leader, job, now);
       }
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -156,6 +156,7 @@
         record.at,
         version,
         tasksPerRecord(this.leader.parts.settings.state.valueBytes),
+        this.leader.parts.settings.workers.reportMs,
       );
       job.phase = record.phase;
       job.doneAt = record.doneAt ?? null;
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -122,7 +122,10 @@
         term.end();
       },
       ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
-      settled: (job) => this.jobs.delete(job.id),
+      settled: (job) => {
+        job.failures.ended();
+        this.jobs.delete(job.id);
+      },
     });
     this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -173,12 +173,14 @@
       bootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < bootMs * PATIENCE_BOOTS,
-    waiting: job.waiting,
-    unfinished: spec.tasks - job.doneCount,
+    waiting: job.startable,
+    // What waits of a job that fails everywhere takes nothing of its team's guarantee from the rest.
+    unfinished: job.failures.suspected ? job.live.size : spec.tasks - job.doneCount,
     zones,
-    avoid: job.failedOn,
+    avoid: job.failures.avoided(now),
     gang: gang ? { holdsGate: gang.holdsGate, suspensions: gang.suspensions } : null,
-    admissible: gangMay && !job.blind && job.retryAt <= now,
+    admissible: gangMay && !job.blind && job.failures.retryAt <= now,
+    onTrial: job.failures.suspected,
   };
 }
 
@@ -292,7 +294,8 @@
         priority,
         lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
         wholeGang: job.gang !== null,
-        stopping: p.stop !== null || job.phase !== 'open',
+        // A trial of what fails everywhere is over soon: nothing is rented instead of its room.
+        stopping: p.stop !== null || job.phase !== 'open' || job.failures.suspected,
       });
     }
   }
--- a/src/control/task-progress.ts
+++ b/src/control/task-progress.ts
@@ -2,9 +2,6 @@
 import type { ExitWhy } from '../wire/report.js';
 import type { Leader } from './leader.js';
 
-/** How often the pause after a failure is doubled at most; it begins with two report intervals. */
-const MOST_PAUSE_DOUBLINGS = 4;
-
 /** What it means for a job that one of its tasks runs, has ended or is proven gone. */
 export class TaskProgress {
   constructor(private readonly leader: Leader) {}
@@ -12,7 +9,7 @@
   onRunning(p: Placement): void {
     p.runningSince = this.leader.now;
     const { job } = p;
-    job.failures = 0;
+    job.failures.running(0);
     if (job.gang && job.gang.phase === 'placed') {
       let ready = job.doneCount;
       for (const other of job.live.values()) {
@@ -36,6 +33,7 @@
     job.touch(p.task);
     if (why === 'done') {
       // The tasks of a gang complete together.
+      job.failures.completed();
       if (job.gang) for (let t = 0; t < job.spec.tasks; t++) job.markDone(t);
       else job.markDone(p.task);
     } else if (why === 'error' || why === 'no_room' || why === 'unknown' || why === 'busy') {
@@ -49,21 +47,23 @@
   }
 
   private onFailure(p: Placement, why: ExitWhy): void {
-    const { job } = p;
     const { now } = this.leader;
-    // What fails during the pause was started before it, as by tasks that share a faulty machine: it
-    // is one failure, or the rest of the job would wait for long beside machines that are sound.
-    if (now >= job.retryAt) {
-      job.failures++;
-      const doublings = Math.min(job.failures, MOST_PAUSE_DOUBLINGS);
-      job.retryAt = now + this.leader.parts.settings.workers.reportMs * 2 ** doublings;
+    const { failures } = p.job;
+    const ranMs = p.runningSince === null ? 0 : now - p.runningSince;
+    const failed = why === 'error';
+    failures.record({ machine: failed ? p.machine : null, ranMs, now });
+    if (failed) this.leader.fleet.machines.get(p.machine)?.failedJobs.add(failures);
+  }
+
+  /** A job whose tasks failed is sound if others of its tasks run for longer than those did. */
+  judge(job: Job, now: number): void {
+    if (!job.failures.undecided) return;
+    if (job.live.size === 0) job.failures.untried(now);
+    for (const p of job.live.values()) {
+      if (p.state === 'running' && p.runningSince !== null) {
+        job.failures.running(now - p.runningSince);
+      }
     }
-    if (why !== 'error') return;
-    const m = this.leader.fleet.machines.get(p.machine);
-    // One job that fails everywhere must not give every machine a bad name: it counts once each.
-    m?.failedJobs.add(job.id);
-    job.failedOn.add(p.machine);
-    if (job.failedOn.size > 3) job.failedOn.clear();
   }
 
   onLost(p: Placement): void {
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,3 +1,4 @@
+import type { Blame, FailureHistory } from '../jobs/failures.js';
 import type { Placement } from '../jobs/live.js';
 import type { MachineType, Need } from './types.js';
 import { take } from './types.js';
@@ -10,6 +11,9 @@
 const SLOW_BOOT = 1.8;
 const DEAD_BOOT = 3;
 
+/** So many jobs that run well elsewhere have to fail on a machine before it is taken for faulty. */
+const FAULTY_JOBS = 2;
+
 /** What is known of one machine, and what may be on it. */
 export class Machine {
   type: MachineType | null = null;
@@ -39,7 +43,8 @@
   returning = false;
   /** Sessions that ended although we answered: its worker does not get the answers. */
   deafSessions = 0;
-  readonly failedJobs = new Set<string>();
+  /** What is known of each job that failed here. */
+  readonly failedJobs = new Set<FailureHistory>();
   readonly placements = new Map<string, Placement>();
   /** Exited starts that must not be forgotten yet, since their end is not in the store. */
   readonly unrecorded = new Set<string>();
@@ -67,7 +72,8 @@
       this.listedState !== 'failed' &&
       this.heardAt !== null &&
       now - this.heardAt <= silentMs &&
-      !this.faulty
+      !this.faulty &&
+      !this.doubtful(now)
     );
   }
 
@@ -93,7 +99,21 @@
   }
 
   get faulty(): boolean {
-    return this.deafSessions > 0 || this.failedJobs.size >= 2;
+    return this.deafSessions > 0 || this.blamedBy(['sound'], 0) >= FAULTY_JOBS;
+  }
+
+  /**
+   * Jobs have failed here of which nothing shows yet whether they fail everywhere. It gets no work
+   * meanwhile; tried elsewhere, they soon clear it or prove it faulty.
+   */
+  private doubtful(now: number): boolean {
+    return this.blamedBy(['sound', 'open'], now) >= FAULTY_JOBS;
+  }
+
+  private blamedBy(blames: Blame[], now: number): number {
+    let jobs = 0;
+    for (const job of this.failedJobs) if (blames.includes(job.blames(this.id, now))) jobs++;
+    return jobs;
   }
 
   /**
--- /dev/null
+++ b/src/jobs/failures.ts
@@ -0,0 +1,148 @@
+/** The pause after a failure begins with two report intervals and is doubled at most this often. */
+const MOST_PAUSE_DOUBLINGS = 4;
+
+/** A machine on which a task failed is avoided for as many report intervals as the longest pause. */
+const AVOID_REPORTS = 2 ** MOST_PAUSE_DOUBLINGS;
+
+/** On so many machines a job has to fail before the fault is looked for in the job. */
+const SUSPICIOUS_MACHINES = 2;
+
+/** A job that fails on more machines than this blames none of them, whatever else of it runs. */
+const MOST_BLAMED_MACHINES = 3;
+
+/**
+ * Where a suspected job finds no free room for so many report intervals after its pause, it counts as
+ * others do for one attempt, which may wait at the gate and rent: it may have met faulty machines only.
+ */
+const UNTRIED_REPORTS = 48;
+
+/**
+ * A task runs well once it has run for so many times as long as any that failed, and so many report
+ * intervals more: starts and ends are known no better than that.
+ */
+const PROOF_RUNS = 2;
+const PROOF_REPORTS = 2;
+
+export interface Failure {
+  /** Where it failed; null: its machine refused the start, which tells nothing of either. */
+  machine: string | null;
+  /** How long the task ran, in milliseconds. */
+  ranMs: number;
+  /** Steady time in milliseconds. */
+  now: number;
+}
+
+/**
+ * `sound`: the job runs well elsewhere, so its machine is at fault. `open`: nothing shows yet which
+ * of the two is. `none`: the job is, or nothing will show it any more.
+ */
+export type Blame = 'sound' | 'open' | 'none';
+
+/**
+ * What the failures of one job's tasks tell: is it the machines, or a mistake in the job, which then
+ * fails everywhere?
+ *
+ * It lives in the leader's memory alone, so it costs no writes. A new leader knows nothing of it, and
+ * tries a job with a mistake as a whole again before it is suspected: once, or twice if all of its
+ * tasks were on one machine, for each change of leader. No pause outlives its leader either.
+ */
+export class FailureHistory {
+  /** No task is placed before this steady time. */
+  retryAt = 0;
+  /** Failures in a row; those within one pause count once. */
+  private rounds = 0;
+  /** When a task last failed on each machine; since a task of the job last ran well, if any did. */
+  private readonly failedAt = new Map<string, number>();
+  private longestRunMs = 0;
+  private ranWell = false;
+  private completedSome = false;
+  private dueAnAttempt = false;
+  private over = false;
+
+  constructor(private readonly reportMs = 1000) {}
+
+  /** It fails wherever it is tried: a mistake of its own, until one of its tasks runs well. */
+  get suspected(): boolean {
+    return this.failsEverywhere && !this.dueAnAttempt;
+  }
+
+  private get failsEverywhere(): boolean {
+    return !this.ranWell && this.failedAt.size >= SUSPICIOUS_MACHINES;
+  }
+
+  /** Whether it may be told by its running tasks that the job is sound. */
+  get undecided(): boolean {
+    return !this.ranWell && this.failedAt.size > 0;
+  }
+
+  record({ machine, ranMs, now }: Failure): void {
+    // What fails during the pause was started before it, as by tasks that share a faulty machine: it
+    // is one failure, or the rest of the job would wait for long beside machines that are sound.
+    if (now >= this.retryAt) {
+      this.rounds++;
+      const doublings = Math.min(this.rounds, MOST_PAUSE_DOUBLINGS);
+      this.retryAt = now + this.reportMs * 2 ** doublings;
+    }
+    if (machine === null) return;
+    this.dueAnAttempt = false;
+    // A run of this length was taken for a proof, and was none.
+    if (ranMs >= this.proofMs && !this.completedSome) this.ranWell = false;
+    this.longestRunMs = Math.max(this.longestRunMs, ranMs);
+    this.failedAt.set(machine, now);
+  }
+
+  /** A task of it is complete. */
+  completed(): void {
+    this.completedSome = true;
+    this.provenSound();
+  }
+
+  /** A task of it runs, and has done so for `ranMs`. */
+  running(ranMs: number): void {
+    if (this.failedAt.size === 0) this.rounds = 0;
+    else if (ranMs > this.proofMs) this.provenSound();
+  }
+
+  /** Nothing of it is on a machine now. */
+  untried(now: number): void {
+    if (now - this.retryAt > this.reportMs * UNTRIED_REPORTS) this.dueAnAttempt = true;
+  }
+
+  /** The job is over: what nothing has shown by now stays open for ever. */
+  ended(): void {
+    this.over = true;
+  }
+
+  /** Machines to leave alone for a while. Not for good: there may be no others. */
+  avoided(now: number): ReadonlySet<string> {
+    const machines = new Set<string>();
+    for (const [machine, at] of this.failedAt) if (this.recent(at, now)) machines.add(machine);
+    return machines;
+  }
+
+  /** What the job's failure says against a machine on which it failed. */
+  blames(machine: string, now: number): Blame {
+    const at = this.failedAt.get(machine);
+    if (at === undefined || this.failsEverywhere || this.failedAt.size > MOST_BLAMED_MACHINES) {
+      return 'none';
+    }
+    if (this.ranWell) return 'sound';
+    return !this.over && this.recent(at, now) ? 'open' : 'none';
+  }
+
+  private provenSound(): void {
+    // Whether those machines were at fault or it was mended meanwhile, nobody knows: they are not
+    // blamed. It may soon fail again on what is faulty, and is believed then.
+    if (this.failsEverywhere) this.failedAt.clear();
+    this.ranWell = true;
+    this.rounds = 0;
+  }
+
+  private get proofMs(): number {
+    return this.longestRunMs * PROOF_RUNS + this.reportMs * PROOF_REPORTS;
+  }
+
+  private recent(at: number, now: number): boolean {
+    return now - at < this.reportMs * AVOID_REPORTS;
+  }
+}
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -1,4 +1,5 @@
 import type { TaskState } from '../wire/report.js';
+import { FailureHistory } from './failures.js';
 import type { JobPhase, JobSpec } from './job.js';
 import type { GangRecord, RangedRunRecord, RunRecord } from './records.js';
 import { RunLayout, type Section } from './run-layout.js';
@@ -52,10 +53,7 @@
   rewriting = false;
   doneCount = 0;
   private readonly done: Uint8Array;
-  /** No task of it is placed before this time: it failed lately. */
-  retryAt = 0;
-  failures = 0;
-  readonly failedOn = new Set<string>();
+  readonly failures: FailureHistory;
   /** Exited starts whose end is not in the store yet. */
   exited: Placement[] = [];
   writing = false;
@@ -86,7 +84,9 @@
     readonly submittedAt: number,
     public version: number,
     perIndexedRecord: number,
+    reportMs?: number,
   ) {
+    this.failures = new FailureHistory(reportMs);
     this.readyAt = submittedAt;
     this.done = new Uint8Array(spec.tasks);
     this.layout = new RunLayout(id, spec.tasks, perIndexedRecord);
@@ -132,6 +132,12 @@
     return tasks;
   }
 
+  /** How many tasks may be started: of a job that fails on every machine one at a time, as a trial. */
+  get startable(): number {
+    if (!this.failures.suspected || this.gang) return this.waiting;
+    return Math.min(this.waiting, this.live.size > 0 ? 0 : 1);
+  }
+
   get running(): number {
     let n = 0;
     for (const p of this.live.values()) if (p.state === 'running') n++;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -48,6 +48,11 @@
   gang: GangView | null;
   /** False while it waits after a failure or on the inadmissible list. */
   admissible: boolean;
+  /**
+   * It has failed on every machine so far. It is tried after all else and where there is room anyway:
+   * nothing makes way for it, is kept free or rented for it, and it is not admitted at the gate.
+   */
+  onTrial: boolean;
 }
 
 export interface GangView {
@@ -74,6 +79,7 @@
   lossMs: number;
   /** All tasks of a gang stop together. */
   wholeGang: boolean;
+  /** It makes room by itself: it was told to stop, or will most likely fail. */
   stopping: boolean;
 }
 
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -67,6 +67,7 @@
   const sameClass = (a: JobView, b: JobView): boolean =>
     a.priority === b.priority && a.spec.kind === b.spec.kind;
   return [...jobs].sort((a, b) => {
+    if (a.onTrial !== b.onTrial) return Number(a.onTrial) - Number(b.onTrial);
     // The gang that holds the gate goes before other standard work: all other gangs wait for it.
     const byRank = rank(a.priority, guaranteed.has(a.id)) - rank(b.priority, guaranteed.has(b.id));
     if (byRank !== 0) return byRank;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -76,7 +76,8 @@
     for (const job of inOrder(waiting, this.guaranteed)) {
       const team = this.s.teams.get(job.spec.team);
       if (!team) continue;
-      if (job.gang) this.gang(job, team);
+      if (job.onTrial) this.tryOut(job, team);
+      else if (job.gang) this.gang(job, team);
       else {
         const count = Math.min(job.waiting, limitRoom(team, job.spec));
         if (count <= 0) continue;
@@ -105,6 +106,16 @@
     return this.result;
   }
 
+  /** Starts what there is free room for, and does nothing for the rest. */
+  private tryOut(job: JobView, team: TeamView): void {
+    if (job.gang) {
+      this.passWhole(job, team);
+      return;
+    }
+    const count = Math.min(job.waiting, limitRoom(team, job.spec));
+    if (count > 0) this.start(job, count, new ZoneRules(job.spec, job.zones), team, this.up);
+  }
+
   /**
    * What is patient gets the room that nobody else took or has set aside. Machines are rented for all
    * of it that will be ready before one could boot, less what its like holds by now and leaves by then.
@@ -185,12 +196,7 @@
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
     if (limitRoom(team, job.spec) < job.spec.tasks) return;
-    const placed = this.isFull(job.spec, this.up) ? null : placeGang(job, this.up, this.scarce);
-    if (placed) {
-      this.charge(team, job.spec, job.spec.tasks);
-      this.record(job, placed);
-      return;
-    }
+    if (this.passWhole(job, team)) return;
     if (job.patient) {
       const rules = new ZoneRules(job.spec, job.zones);
       this.patient.push({ job, missing: job.spec.tasks, rules });
@@ -203,6 +209,16 @@
     if (!holdsGate && !behind) this.result.admit = job.id;
   }
 
+  /** A gang whose whole room is free and held now passes at once; false if it is not. */
+  private passWhole(job: JobView, team: TeamView): boolean {
+    if (limitRoom(team, job.spec) < job.spec.tasks || this.isFull(job.spec, this.up)) return false;
+    const placed = placeGang(job, this.up, this.scarce);
+    if (!placed) return false;
+    this.charge(team, job.spec, job.spec.tasks);
+    this.record(job, placed);
+    return true;
+  }
+
   /**
    * Sets aside room for a whole gang: what is free, what lesser work makes when it is stopped (sooner
    * than a machine boots, and it loses little where it can be saved), what boots, what can be rented.
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -55,6 +55,8 @@
   slowMs = 0;
   /** A key has been written; called at that moment. */
   onWrite: (key: string) => void = () => undefined;
+  /** Puts and deletes that were carried out. */
+  changes = 0;
   private revision = 0;
   private nextLease = 1;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -184,6 +186,7 @@
       return { status: 400, body: { error: 'no such lease' } };
     }
     if (failed.length > 0) return { status: 409, body: { failed, ledgerRev: this.revision } };
+    this.changes += then.length;
     if (then.length > 0) this.revision++;
     for (const c of then) {
       if (c.write !== undefined) {
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -20,6 +20,8 @@
   vcpus: number;
   gpus: number;
   memoryGb: number;
+  /** Submitted with a mistake: its tasks fail on every machine after running for so long. */
+  failsAfterMs?: number;
 }
 
 export interface Room {
@@ -67,6 +69,8 @@
   /** Reports reach nobody; direct commands arrive. */
   mute = false;
   warningS: number | null = null;
+  /** Every task fails here after running for so long, in milliseconds. */
+  failsAfterMs = Infinity;
   /** Every report as it was sent, for late copies. */
   readonly sent: object[] = [];
   private node = 0;
@@ -253,6 +257,11 @@
         p.phase = 'running';
         p.since = now;
       }
+      const failsAfterMs = Math.min(this.failsAfterMs, facts.failsAfterMs ?? Infinity);
+      if (p.phase === 'running' && now - p.since >= failsAfterMs) {
+        p.phase = 'ended';
+        p.cause = 'error';
+      }
       if (p.phase === 'running' && facts.runMs > 0 && now - p.since >= facts.runMs) {
         p.phase = 'ended';
         p.cause = 'done';
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -139,6 +139,8 @@
   hulls?: string[];
   vcpus?: number;
   waitsOn?: string[];
+  /** It has a mistake: its tasks fail on every machine after running for so long. */
+  failsAfterMs?: number;
 }
 
 export interface MachineWish {
@@ -433,7 +435,8 @@
     const { shape, pieces, vcpus, gpus, memoryGb } = body;
     const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
     this.needs.set(ref, w.waitsOn ?? []);
-    this.facts.set(ref, { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 });
+    const facts = { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 };
+    this.facts.set(ref, w.failsAfterMs ? { ...facts, failsAfterMs: w.failsAfterMs } : facts);
     return { ref, body };
   }
 
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -40,6 +40,7 @@
       avoid: new Set(),
       gang: null,
       admissible: true,
+      onTrial: false,
     };
   });
   const up = ids.map((id): MachineView => {
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -28,6 +28,7 @@
     avoid: new Set(),
     gang: full.kind === 'gang' ? { holdsGate: false, suspensions: 0 } : null,
     admissible: true,
+    onTrial: false,
     ...view,
   };
 }
