Machines that are late are judged by what others have shown, and gangs wait with them

Cause: a machine was given back after three nominal boots whatever others did. In a cloud that boots at a quarter of its pace all of them went back before any could be up, over and over, and a gang that waited for them was suspended although it was workable; one whose machine came late was suspended while it fetched its image. A machine that never came up was paid for three boots even when one that was rented after it had long been up.

Change: the boot of the machine that was rented last among those that have come up tells how long a boot takes. A gang isn't charged for the time in which a machine that it may use is late and may still come, and what is left of its timeout once it has its machines is never less than fetch and slack.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -1,7 +1,7 @@
 import type { Job, Placement } from '../jobs/live.js';
 import type { Plan, Snapshot } from '../scheduler/model.js';
 import { plan } from '../scheduler/plan.js';
-import { checkTimeout } from './gang-gate.js';
+import { checkTimeout, gateBootMs } from './gang-gate.js';
 import type { Leader } from './leader.js';
 import { takeSnapshot } from './snapshot.js';
 
@@ -123,8 +123,8 @@
 
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
   private drain(now: number): void {
+    this.leader.reconciler.giveUpDead(now);
     for (const m of this.leader.fleet.machines.values()) {
-      if (m.stillborn(now)) this.leader.reconciler.giveBack(m);
       if (m.noticeAt === null && !m.faulty) continue;
       for (const p of m.placements.values()) {
         if (p.stop || p.job.phase !== 'open') continue;
@@ -198,6 +198,6 @@
       },
       'placed',
     );
-    if (job.gang) this.leader.gate.placed(job, now);
+    if (job.gang) this.leader.gate.placed(job, now, gateBootMs(this.leader, job));
   }
 }
--- a/src/control/gang-gate.ts
+++ b/src/control/gang-gate.ts
@@ -1,3 +1,5 @@
+import { fits, type MachineType } from '../fleet/types.js';
+import type { JobSpec } from '../jobs/job.js';
 import type { Job } from '../jobs/live.js';
 import type { Operator } from '../settings/operator.js';
 import type { Leader } from './leader.js';
@@ -25,12 +27,16 @@
     job.touch(0);
   }
 
-  placed(job: Job, now: number): void {
+  /**
+   * It has its machines. However long it waited for them, what is left of its timeout from here on
+   * is never less than the fetch of its image and the slack: a gang whose machines came late would
+   * else be stopped while it fetches. `bootMs`: the boot time that its timeout counts with.
+   */
+  placed(job: Job, now: number, bootMs: number): void {
     const gang = job.gang!;
-    if (gang.phase !== 'admitted') {
-      gang.chargedMs = 0;
-      gang.chargedAt = now;
-    }
+    if (gang.phase === 'admitted') gang.chargedMs = Math.min(gang.chargedMs, bootMs);
+    else gang.chargedMs = 0;
+    gang.chargedAt = now;
     gang.phase = 'placed';
     job.touch(0);
   }
@@ -69,8 +75,8 @@
     return;
   }
   if (gang.phase !== 'admitted' && gang.phase !== 'placed') return;
-  // While the cloud refuses or is silent, a gang that waits for machines is not to blame.
-  const excused = gang.phase === 'admitted' && leader.rentals.troubleSince !== null;
+  // While the cloud refuses, is silent or boots slowly, a gang that waits for machines is not to blame.
+  const excused = gang.phase === 'admitted' && isCloudInTrouble(leader, job, now);
   if (!excused) gang.chargedMs += now - gang.chargedAt;
   gang.chargedAt = now;
   if (gang.chargedMs <= gateTimeout(leader, job)) return;
@@ -80,13 +86,37 @@
   leader.ledger.flush(job);
 }
 
+/** Machines that the gang may wait for cannot be had, or are late and may still come. */
+function isCloudInTrouble(leader: Leader, job: Job, now: number): boolean {
+  if (leader.rentals.troubleSince !== null) return true;
+  const { machines, boots } = leader.fleet;
+  const types = new Set(usableTypes(leader, job.spec).map((type) => type.name));
+  for (const m of machines.values()) {
+    if (!types.has(m.type?.name ?? '') || m.returning) continue;
+    if (boots.mayStillCome(m, now, machines.values())) return true;
+  }
+  return false;
+}
+
 /** Boot and fetch of the slowest machine type that the gang may get, and some slack. */
 function gateTimeout(leader: Leader, job: Job): number {
-  const { spec } = job;
   let most = 0;
-  for (const type of leader.parts.catalogue.types.value?.values() ?? []) {
-    if (spec.types !== null && !spec.types.includes(type.name)) continue;
-    most = Math.max(most, type.bootMs + (spec.imageGb / type.fetchGbPerS) * 1000);
+  for (const type of usableTypes(leader, job.spec)) {
+    const fetchMs = (job.spec.imageGb / type.fetchGbPerS) * 1000;
+    most = Math.max(most, leader.fleet.boots.expectedMs(type) + fetchMs);
   }
   return most + leader.parts.operator.gate.slackSeconds * 1000;
 }
+
+/** The boot time that a gang's timeout counts with at least, whatever type it gets. */
+export function gateBootMs(leader: Leader, job: Job): number {
+  return Math.min(...usableTypes(leader, job.spec).map((t) => leader.fleet.boots.expectedMs(t)));
+}
+
+/** The machine types on which a task of the job may run. */
+function usableTypes(leader: Leader, spec: JobSpec): MachineType[] {
+  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
+  return types.filter(
+    (t) => (spec.types === null || spec.types.includes(t.name)) && fits(spec.need, t.room),
+  );
+}
--- a/src/control/machine-reconciler.ts
+++ b/src/control/machine-reconciler.ts
@@ -82,6 +82,14 @@
     this.rentals.giveBack(m.id);
   }
 
+  /** Gives back machines that are paid for and will not come up. */
+  giveUpDead(now: number): void {
+    const { machines, boots } = this.fleet;
+    // A machine that is given back here is evidence for the others no more: all are judged first.
+    const dead = [...machines.values()].filter((m) => boots.dead(m, now, machines.values()));
+    for (const m of dead) this.giveBack(m);
+  }
+
   /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
   giveBackSurplus(spare: string[], now: number): void {
     const idle = new Set(spare);
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import type { Placement } from '../jobs/live.js';
 import { DRIFT } from '../runtime/clock.js';
 import type { ExitWhy, Order, Report, TaskReport } from '../wire/report.js';
+import { BootTimes } from './boot-times.js';
 import { Machine, startKey, taskKey } from './machine.js';
 import type { MachineType } from './types.js';
 
@@ -25,6 +26,7 @@
  */
 export class Fleet {
   readonly machines = new Map<string, Machine>();
+  readonly boots = new BootTimes();
   /** Machines that the cloud took back in this term: copies of their reports may still come. */
   private readonly returned = new Set<string>();
 
@@ -78,6 +80,7 @@
     // must not lack a stop.
     if (!m.newer(r.session, r.seq)) return r.session === m.session ? this.pendingStops(m) : [];
     if (m.heardAt === null || now - m.heardAt > this.leaseMs / 2) m.steadySince = now;
+    if (m.booting && m.type) this.boots.cameUp(m.type.name, m.rentedAt, now);
     m.firstHeardAt ??= now;
     m.heardAt = now;
     const before = m.session;
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,4 +1,5 @@
 import type { Placement } from '../jobs/live.js';
+import type { BootTimes } from './boot-times.js';
 import type { MachineType, Need } from './types.js';
 import { take } from './types.js';
 
@@ -6,10 +7,6 @@
 export const startKey = (job: string, task: number, attempt: number): string =>
   `${job}/${task}/${attempt}`;
 
-/** After how many boot times a machine is not waited for any more, and is given back. */
-const SLOW_BOOT = 1.8;
-const DEAD_BOOT = 3;
-
 /** What is known of one machine, and what may be on it. */
 export class Machine {
   type: MachineType | null = null;
@@ -98,22 +95,17 @@
 
   /**
    * Not heard of yet, but expected: it boots, or is said to run and its worker should report soon.
-   * One that takes several times its boot time is not counted on any more.
+   * One that is late is not counted on any more, so that another is rented in its place.
    */
-  coming(now: number, patienceMs: number): boolean {
+  coming(now: number, patienceMs: number, boots: BootTimes): boolean {
     if (this.heardAt !== null || this.placements.size > 0 || this.type === null) return false;
-    if (this.listedState === 'booting') return now - this.rentedAt < this.type.bootMs * SLOW_BOOT;
+    if (this.listedState === 'booting') return !boots.late(this, now);
     return this.runningAt !== null && now - this.runningAt < patienceMs;
   }
 
-  /** It is paid for and will not come up. */
-  stillborn(now: number): boolean {
-    return (
-      this.heardAt === null &&
-      this.type !== null &&
-      this.listedState === 'booting' &&
-      now - this.rentedAt > this.type.bootMs * DEAD_BOOT
-    );
+  /** The cloud says that it boots, and its worker has not reported. */
+  get booting(): boolean {
+    return this.heardAt === null && this.listedState === 'booting';
   }
 
   free(): Need {
