A machine that runs and stays silent goes back

Cause: a machine that the cloud lists as running and whose worker never reports, or reports no more, was paid until the cloud took it off its list.

Change: with nothing recorded on it, it goes back after three boot times of silence, unless most machines of its zone are silent too: then a cut is the likelier reason.

The story fails without the change, and without the look at the zone.

--- a/src/control/machine-reconciler.ts
+++ b/src/control/machine-reconciler.ts
@@ -10,6 +10,9 @@
 /** For how many times the list's lag a machine that went back is not believed to be there again. */
 const GONE_LAGS = 6;
 
+/** After how many boot times of silence a machine that runs and holds nothing goes back. */
+const SILENT_BOOTS = 3;
+
 /** Which machines there are, as the cloud lists them, and which of them go back. */
 export class MachineReconciler {
   private spares: Spares;
@@ -82,14 +85,35 @@
     this.rentals.giveBack(m.id);
   }
 
-  /** Gives back machines that are paid for and will not come up. */
+  /** Gives back machines that are paid for and will not come up, or are out of reach for good. */
   giveUpDead(now: number): void {
     const { machines, boots } = this.fleet;
     // A machine that is given back here is evidence for the others no more: all are judged first.
-    const dead = [...machines.values()].filter((m) => boots.dead(m, now, machines.values()));
+    const dead = [...machines.values()].filter(
+      (m) => boots.dead(m, now, machines.values()) || this.outOfReach(m, now),
+    );
     for (const m of dead) this.giveBack(m);
   }
 
+  /**
+   * The cloud says that it runs, and its worker has been silent for so long that another would have
+   * been up several times over. Where most machines of its zone are silent too, a cut is the likelier
+   * reason: they will be of use once it is over.
+   */
+  private outOfReach(m: Machine, now: number): boolean {
+    if (m.listedState !== 'running' || m.type === null || m.placements.size > 0) return false;
+    const lastSignAt = Math.max(m.heardAt ?? -Infinity, m.runningAt ?? Infinity);
+    if (now - lastSignAt <= m.type.bootMs * SILENT_BOOTS) return false;
+    let heard = 0;
+    let silent = 0;
+    for (const other of this.fleet.machines.values()) {
+      if (other.zone !== m.zone || other.listedState !== 'running') continue;
+      if (now - (other.heardAt ?? -Infinity) <= this.settings.workers.leaseMs) heard++;
+      else silent++;
+    }
+    return heard > silent;
+  }
+
   /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
   giveBackSurplus(spare: string[], now: number): void {
     const idle = new Set(spare);
--- a/test/slow-boots.test.ts
+++ b/test/slow-boots.test.ts
@@ -55,3 +55,22 @@
   await w.until(() => !w.cloud.hosts.has(dead), 2, 'the dead one is paid no longer');
   await w.close();
 });
+
+test('a machine that is listed as running and stays silent goes back, but not in a cut of its zone', async () => {
+  const w = new World([{ yard: 'a' }, { yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }]);
+  await w.start();
+  // One to each machine, so that none of them is spare.
+  await w.submit({ shape: 'service', pieces: 5, gpus: 8, runMs: 1_000_000, crew: 'speech' });
+  await w.pass(10);
+  const inZone = (yard: string): string[] =>
+    [...w.workers.values()].filter((x) => x.yard === yard).map((x) => x.id);
+  const [silent] = inZone('a');
+  w.workers.get(silent!)!.dead = true;
+  const cut = inZone('b').slice(0, 2);
+  for (const id of cut) w.workers.get(id)!.dead = true;
+  await w.pass(BOOT_S * 3 - 10);
+  assert.ok(w.cloud.hosts.has(silent!), 'it may come back');
+  await w.until(() => !w.cloud.hosts.has(silent!), 40, 'it is paid no longer');
+  assert.ok(cut.every((id) => w.cloud.hosts.has(id)));
+  await w.close();
+});
