An offer that is refused again and again is asked for less often

Cause: an offer that the cloud had no room for was asked for again every two list lags, however often it had been refused. Each such order costs the store two changes and the cloud a call.

Change: the pause doubles with each refusal in a row, twice at most. An order that is filled even in part, and the return of any machine, begins anew.

--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -27,6 +27,13 @@
   until: number;
 }
 
+/** An offer for which the cloud had no room. */
+interface Refusal {
+  /** Steady time until which it is left alone. */
+  until: number;
+  doublings: number;
+}
+
 export interface RentalEvents {
   rented(ids: string[], rent: Rent): void;
   listed(machines: Listed[]): void;
@@ -37,7 +44,7 @@
 export class Rentals {
   private readonly budget: Budget;
   private readonly pending = new Map<string, Pending>();
-  private readonly refusedUntil = new Map<string, number>();
+  private readonly refusals = new Map<string, Refusal>();
   private readonly returns = new Set<string>();
   private returning = false;
   /** Since when the cloud has refused or been silent; null while it serves. */
@@ -80,7 +87,7 @@
   }
 
   refused(type: string, zone: string, spot: boolean): boolean {
-    return (this.refusedUntil.get(offerKey(type, zone, spot)) ?? 0) > this.runtime.clock.now();
+    return (this.refusals.get(offerKey(type, zone, spot))?.until ?? 0) > this.runtime.clock.now();
   }
 
   rent(rent: Rent): void {
@@ -123,6 +130,7 @@
       if (reply?.status === 200) {
         const ids = parseRented(reply.body);
         log.debug({ ...rent, got: ids.length }, 'rented');
+        this.refusals.delete(offerKey(rent.type, rent.zone, rent.spot));
         if (ids.length < rent.count) this.refuse(rent);
         this.events.rented(ids, rent);
         this.pending.delete(request);
@@ -154,11 +162,20 @@
     );
   }
 
+  /**
+   * An order that is refused costs the store two changes and the cloud a call. Where room is short
+   * for minutes, asking for it at the same pace would hold up the starts and the users' submissions.
+   */
   private refuse(rent: Rent): void {
-    const until =
-      this.runtime.clock.now() +
-      jitter(this.settings.cloud.listLagMs * REFUSED_LAGS, this.runtime.random);
-    this.refusedUntil.set(offerKey(rent.type, rent.zone, rent.spot), until);
+    const key = offerKey(rent.type, rent.zone, rent.spot);
+    const doublings = Math.min(
+      (this.refusals.get(key)?.doublings ?? -1) + 1,
+      MOST_REFUSAL_DOUBLINGS,
+    );
+    const pauseMs = this.settings.cloud.listLagMs * REFUSED_LAGS * 2 ** doublings;
+    const until = this.runtime.clock.now() + jitter(pauseMs, this.runtime.random);
+    this.refusals.set(key, { until, doublings });
+    this.runtime.log.debug({ ...rent, pauseMs }, 'rental refused');
   }
 
   giveBack(id: string): void {
@@ -173,6 +190,8 @@
       const reply = await this.call('POST', PATHS.giveBack, returnBody(ids)).catch(() => null);
       if (reply?.status === 200) {
         for (const id of ids) this.returns.delete(id);
+        // Its room can be had again.
+        this.refusals.clear();
         this.events.returned(ids);
       } else {
         await this.runtime.clock.sleep(
@@ -225,9 +244,12 @@
   }
 }
 
-/** For how many times the list's lag an offer that was refused is left alone. */
+/** For how many times the list's lag an offer that was refused is left alone at first. */
 const REFUSED_LAGS = 2;
 
+/** How often that pause is doubled at most while the offer is refused again and again. */
+const MOST_REFUSAL_DOUBLINGS = 2;
+
 const offerKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
 
 const noCapacity = (body: unknown): boolean =>
