--- a/src/jobs/transaction-committer.ts
+++ b/src/jobs/transaction-committer.ts
@@ -91,11 +91,13 @@
 /**
  * Tasks of an array are of use one by one; services and gangs wait for each of theirs. The end of a
  * job that others wait for holds up all their tasks, until it is stored. What was cancelled with
- * another job is known to be cancelled already, and no task of it runs.
+ * another job is known to be cancelled already, and no task of it runs: hundreds of such records must
+ * not stand before anybody's starts.
  */
 function urgencyOf(job: Job, transaction: JobTransaction): Urgency {
   if (transaction.background) return 2;
   if (job.phase === 'open') return job.spec.kind === 'array' ? 2 : 1;
-  if (job.phaseStored || job.cancelledWith !== null) return 2;
+  if (job.cancelledWith !== null) return 3;
+  if (job.phaseStored) return 2;
   return job.phase === 'done' && job.awaited ? 0 : 1;
 }
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -1,5 +1,11 @@
 import type { Clock } from '../runtime/clock.js';
 
+/** 0 goes first; what has 3 is in no hurry at all, and nobody waits for it. */
+export type Urgency = 0 | 1 | 2 | 3;
+
+/** Callers of this urgency are not counted as waiting. */
+const NO_HURRY: Urgency = 3;
+
 interface Waiter {
   cost: number;
   grant(): void;
@@ -12,7 +18,7 @@
 export class Budget {
   private tokens: number;
   private filledAt: number;
-  private readonly queues: Waiter[][] = [[], [], []];
+  private readonly queues: Waiter[][] = [[], [], [], []];
   private serving = false;
 
   constructor(
@@ -25,7 +31,7 @@
   }
 
   /** Resolves once `cost` may be spent; rejects if `signal` is aborted first. */
-  take(cost: number, urgency: 0 | 1 | 2, signal?: AbortSignal): Promise<void> {
+  take(cost: number, urgency: Urgency, signal?: AbortSignal): Promise<void> {
     signal?.throwIfAborted();
     this.fill();
     // A cost above the burst would never be covered; it is let through once the bucket is full.
@@ -62,13 +68,13 @@
     this.tokens = Math.min(this.tokens, burst);
   }
 
-  /** How many callers wait: callers widen their batches by it. */
+  /** How many callers wait that are in a hurry: callers widen their batches by it. */
   get waiting(): number {
-    return this.queues.reduce((sum, q) => sum + q.length, 0);
+    return this.queues.slice(0, NO_HURRY).reduce((sum, q) => sum + q.length, 0);
   }
 
   /** How long a caller of this urgency would wait for `cost`, in milliseconds. */
-  delayMs(cost: number, urgency: 0 | 1 | 2): number {
+  delayMs(cost: number, urgency: Urgency): number {
     this.fill();
     let ahead = 0;
     for (const queue of this.queues.slice(0, urgency + 1)) {
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -3,7 +3,7 @@
 import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import * as wire from '../wire/store.js';
-import { Budget } from './budget.js';
+import { Budget, type Urgency } from './budget.js';
 import { StoreLimits } from './limits.js';
 
 export type { Change, Condition, Entry, StoreEvent } from '../wire/store.js';
@@ -28,7 +28,7 @@
   /** `doubtful`: an earlier copy of the same transaction got no answer and may have been applied. */
   | { ok: false; failed: string[]; doubtful: boolean };
 
-export type Urgency = 0 | 1 | 2;
+export type { Urgency } from './budget.js';
 
 interface Rate {
   perSecond: number;
--- a/test/request-cascade.test.ts
+++ b/test/request-cascade.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
-import { play, type Meeting } from './fakes/meeting.js';
+import { test } from 'node:test';
+import { machines, play, type Meeting } from './fakes/meeting.js';
 import { makeOld, NEXT } from './fakes/upgrade.js';
-import type { World } from './fakes/world.js';
+import { World } from './fakes/world.js';
 
 const WISH = { runMs: 120_000, fetchMs: 500, crew: 'speech' };
 
@@ -112,3 +113,25 @@
 ];
 
 play(MEETINGS);
+
+test('the records of six hundred jobs cancelled with another hold up nobody else', async () => {
+  const w = new World(machines('aabb'), 2, 0, NEXT);
+  await w.start();
+  const root = await w.submit({ ...WISH, pieces: 2 });
+  const { at, spec } = w.store.get(`jobs/${root}`) as { at: number; spec: object };
+  const dependents = Array.from({ length: 600 }, (_, i) => `req-5${String(i).padStart(5, '0')}`);
+  for (const ref of dependents) {
+    const record = { w: 'w', phase: 'open', tasks: 2, at, spec, needs: { ids: [root] } };
+    w.store.write(`jobs/${ref}`, record);
+  }
+  w.store.limits = NEXT;
+  await w.pass(3);
+  assert.equal(await w.cancel(root), 'withdrawn');
+  await w.pass(1);
+  const other = await w.submit({ pieces: 12, runMs: 5000, fetchMs: 500 }, 1);
+  await w.until(() => w.running(other) === 12, 5, 'another job runs');
+  const open = (): number => dependents.filter((ref) => w.stored(ref) === 'open').length;
+  assert.ok(open() > 400, 'its records were not waited for');
+  await w.until(() => open() === 0, 120, 'and follow all the same');
+  await w.close();
+});
