--- a/scripts/bundle-production.mjs
+++ b/scripts/bundle-production.mjs
@@ -4,7 +4,7 @@
 import { execFileSync } from 'node:child_process';
 import { existsSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { build } from 'esbuild';
 
 /** What tests use of each module; a module that the version does not have is left out. */
@@ -12,7 +12,7 @@
   'control/controller': ['Controller'],
   'http/client': ['NoAnswer'],
   'jobs/live': ['Job'],
-  'jobs/records': ['parseJob', 'parseRental', 'parseRun'],
+  'jobs/records': ['parseJob', 'parseRental'],
   'jobs/run-reader': ['readRuns'],
   'peer/frames': ['Decoder', 'encode'],
   'settings/operator': ['OPERATOR_DEFAULTS'],
@@ -36,16 +36,15 @@
   writeFileSync(entry, lines.join('\n'));
   await build({
     entryPoints: [entry],
-    outfile: `test/fixtures/controllers/${short}.mjs`,
-    // Names of modules in the output must not depend on where the sources were unpacked.
-    absWorkingDir: process.cwd(),
+    outfile: resolve('test/fixtures/controllers', `${short}.mjs`),
+    // The output names modules by their paths, and must not depend on where they were unpacked.
+    absWorkingDir: sources,
     bundle: true,
     // Packages are those of this tree: both versions rest on the same.
     packages: 'external',
     platform: 'node',
     target: 'node20',
     format: 'esm',
-    minifyWhitespace: true,
     banner: {
       js: [
         `// The controller of commit ${commit}, as a fixture of the tests of mixed versions.`,
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -8,7 +8,7 @@
 import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
-import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { heartbeats, MOST_VOUCHED, VOUCH_VERSION, type Message } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -96,7 +96,7 @@
       links.peerTransport,
       runtime,
       this.cancellationLog,
-      (peer) => this.membership.speaksCurrent(peer),
+      (peer) => this.membership.readsFrames(peer, VOUCH_VERSION),
     );
     this.jobApi = new JobApi(
       this.store,
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -11,7 +11,7 @@
 import type { Job } from '../jobs/live.js';
 import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
-import type { Membership } from '../membership/membership.js';
+import { RECORD_FORMATS, type Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -105,7 +105,7 @@
     );
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
-      rangesReadable: () => parts.membership.allCurrent,
+      rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
       rangesWanted: () => store.limits.recordsMustShrink,
     };
     this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -6,8 +6,25 @@
 import type { Store } from '../state/store.js';
 import { VERSION } from '../version.js';
 
-/** Run records: 1 is indexed alone, 2 is also ranged. Versions without a member record write 1. */
-export const RECORD_FORMAT = 2;
+/**
+ * Formats of stored records. A change of any record or key gets the next number here, and none ever
+ * changes its meaning: a program that reads a format also reads all before it. Versions without a
+ * member record know the first alone.
+ */
+export const RECORD_FORMATS = { indexedRuns: 1, rangedRuns: 2 } as const;
+
+/** What a program understands of what others write. */
+export interface Formats {
+  /** The newest record format. */
+  recordFormat: number;
+  /** Versions of the frames between controllers. */
+  frameVersions: readonly number[];
+}
+
+const OWN_FORMATS: Formats = {
+  recordFormat: Math.max(...Object.values(RECORD_FORMATS)),
+  frameVersions: FRAME_VERSIONS,
+};
 
 const count = z.int().check(z.nonnegative());
 
@@ -20,14 +37,11 @@
 });
 
 /** What a controller says of its program, in the store. It stays there when the process ends. */
-export interface MemberRecord {
+export interface MemberRecord extends Formats {
   name: string;
   version: string;
   /** Time of day at which the process began, in milliseconds. */
   startedAt: number;
-  recordFormat: number;
-  /** Versions of the frames between controllers that it understands. */
-  frameVersions: number[];
 }
 
 export interface MembershipNames {
@@ -38,38 +52,51 @@
 }
 
 /**
- * Which controllers run a version that understands the newest formats. Each writes a record of
- * itself when it starts. A version from before these records writes none, and nothing is guessed
- * from silence: a controller without a record is taken for an old one. An upgrade is complete once
- * every controller has a record; from then on it stays complete, since records are never deleted.
+ * Which formats every controller understands. Each writes a record of itself when it starts. A
+ * version from before these records writes none, and nothing is guessed from silence: a controller
+ * without a record is taken for one that knows the first format alone. A format may be written once
+ * every controller has a record that names it or a later one; from then on it stays so, since
+ * records are never deleted. Each format is judged by itself: what all knew before an upgrade began
+ * they know throughout, whatever newer format the upgrade brings.
  */
 export class Membership {
   private readonly members = new Map<string, MemberRecord>();
-  private complete = false;
+  /** The newest record format that all controllers read; 0: not known of all. */
+  private common = 0;
 
   constructor(
     private readonly store: Store,
     private readonly runtime: Runtime,
     private readonly names: MembershipNames,
     private readonly lookEveryMs: number,
+    /** What this program understands. */
+    private readonly own: Formats = OWN_FORMATS,
   ) {}
 
-  /** True once all controllers understand the newest record format. */
-  get allCurrent(): boolean {
-    return this.complete;
+  /** True once all controllers read records of this format. */
+  allRead(recordFormat: number): boolean {
+    return this.common >= recordFormat;
   }
 
-  /** True if this peer has said that it understands the newest frames. */
-  speaksCurrent(peer: string): boolean {
-    const newest = Math.max(...FRAME_VERSIONS);
-    return this.members.get(peer)?.frameVersions.includes(newest) ?? false;
+  /** True if this peer has said that it reads frames of this version. */
+  readsFrames(peer: string, version: number): boolean {
+    return this.members.get(peer)?.frameVersions.includes(version) ?? false;
+  }
+
+  /** True once all others understand whatever this program does: no record brings any news then. */
+  private get settled(): boolean {
+    const { recordFormat, frameVersions } = this.own;
+    return (
+      this.allRead(recordFormat) &&
+      this.names.peers.every((peer) => frameVersions.every((v) => this.readsFrames(peer, v)))
+    );
   }
 
   async run(signal: AbortSignal): Promise<void> {
     await this.announce(signal);
-    while (!signal.aborted && !this.complete) {
+    while (!signal.aborted && !this.settled) {
       await this.look(signal).catch(() => undefined);
-      if (!this.complete) await this.runtime.clock.sleep(this.lookEveryMs, signal);
+      if (!this.settled) await this.runtime.clock.sleep(this.lookEveryMs, signal);
     }
   }
 
@@ -80,8 +107,8 @@
       name: this.names.self,
       version: VERSION,
       startedAt: Math.round(clock.wall() - (clock.now() - startedAt)),
-      recordFormat: RECORD_FORMAT,
-      frameVersions: [...FRAME_VERSIONS],
+      recordFormat: this.own.recordFormat,
+      frameVersions: [...this.own.frameVersions],
     };
     let waitMs = this.lookEveryMs / 4;
     while (!signal.aborted) {
@@ -99,7 +126,7 @@
 
   /** Reads the records of all controllers once; throws if the store does not serve. */
   async look(signal?: AbortSignal): Promise<void> {
-    if (this.complete) return;
+    if (this.settled) return;
     const { items } = await this.store.range(KEYS.members, signal);
     for (const entry of items) {
       const result = z.safeParse(memberRecord, entry.value);
@@ -109,13 +136,21 @@
   }
 
   private judge(): void {
+    const before = this.common;
+    while (this.common < this.own.recordFormat && this.namedByAll(this.common + 1)) this.common++;
+    if (this.common === before) return;
+    const members = [...this.members.keys()];
+    this.runtime.log.info({ members, recordFormat: this.common }, 'all controllers read a format');
+    const { rangedRuns } = RECORD_FORMATS;
+    // The announced limits can come at any moment from now on.
+    if (before < rangedRuns && this.allRead(rangedRuns)) this.store.limits.lower();
+  }
+
+  /** Whether every controller has a record that names this format or a later one. */
+  private namedByAll(recordFormat: number): boolean {
     const { self, peers, size } = this.names;
-    const current = [...this.members.values()].filter((m) => m.recordFormat >= RECORD_FORMAT);
+    const current = [...this.members.values()].filter((m) => m.recordFormat >= recordFormat);
     const names = new Set(current.map((m) => m.name));
-    if (names.size < size || ![self, ...peers].every((name) => names.has(name))) return;
-    this.complete = true;
-    this.runtime.log.info({ members: [...names] }, 'upgrade complete, all controllers are current');
-    // The announced limits can come at any moment from now on.
-    this.store.limits.lower();
+    return names.size >= size && [self, ...peers].every((name) => names.has(name));
   }
 }
--- a/src/peer/cancellation-vouch.ts
+++ b/src/peer/cancellation-vouch.ts
@@ -34,7 +34,7 @@
     private readonly runtime: Runtime,
     private readonly log: CancellationLog,
     /** Whether a controller is known to read these frames; an older one would close the connection. */
-    private readonly speaksCurrent: (peer: string) => boolean,
+    private readonly readsVouches: (peer: string) => boolean,
   ) {}
 
   listen(): Subscription {
@@ -45,7 +45,7 @@
   async collect(from: number, withinMs: number): Promise<Vouched | null> {
     const { clock } = this.runtime;
     const { peers } = this.peerTransport;
-    if (!peers.every((p) => this.speaksCurrent(p))) return null;
+    if (!peers.every((p) => this.readsVouches(p))) return null;
     const asOf = clock.now();
     // The request may travel for as long as its answer is waited for; by the clock of whoever gets
     // it, the time meant must not begin any later for that.
@@ -76,7 +76,7 @@
   }
 
   private answer(to: string, ask: number, sinceMs: number): void {
-    if (!this.speaksCurrent(to)) return;
+    if (!this.readsVouches(to)) return;
     const since = this.runtime.clock.now() - sinceMs * (1 + DRIFT);
     this.peerTransport.send(to, { kind: 'vouch', ask, cancelled: this.log.since(since) });
   }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -49,10 +49,10 @@
 /** The version of all kinds up to `store`; who knows no later one closes a connection that brings it. */
 const VERSION = 3;
 /** The version of the kinds that came later, which go only to controllers known to read them. */
-const CURRENT_VERSION = 4;
+export const VOUCH_VERSION = 4;
 /** The versions of frames that this program understands. */
-export const FRAME_VERSIONS: readonly number[] = [VERSION, CURRENT_VERSION];
-const FIRST_CURRENT_KIND = KINDS.indexOf('askVouch');
+export const FRAME_VERSIONS: readonly number[] = [VERSION, VOUCH_VERSION];
+const FIRST_VOUCH_KIND = KINDS.indexOf('askVouch');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
@@ -60,7 +60,7 @@
 /** How many jobs' names fit into one vouch, however long they are. */
 export const MOST_VOUCHED = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
 
-const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
+const versionOf = (kind: number): number => (kind < FIRST_VOUCH_KIND ? VERSION : VOUCH_VERSION);
 
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
--- a/test/fakes/released.ts
+++ b/test/fakes/released.ts
@@ -110,9 +110,20 @@
   parseReport(body: unknown): object | null;
   reportAnswer(token: number, orders: unknown[]): object;
   redirectAnswer(leader: string | null): object;
-  parseJob(value: unknown): object | null;
-  parseRun(value: unknown): object | null;
+  parseJob(value: unknown): { spec?: object; at?: number } | null;
   parseRental(value: unknown): object | null;
+  /** What a leader makes of the run records that it reads; only of 104c759. */
+  Job: new (id: string, spec: object, at: unknown, version: number, perRecord: number) => object;
+  readRuns(
+    entries: { key: string; value: unknown; version: number }[],
+    jobOf: (id: string) => object | null,
+  ): {
+    runs: Map<
+      { restore(stored: unknown, perRange: number, now: number, wall: number): void },
+      unknown
+    >;
+    unreadable: { key: string }[];
+  };
 }
 
 const FIXTURES = '../../../../test/fixtures/';
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Membership } from '../src/membership/membership.js';
-import { FRAME_VERSIONS } from '../src/peer/frames.js';
+import { Membership, RECORD_FORMATS, type Formats } from '../src/membership/membership.js';
+import { FRAME_VERSIONS, VOUCH_VERSION } from '../src/peer/frames.js';
 import type { Runtime } from '../src/runtime/duty.js';
 import { Refused, Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
+import { releasedStores } from './fakes/released-samples.js';
 import { FakeStore, type Fate } from './fakes/store.js';
 import { fakeRandom, settings } from './fakes/world.js';
 
@@ -17,7 +18,7 @@
   const fakeStore = new FakeStore(clock);
   const end = new AbortController();
   const log = { error() {}, warn() {}, info() {}, debug() {} };
-  const start = (self: string, fate: () => Fate = () => 'serve') => {
+  const start = (self: string, fate: () => Fate = () => 'serve', own?: Formats) => {
     const runtime = { clock, random: fakeRandom(self), log, startedAt: clock.now() };
     const base = settings();
     const store = new Store(
@@ -32,6 +33,7 @@
       runtime as unknown as Runtime,
       { self, peers, size: NAMES.length },
       2000,
+      own,
     );
     void membership.run(end.signal);
     return { store, membership };
@@ -44,15 +46,19 @@
   const first = start('berth-0');
   const second = start('berth-1');
   await clock.advance(60_000);
-  assert.equal(first.membership.allCurrent, false, 'silence proves nothing');
-  assert.equal(first.membership.speaksCurrent('berth-1'), true);
-  assert.equal(first.membership.speaksCurrent('berth-2'), false);
+  assert.equal(
+    first.membership.allRead(RECORD_FORMATS.rangedRuns),
+    false,
+    'silence proves nothing',
+  );
+  assert.equal(first.membership.readsFrames('berth-1', VOUCH_VERSION), true);
+  assert.equal(first.membership.readsFrames('berth-2', VOUCH_VERSION), false);
   assert.equal(first.store.limits.effective().txnOps, 20);
   start('berth-2');
   await clock.advance(3000);
   for (const { membership, store } of [first, second]) {
-    assert.equal(membership.allCurrent, true);
-    assert.equal(membership.speaksCurrent('berth-2'), true);
+    assert.equal(membership.allRead(RECORD_FORMATS.rangedRuns), true);
+    assert.equal(membership.readsFrames('berth-2', VOUCH_VERSION), true);
     assert.deepEqual(
       [store.limits.effective().txnOps, store.limits.effective().valueBytes],
       [4, 2048],
@@ -70,7 +76,7 @@
   const looked = again.membership.look();
   await clock.advance(100);
   await looked;
-  assert.equal(again.membership.allCurrent, true);
+  assert.equal(again.membership.allRead(RECORD_FORMATS.rangedRuns), true);
   end.abort();
 });
 
@@ -89,10 +95,14 @@
   const first = start('berth-0');
   start('berth-1');
   await clock.advance(20_000);
-  assert.equal(first.membership.allCurrent, false);
+  assert.equal(first.membership.allRead(RECORD_FORMATS.rangedRuns), false);
   fakeStore.write('members/berth-2', { ...record, recordFormat: 3 });
   await clock.advance(3000);
-  assert.equal(first.membership.allCurrent, true, 'a later format includes ours');
+  assert.equal(
+    first.membership.allRead(RECORD_FORMATS.rangedRuns),
+    true,
+    'a later format includes ours',
+  );
   end.abort();
 });
 
@@ -145,3 +155,39 @@
   assert.equal(store.limits.effective().valueBytes, 2048);
   end.abort();
 });
+
+test('a later format and later frames are judged by themselves, not for those before', async () => {
+  const { clock, fakeStore, end, start } = three();
+  const { keys } = releasedStores().after;
+  const { rangedRuns } = RECORD_FORMATS;
+  const later = { recordFormat: rangedRuns + 1, frameVersions: [...FRAME_VERSIONS, 5] };
+  // The others run 104c759, and have written their records long before this upgrade.
+  const released = keys['members/berth-1']!.value;
+  for (const name of ['berth-1', 'berth-2'])
+    fakeStore.write(`members/${name}`, { ...released, name });
+  const { membership, store } = start('berth-0', undefined, later);
+  await clock.advance(20_000);
+  assert.equal(membership.allRead(rangedRuns), true, 'ranged records are read by all');
+  assert.equal(store.limits.effective().txnOps, 4);
+  assert.equal(membership.allRead(later.recordFormat), false, 'nobody is taken for new');
+  assert.equal(membership.readsFrames('berth-1', VOUCH_VERSION), true);
+  assert.equal(membership.readsFrames('berth-1', 5), false);
+  for (const name of ['berth-1', 'berth-2']) start(name, undefined, later);
+  await clock.advance(5000);
+  assert.equal(membership.allRead(later.recordFormat), true);
+  assert.equal(membership.readsFrames('berth-2', 5), true);
+  end.abort();
+});
+
+test('frames of a new version are noticed also where the record format stays', async () => {
+  const { clock, end, start } = three();
+  const later = { recordFormat: RECORD_FORMATS.rangedRuns, frameVersions: [...FRAME_VERSIONS, 5] };
+  const { membership } = start('berth-0', undefined, later);
+  for (const name of ['berth-1', 'berth-2']) start(name);
+  await clock.advance(10_000);
+  assert.equal(membership.readsFrames('berth-2', 5), false);
+  for (const name of ['berth-1', 'berth-2']) start(name, undefined, later);
+  await clock.advance(5000);
+  assert.equal(membership.readsFrames('berth-2', 5), true);
+  end.abort();
+});
--- /dev/null
+++ b/test/released-samples.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Need } from '../src/fleet/types.js';
+import { readDependencies } from '../src/jobs/dependencies.js';
+import { Job, type StoredRuns } from '../src/jobs/live.js';
+import { parseJob, parseNeedsPiece, parseRental, tasksPerRecord } from '../src/jobs/records.js';
+import { readRuns } from '../src/jobs/run-reader.js';
+import { Decoder, encode, type Message } from '../src/peer/frames.js';
+import { jobOfKey } from '../src/state/keys.js';
+import type { Store } from '../src/state/store.js';
+import { machines } from './fakes/meeting.js';
+import { BUNDLES } from './fakes/released.js';
+import {
+  fillFromReleased,
+  releasedFrames,
+  releasedStores,
+  type ReleasedSample,
+} from './fakes/released-samples.js';
+import { NEXT, ranged, runKeys } from './fakes/upgrade.js';
+import { install, LONG_MS, startLongWork } from './fakes/versions.js';
+import { settings, World } from './fakes/world.js';
+
+const PER_RECORD = tasksPerRecord(settings().state.valueBytes);
+const PER_RANGE = 115;
+
+/** Items below a prefix, as a reader of the store gets them. */
+const below = (keys: ReleasedSample['keys'], prefix: string) =>
+  Object.entries(keys)
+    .filter(([key]) => key.startsWith(prefix))
+    .map(([key, { value, stamp }]) => ({ key, value, version: stamp }));
+
+/** The open jobs of a sample, as a new leader restores them. */
+function restored(sample: ReleasedSample): Map<Job, StoredRuns> {
+  const jobs = new Map<string, Job>();
+  for (const { key, value, version } of below(sample.keys, 'jobs/')) {
+    const record = parseJob(value);
+    assert.ok(record, key);
+    if (!record.spec) continue;
+    const id = jobOfKey(key);
+    jobs.set(id, new Job(id, record.spec, record.at!, version, PER_RECORD));
+  }
+  const { runs, unreadable } = readRuns(below(sample.keys, 'runs/'), (id) => jobs.get(id) ?? null);
+  assert.deepEqual(unreadable, []);
+  for (const [job, stored] of runs) job.restore(stored, PER_RANGE, 5000, sample.wall);
+  return runs;
+}
+
+for (const [when, sample] of Object.entries(releasedStores())) {
+  test(`every record that 104c759 leaves is read (${when} it knew that all know members)`, async () => {
+    const { keys, jobs, beforehand } = sample;
+    const byId = new Map([...restored(sample).keys()].map((job) => [job.id, job]));
+    const array = byId.get(jobs.array)!;
+    assert.deepEqual([array.doneCount, array.live.size], [20, 130]);
+    assert.equal(byId.get(jobs.service)!.live.size, 3);
+    assert.equal(byId.get(jobs.gang)!.gang!.phase, 'started');
+    assert.equal(byId.get(jobs.waiting)!.gang!.holdsGate, true);
+    assert.ok(below(keys, 'rent/').every(({ value }) => parseRental(value)));
+    assert.ok(below(keys, 'needs/').every(({ value }) => parseNeedsPiece(value)));
+    const store = {
+      range: async (prefix: string) => ({ items: below(keys, prefix), revision: 0 }),
+    };
+    const needsOf = (job: string): Promise<string[] | null> => {
+      const { needs } = parseJob(keys[`jobs/${job}`]!.value)!;
+      return readDependencies(store as unknown as Store, job, needs);
+    };
+    assert.deepEqual(await needsOf(jobs.after), [jobs.done, jobs.array, jobs.gang]);
+    const many = (await needsOf(jobs.fanIn))!;
+    assert.equal(many.length, beforehand.count + 1);
+    assert.equal(many.at(-1), jobs.first);
+  });
+
+  test(`run records are written byte for byte as by 104c759 (${when})`, () => {
+    for (const [job] of restored(sample)) {
+      for (const section of job.layout.sections) {
+        const stored = sample.keys[section.key];
+        assert.ok(stored, section.key);
+        const { w } = stored.value as { w: string };
+        const written = job.toRecord(section, w, (steady) => sample.wall + steady - 5000);
+        assert.equal(JSON.stringify(written), JSON.stringify(stored.value));
+      }
+    }
+  });
+
+  test(`what 104c759 left running is taken over, and nothing of it starts again (${when})`, async () => {
+    const w = new World(machines('abababab'), 2, 0, { next: NEXT });
+    fillFromReleased(w.store, sample);
+    const { keys, jobs } = sample;
+    for (const [job, placements] of placementsOf(sample)) {
+      const { spec } = keys[`jobs/${job}`]!.value as { spec: Spec };
+      w.facts.set(job, factsOf(spec));
+      for (const [task, attempt, machine] of placements) {
+        const piece = { job, task, attempt, phase: 'running', cause: null, since: 0 } as const;
+        w.onWorkers.set(machine, [...(w.onWorkers.get(machine) ?? []), piece]);
+      }
+    }
+    // Asked past the checker of rules, which has not seen these jobs submitted.
+    const phaseAt = async (job: string, node: number): Promise<unknown> => {
+      const answer = await w.ask(w.nodes[node]!.controller!.jobApi.query(job));
+      return (answer.body as { phase?: unknown }).phase;
+    };
+    await w.start();
+    assert.equal(await phaseAt(jobs.done, 0), 'done');
+    for (const job of [jobs.cancelled, jobs.cancelledAfter]) {
+      assert.equal(await phaseAt(job, 1), 'withdrawn');
+    }
+    for (const job of [jobs.after, jobs.fanIn]) assert.equal(await phaseAt(job, 1), 'pending');
+    await w.until(() => runKeys(w).every(ranged), 60, 'all records have the new layout');
+    w.store.limits = NEXT;
+    await w.pass(20);
+    const starts = w.starts.filter((name) => !name.startsWith(jobs.waiting));
+    assert.deepEqual(starts, []);
+    assert.equal(w.running(jobs.array), 130);
+    assert.equal(w.running(jobs.service), 3);
+    assert.equal(w.running(jobs.gang), 4);
+    await w.close();
+  });
+}
+
+type Spec = { kind: string; tasks: number; need: Need };
+
+const factsOf = ({ kind, tasks, need }: Spec) => ({
+  shape: kind,
+  pieces: tasks,
+  runMs: kind === 'service' ? 0 : LONG_MS,
+  fetchMs: 1000,
+  saveMs: 1000,
+  vcpus: need.cpus,
+  gpus: need.gpus,
+  memoryGb: need.memoryGb,
+});
+
+/** Task, attempt and machine of each start that a sample records, by job. */
+function placementsOf(sample: ReleasedSample): Map<string, [number, number, string][]> {
+  const found = new Map<string, [number, number, string][]>();
+  for (const [job] of restored(sample)) {
+    found.set(
+      job.id,
+      [...job.live.values()].map((p) => [p.task, p.attempt, p.machine]),
+    );
+  }
+  return found;
+}
+
+test('frames of 104c759 are understood, and ours have the very same bytes', () => {
+  for (const { message, hex } of releasedFrames()) {
+    const expected = message as unknown as Message;
+    assert.deepEqual(new Decoder().push(Buffer.from(hex, 'hex')), [expected]);
+    assert.equal(encode(expected).toString('hex'), hex);
+  }
+});
+
+test('104c759 reads every frame of this tree, 78ff1b1 all but those of version 4', () => {
+  for (const { message, hex } of releasedFrames()) {
+    const bytes = encode(message as unknown as Message);
+    assert.equal(bytes.toString('hex'), hex);
+    assert.deepEqual(new BUNDLES['104c759'].Decoder().push(bytes), [message]);
+    const old = new BUNDLES['78ff1b1'].Decoder();
+    if (bytes.readUInt8(2) === 4) assert.throws(() => old.push(bytes), /unknown version/);
+    else assert.equal(old.push(bytes).length, 1);
+  }
+});
+
+for (const complete of [false, true]) {
+  const layout = complete ? 'ranged' : 'indexed';
+
+  test(`104c759 reads whatever this tree writes, with ${layout} records`, async () => {
+    const w = new World(machines('abababab'), 2, 0, { next: NEXT });
+    install(w, complete ? ['current', '104c759'] : ['current', '78ff1b1']);
+    await w.start();
+    const work = await startLongWork(w);
+    const first = await w.accept({ pieces: 1, runMs: LONG_MS });
+    const cancelled = await w.accept({ pieces: 1, runMs: LONG_MS });
+    await w.cancel(cancelled);
+    const more = Array.from({ length: 220 }, (_, i) => `req-${900_000 + i}`);
+    for (const ref of more) w.doneBefore(ref);
+    if (complete) await w.accept({ waitsOn: [...more, first] });
+    await w.accept({ shape: 'gang', pieces: 8, gpus: 8, crew: 'speech', runMs: LONG_MS });
+    const has = (prefix: string): boolean =>
+      [...w.store.keys.keys()].some((k) => k.startsWith(prefix));
+    await w.until(() => has('rent/'), 30, 'a rental');
+    if (complete) await w.until(() => runKeys(w).every(ranged), 60, 'all records are ranged');
+
+    const { parseJob, parseRental, readRuns, Job: OldJob } = BUNDLES['104c759'];
+    const all = [...w.store.keys].map(([key, { value, stamp }]) => ({
+      key,
+      value,
+      version: stamp,
+    }));
+    const of = (prefix: string) => all.filter(({ key }) => key.startsWith(prefix));
+    const jobs = new Map<string, object>();
+    for (const { key, value, version } of of('jobs/')) {
+      const record = parseJob(value);
+      // Whatever it does not know it drops: nothing may be written that it does not know.
+      assert.deepEqual(record, value);
+      if (!record?.spec) continue;
+      const job = new OldJob(jobOfKey(key), record.spec, record.at, version, PER_RECORD);
+      jobs.set(jobOfKey(key), job);
+    }
+    for (const { value } of of('rent/')) assert.deepEqual(parseRental(value), value);
+    const { runs, unreadable } = readRuns(of('runs/'), (id) => jobs.get(id) ?? null);
+    assert.deepEqual(unreadable, []);
+    for (const [job, stored] of runs) job.restore(stored, PER_RANGE, 0, 0);
+    const live = (id: string): number => (jobs.get(id) as { live: Map<number, unknown> }).live.size;
+    assert.deepEqual([live(work.array), live(work.service), live(work.gang)], [90, 3, 4]);
+    await w.close();
+  });
+}
