--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,3 +1,4 @@
+import type { Blame, FailureHistory } from '../jobs/failures.js';
 import type { Placement } from '../jobs/live.js';
 import type { BootTimes } from './boot-times.js';
 import type { MachineType, Need } from './types.js';
@@ -7,6 +8,9 @@
 export const startKey = (job: string, task: number, attempt: number): string =>
   `${job}/${task}/${attempt}`;
 
+/** So many jobs that run well elsewhere have to fail on a machine before it is taken for faulty. */
+const FAULTY_JOBS = 2;
+
 /** What is known of one machine, and what may be on it. */
 export class Machine {
   type: MachineType | null = null;
@@ -36,7 +40,8 @@
   returning = false;
   /** Sessions that ended although we answered: its worker does not get the answers. */
   deafSessions = 0;
-  readonly failedJobs = new Set<string>();
+  /** What is known of each job that failed here. */
+  readonly failedJobs = new Set<FailureHistory>();
   readonly placements = new Map<string, Placement>();
   /** Exited starts that must not be forgotten yet, since their end is not in the store. */
   readonly unrecorded = new Set<string>();
@@ -64,7 +69,8 @@
       this.listedState !== 'failed' &&
       this.heardAt !== null &&
       now - this.heardAt <= silentMs &&
-      !this.faulty
+      !this.faulty &&
+      !this.doubtful(now)
     );
   }
 
@@ -90,7 +96,21 @@
   }
 
   get faulty(): boolean {
-    return this.deafSessions > 0 || this.failedJobs.size >= 2;
+    return this.deafSessions > 0 || this.blamedBy(['sound'], 0) >= FAULTY_JOBS;
+  }
+
+  /**
+   * Jobs have failed here of which nothing shows yet whether they fail everywhere. It gets no work
+   * meanwhile; tried elsewhere, they soon clear it or prove it faulty.
+   */
+  private doubtful(now: number): boolean {
+    return this.blamedBy(['sound', 'open'], now) >= FAULTY_JOBS;
+  }
+
+  private blamedBy(blames: Blame[], now: number): number {
+    let jobs = 0;
+    for (const job of this.failedJobs) if (blames.includes(job.blames(this.id, now))) jobs++;
+    return jobs;
   }
 
   /**
