--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,4 +1,6 @@
+import type { Blame, FailureHistory } from '../jobs/failures.js';
 import type { Placement } from '../jobs/tracked-job.js';
+import type { BootTimes } from './boot-times.js';
 import type { MachineType, Need } from './types.js';
 import { take } from './types.js';
 
@@ -6,9 +8,8 @@
 export const startKey = (job: string, task: number, attempt: number): string =>
   `${job}/${task}/${attempt}`;
 
-/** After how many boot times a machine is not waited for any more, and is given back. */
-const SLOW_BOOT = 1.8;
-const DEAD_BOOT = 3;
+/** So many jobs that run well elsewhere have to fail on a machine before it is taken for faulty. */
+const FAULTY_JOBS = 2;
 
 /** What is known of one machine, and what may be on it. */
 export class Machine {
@@ -39,7 +40,8 @@
   returning = false;
   /** Sessions that ended although we answered: its worker does not get the answers. */
   deafSessions = 0;
-  readonly failedJobs = new Set<string>();
+  /** What is known of each job that failed here. */
+  readonly failedJobs = new Set<FailureHistory>();
   readonly placements = new Map<string, Placement>();
   /** Exited starts that must not be forgotten yet, since their end is not in the store. */
   readonly unrecorded = new Set<string>();
@@ -67,7 +69,8 @@
       this.listedState !== 'failed' &&
       this.heardAt !== null &&
       now - this.heardAt <= silentMs &&
-      !this.faulty
+      !this.faulty &&
+      !this.doubtful(now)
     );
   }
 
@@ -93,27 +96,36 @@
   }
 
   get faulty(): boolean {
-    return this.deafSessions > 0 || this.failedJobs.size >= 2;
+    return this.deafSessions > 0 || this.blamedBy(['sound'], 0) >= FAULTY_JOBS;
+  }
+
+  /**
+   * Jobs have failed here of which nothing shows yet whether they fail everywhere. It gets no work
+   * meanwhile; tried elsewhere, they soon clear it or prove it faulty.
+   */
+  private doubtful(now: number): boolean {
+    return this.blamedBy(['sound', 'open'], now) >= FAULTY_JOBS;
+  }
+
+  private blamedBy(blames: Blame[], now: number): number {
+    let jobs = 0;
+    for (const job of this.failedJobs) if (blames.includes(job.blames(this.id, now))) jobs++;
+    return jobs;
   }
 
   /**
    * Not heard of yet, but expected: it boots, or is said to run and its worker should report soon.
-   * One that takes several times its boot time is not counted on any more.
+   * One that is late is not counted on any more, so that another is rented in its place.
    */
-  coming(now: number, patienceMs: number): boolean {
+  coming(now: number, patienceMs: number, boots: BootTimes): boolean {
     if (this.heardAt !== null || this.placements.size > 0 || this.type === null) return false;
-    if (this.listedState === 'booting') return now - this.rentedAt < this.type.bootMs * SLOW_BOOT;
+    if (this.listedState === 'booting') return !boots.late(this, now);
     return this.runningAt !== null && now - this.runningAt < patienceMs;
   }
 
-  /** It is paid for and will not come up. */
-  stillborn(now: number): boolean {
-    return (
-      this.heardAt === null &&
-      this.type !== null &&
-      this.listedState === 'booting' &&
-      now - this.rentedAt > this.type.bootMs * DEAD_BOOT
-    );
+  /** The cloud says that it boots, and its worker has not reported. */
+  get booting(): boolean {
+    return this.heardAt === null && this.listedState === 'booting';
   }
 
   free(): Need {
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -49,10 +49,10 @@
 /** The version of all kinds up to `store`; who knows no later one closes a connection that brings it. */
 const VERSION = 3;
 /** The version of the kinds that came later, which go only to controllers known to read them. */
-const CURRENT_VERSION = 4;
+export const CANCELLATIONS_VERSION = 4;
 /** The versions of frames that this program understands. */
-export const FRAME_VERSIONS: readonly number[] = [VERSION, CURRENT_VERSION];
-const FIRST_CURRENT_KIND = KINDS.indexOf('askCancellations');
+export const FRAME_VERSIONS: readonly number[] = [VERSION, CANCELLATIONS_VERSION];
+const FIRST_CANCELLATIONS_KIND = KINDS.indexOf('askCancellations');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
@@ -60,7 +60,8 @@
 /** How many jobs' names fit into one answer, however long they are. */
 export const MOST_CANCELLATIONS = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
 
-const versionOf = (kind: number): number => (kind < FIRST_CURRENT_KIND ? VERSION : CURRENT_VERSION);
+const versionOf = (kind: number): number =>
+  kind < FIRST_CANCELLATIONS_KIND ? VERSION : CANCELLATIONS_VERSION;
 
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
