Log silent machines, own stalls and readiness, so that a bad night can be read from the log

Machines that hang, a controller that stood still and one that sent its users away left no line at info level.

Change: one line for all machines that fall silent at once, whose leases run out, or that report again; one when a controller notices that it stood still; one when /ready changes. Nothing is decided by them.

Guard: test/night-log.test.ts.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -20,6 +20,7 @@
 import { cancellationViewLimitMs } from './cancellation-view.js';
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
+import { SelfWatch } from './self-watch.js';
 import { StrayWorkers } from './stray-workers.js';
 import { SilentTerms } from './worker-silence.js';
 
@@ -53,6 +54,7 @@
   private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
+  private readonly selfWatch: SelfWatch;
   private readonly vouches: CancellationVouch;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
@@ -86,6 +88,7 @@
       workers.reportMs * REPORTS_PER_LOOK,
     );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
+    this.selfWatch = new SelfWatch(runtime.clock, runtime.log, workers.reportMs);
     this.cancellationLog = new CancellationLog(
       runtime.clock,
       runtime.startedAt,
@@ -156,6 +159,7 @@
   private async heartbeat(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
+      this.selfWatch.look(this.ready());
       const role = this.election.role.value;
       if (this.leader && role.kind === 'leader') {
         for (const message of heartbeats(role.term.token, this.leader.allCounts())) {
--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -54,6 +54,7 @@
   private round(): void {
     const now = this.leader.now;
     this.dirty = false;
+    this.leader.silentMachines.look(this.leader.fleet.machines, now);
     if (this.leader.fleet.sweep(now)) void this.lookForKeepers();
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -26,6 +26,7 @@
 import { LongPoll } from './long-poll.js';
 import { MachineReconciler } from './machine-reconciler.js';
 import { longestHoldMs, ReportHandler } from './report-handler.js';
+import { SilentMachines } from './silent-machines.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
@@ -64,6 +65,7 @@
   readonly lifetimeMs: number;
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
+  readonly silentMachines: SilentMachines;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -103,6 +105,9 @@
       settings.workers.leaseMs,
       this.zoneDelegates,
     );
+    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m) =>
+      this.fleet.silentFrom(m),
+    );
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
       rangesReadable: () => parts.membership.allCurrent,
--- /dev/null
+++ b/src/control/self-watch.ts
@@ -0,0 +1,35 @@
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../runtime/log.js';
+
+/** A look that is late by more than this many intervals is reported. */
+const LATE_INTERVALS = 1;
+
+/**
+ * Logs what a controller notices of itself: that it stood still (it was frozen, or short of
+ * processor time), and whether it tells the load balancer that it can serve users. It decides
+ * nothing.
+ */
+export class SelfWatch {
+  private dueAt: number | null = null;
+  private wasReady = false;
+
+  /** @param intervalMs the time between two looks */
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly intervalMs: number,
+  ) {}
+
+  look(ready: boolean): void {
+    const now = this.clock.now();
+    const lateMs = this.dueAt === null ? 0 : now - this.dueAt;
+    if (lateMs > this.intervalMs * LATE_INTERVALS) {
+      this.log.warn({ ms: Math.round(lateMs) }, 'stood still');
+    }
+    this.dueAt = now + this.intervalMs;
+    if (ready === this.wasReady) return;
+    this.wasReady = ready;
+    if (ready) this.log.info({}, 'ready for users');
+    else this.log.warn({}, 'not ready for users, the balancer moves them');
+  }
+}
--- /dev/null
+++ b/src/control/silent-machines.ts
@@ -0,0 +1,74 @@
+import type { Machine } from '../fleet/machine.js';
+import type { Logger } from '../runtime/log.js';
+
+/** A machine that has not reported for this share of the workers' lease counts as silent. */
+const SILENT_LEASE_SHARE = 1 / 3;
+
+/** How many machines a log line names at most. */
+const MOST_NAMED = 8;
+
+type Stage = 'reporting' | 'silent' | 'expired';
+
+/**
+ * Logs which machines stop reporting, which report again, and on which a lease has run out so that
+ * what was on them is given up. One line for all machines that change at once: a rack that hangs or
+ * is cut off shows as one event. It decides nothing.
+ */
+export class SilentMachines {
+  private readonly stages = new Map<string, Stage>();
+
+  /**
+   * @param leaseMs the workers' lease
+   * @param silentFrom from when on a machine's silence proves that its lease has run out
+   */
+  constructor(
+    private readonly log: Logger,
+    private readonly leaseMs: number,
+    private readonly silentFrom: (machine: Machine) => number,
+  ) {}
+
+  /** To be called before the starts on machines with expired leases are given up. */
+  look(machines: ReadonlyMap<string, Machine>, now: number): void {
+    const fellSilent: Machine[] = [];
+    const expired: Machine[] = [];
+    const backAgain: Machine[] = [];
+    for (const machine of machines.values()) {
+      const before = this.stages.get(machine.id) ?? 'reporting';
+      const stage = this.stageOf(machine, before, now);
+      this.stages.set(machine.id, stage);
+      if (stage === before) continue;
+      if (stage === 'silent') fellSilent.push(machine);
+      else if (stage === 'expired') expired.push(machine);
+      else backAgain.push(machine);
+    }
+    for (const id of this.stages.keys()) if (!machines.has(id)) this.stages.delete(id);
+    if (fellSilent.length > 0) this.log.info(summary(fellSilent), 'machines fell silent');
+    if (expired.length > 0) this.log.warn(summary(expired), 'leases of silent machines ran out');
+    if (backAgain.length > 0) this.log.info(summary(backAgain), 'machines report again');
+  }
+
+  private stageOf(machine: Machine, before: Stage, now: number): Stage {
+    if (machine.returning) return before;
+    const silentMs = now - (machine.heardAt ?? now);
+    const reporting = machine.heardAt !== null && silentMs <= this.leaseMs * SILENT_LEASE_SHARE;
+    if (reporting) return 'reporting';
+    const occupied = machine.placements.size > 0;
+    if (before === 'expired' || (occupied && now > this.silentFrom(machine))) return 'expired';
+    // Not heard in this term: it may still be on its way to this leader.
+    return machine.heardAt === null ? before : 'silent';
+  }
+}
+
+interface Summary {
+  count: number;
+  machines: string[];
+  tasks: number;
+}
+
+function summary(machines: Machine[]): Summary {
+  return {
+    count: machines.length,
+    machines: machines.slice(0, MOST_NAMED).map((m) => m.id),
+    tasks: machines.reduce((n, m) => n + m.placements.size, 0),
+  };
+}
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -3,6 +3,7 @@
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Answer } from '../../src/jobs/job-api.js';
 import type { Clock } from '../../src/runtime/clock.js';
+import type { Logger } from '../../src/runtime/log.js';
 import type { Random } from '../../src/runtime/random.js';
 import { parseDeploy, type Settings } from '../../src/settings/deploy.js';
 import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
@@ -91,12 +92,13 @@
   return { next: () => ((n * 7919 + 13) % 1000) / 1000, unique: () => `${name}-${++n}` };
 }
 
-const silent = {
-  error: (): void => {},
-  warn: (): void => {},
-  info: (): void => {},
-  debug: (): void => {},
-};
+/** One line of a controller's log. */
+export interface LogLine {
+  member: string;
+  level: 'error' | 'warn' | 'info' | 'debug';
+  fields: object;
+  message: string;
+}
 
 /** How many broken rules a failed story tells of. */
 const MOST_TOLD = 6;
@@ -159,6 +161,8 @@
   /** The jobs that each job needs. */
   private readonly needs = new Map<string, string[]>();
   readonly starts: string[] = [];
+  /** What the controllers logged, without what is for debugging. */
+  readonly logged: LogLine[] = [];
   /** What runs on workers from the beginning, by machine. */
   readonly onWorkers = new Map<string, Piece[]>();
   /** Starts before the records of the jobs that they need say `done`: more than the rules ask. */
@@ -269,7 +273,7 @@
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.seed * 37 * this.lives),
-        log: silent,
+        log: this.logOf(node.name),
         startedAt: this.clock.now(),
       },
       {
@@ -301,6 +305,15 @@
     void controller.run(node.stop.signal);
   }
 
+  private logOf(member: string): Logger {
+    const note =
+      (level: LogLine['level']) =>
+      (fields: object, message: string): void => {
+        this.logged.push({ member, level, fields, message });
+      };
+    return { error: note('error'), warn: note('warn'), info: note('info'), debug: () => undefined };
+  }
+
   /** What becomes of a request of one process to the store. */
   private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
     if (life.aborted) return 'refuse';
--- /dev/null
+++ b/test/night-log.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World, type LogLine } from './fakes/world.js';
+
+const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
+
+/** Lines of one message, without the members that wrote them. */
+const lines = (w: World, message: string): LogLine[] =>
+  w.logged.filter((line) => line.message === message);
+
+test('machines that hang show as one event at info level, with what their leases cost', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ pieces: 32, runMs: 120_000 });
+  await w.until(() => w.running(job) === 32, 10, 'all run');
+  await w.pass(3);
+  assert.deepEqual(lines(w, 'machines fell silent'), []);
+  const hanging = [...w.workers.keys()].slice(0, 2);
+  const tasks = hanging.reduce((n, id) => n + w.workers.get(id)!.pieces.length, 0);
+  for (const id of hanging) w.workers.get(id)!.hung = true;
+  await w.pass(16);
+  const event = { count: 2, machines: hanging, tasks };
+  assert.deepEqual(
+    lines(w, 'machines fell silent').map((l) => l.fields),
+    [event],
+  );
+  const expired = lines(w, 'leases of silent machines ran out').map((l) => l.fields) as {
+    tasks: number;
+  }[];
+  assert.equal(
+    expired.reduce((n, e) => n + e.tasks, 0),
+    tasks,
+  );
+  for (const id of hanging) w.workers.get(id)!.hung = false;
+  await w.pass(6);
+  assert.ok(lines(w, 'machines report again').length > 0);
+  await w.close();
+});
+
+test('a controller says that it stood still, and that it sends its users away', async () => {
+  const w = new World(FOUR, 3);
+  await w.start();
+  assert.equal(lines(w, 'ready for users').length, 3);
+  assert.deepEqual(lines(w, 'stood still'), []);
+  const follower = (w.leader + 1) % 3;
+  w.freeze(follower, 6000);
+  await w.pass(8);
+  const [stall] = lines(w, 'stood still');
+  assert.equal(stall?.member, w.nodes[follower]!.name);
+  assert.ok((stall?.fields as { ms: number }).ms > 4000);
+
+  w.nodes[follower]!.fate = () => 'refuse';
+  void w.user(follower).query('req-000001');
+  await w.pass(7);
+  assert.deepEqual(
+    lines(w, 'not ready for users, the balancer moves them').map((l) => l.member),
+    [w.nodes[follower]!.name],
+  );
+  w.nodes[follower]!.fate = () => 'serve';
+  await w.pass(5);
+  assert.equal(lines(w, 'ready for users').length, 4);
+  await w.close();
+});
