--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -21,6 +21,7 @@
     priority: full.priority,
     readyAt: n,
     patient: false,
+    idleOnly: false,
     dueAt: n,
     waiting: full.tasks,
     unfinished: full.tasks,
