--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,6 +1,6 @@
 import type { Machine } from '../fleet/machine.js';
 import type { Job } from '../jobs/live.js';
-import { Priority, type JobSpec } from '../jobs/job.js';
+import type { JobSpec } from '../jobs/job.js';
 import type { MachineType } from '../fleet/types.js';
 import type {
   JobView,
@@ -24,12 +24,6 @@
  */
 const PATIENCE_BOOTS = 0.25;
 
-/**
- * After so many boots in which nothing of an idle-only job has begun, room is sought for one task of
- * it as for any other work: it should run late rather than never.
- */
-const OVERLOOKED_BOOTS = 2;
-
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
@@ -167,14 +161,10 @@
   const gangMay = !gang || (job.live.size === 0 && gang.phase !== 'suspended');
   const urgency = urgencies.get(job.id);
   const waitedMs = leader.parts.runtime.clock.wall() - readyAt;
-  const priority = urgency?.priority ?? spec.priority;
-  const withoutGuarantee = isWithoutGuarantee(leader, spec) && priority >= Priority.Normal;
-  const begun = job.live.size > 0 || job.doneCount > 0;
-  const overlooked = !begun && waitedMs > longestBootMs(leader) * OVERLOOKED_BOOTS;
   return {
     id: job.id,
     spec,
-    priority,
+    priority: urgency?.priority ?? spec.priority,
     readyAt,
     dueAt: urgency?.dueAt ?? readyAt,
     patient:
@@ -183,8 +173,7 @@
       bootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < bootMs * PATIENCE_BOOTS,
-    idleOnly: withoutGuarantee && !overlooked,
-    waiting: withoutGuarantee && overlooked && !gang ? Math.min(1, job.waiting) : job.waiting,
+    waiting: job.waiting,
     unfinished: spec.tasks - job.doneCount,
     zones,
     avoid: job.failedOn,
@@ -193,17 +182,6 @@
   };
 }
 
-/** Whether the job's team is guaranteed nothing at all: the settings say 0 where that is so. */
-function isWithoutGuarantee(leader: Leader, spec: JobSpec): boolean {
-  const guarantee = leader.parts.settings.teams.get(spec.team)?.guarantee;
-  return guarantee !== undefined && guarantee.cpus === 0 && guarantee.gpus === 0;
-}
-
-function longestBootMs(leader: Leader): number {
-  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
-  return Math.max(0, ...types.map((t) => t.bootMs));
-}
-
 function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
   const aims = deadlineSteps(leader.parts.settings);
   const steps: PipelineStep[] = [];
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -38,11 +38,6 @@
    * stopped for it yet, and no more is rented than its like will not leave.
    */
   patient: boolean;
-  /**
-   * Work without any guarantee, not urgent: it takes only what is left on machines that are in use
-   * anyway. Nothing makes way for it, nothing is kept free or rented for it.
-   */
-  idleOnly: boolean;
   /** Tasks that are neither done nor possibly on a machine. */
   waiting: number;
   unfinished: number;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -65,11 +65,7 @@
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
     this.booting = s.machines.filter((m) => !m.up);
-    this.scarce = new ScarceTypes(
-      s.jobs.filter((j) => !j.idleOnly),
-      s.types,
-      this.up,
-    );
+    this.scarce = new ScarceTypes(s.jobs, s.types, this.up);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
     for (const m of s.machines) this.addToCrowd(m.zone);
@@ -77,9 +73,7 @@
 
   run(): Plan {
     const waiting = this.s.jobs.filter((j) => j.waiting > 0 && j.admissible);
-    const idleOnly = waiting.filter((j) => j.idleOnly);
-    const regular = waiting.filter((j) => !j.idleOnly);
-    for (const job of inOrder(regular, this.guaranteed)) {
+    for (const job of inOrder(waiting, this.guaranteed)) {
       const team = this.s.teams.get(job.spec.team);
       if (!team) continue;
       if (job.gang) this.gang(job, team);
@@ -99,10 +93,9 @@
       }
     }
     this.servePatient();
-    this.serveIdleOnly(idleOnly);
     this.result.stops = this.preemption.stops;
-    // Only while nothing else waits: what is stopped has to start again at once.
-    if (regular.length === 0) {
+    // Only while nothing waits: what is stopped has to start again at once.
+    if (waiting.length === 0) {
       this.result.stops = gather(this.s.movable, this.up, this.s.jobs);
     }
     this.result.rents = this.rents();
@@ -135,37 +128,6 @@
     }
   }
 
-  /**
-   * Idle-only work gets what is left on machines that other work uses or will use. On a machine of
-   * its own it would keep that machine from going back for as long as it runs.
-   */
-  private serveIdleOnly(jobs: JobView[]): void {
-    if (jobs.length === 0) return;
-    const ids = new Set(this.s.jobs.filter((j) => j.idleOnly).map((j) => j.id));
-    const inUse = this.up.filter(
-      (m) => this.needed.has(m.id) || [...m.tasksOf.keys()].some((job) => !ids.has(job)),
-    );
-    for (const job of inOrder(jobs, this.guaranteed)) {
-      const team = this.s.teams.get(job.spec.team);
-      if (!team) continue;
-      const room = Math.min(job.waiting, limitRoom(team, job.spec));
-      if (job.gang) this.startIdleGang(job, team, inUse);
-      else if (room > 0) {
-        const rules = new ZoneRules(job.spec, job.zones);
-        this.start(job, room, rules, team, inUse, job.spec.need.gpus === 0);
-      }
-    }
-  }
-
-  private startIdleGang(job: JobView, team: TeamView, machines: MachineView[]): void {
-    const { spec } = job;
-    if (limitRoom(team, spec) < spec.tasks || this.isFull(spec, machines)) return;
-    const placed = placeGang(job, machines, this.scarce);
-    if (!placed) return;
-    this.charge(team, spec, spec.tasks);
-    this.record(job, placed);
-  }
-
   private charge(team: TeamView, spec: JobSpec, count: number): void {
     team.used.cpus += spec.need.cpus * count;
     team.used.gpus += spec.need.gpus * count;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -66,17 +66,11 @@
 cpus_max = 16.0
 `;
 
-/** A team without any guarantee, and without a limit. */
-const LAB = `
-[[facts.teams]]
-name = "lab"
-`;
-
 /** The second controller is in zone b, the others are in zone a. */
 export function settings(member = 'berth-0'): Settings {
   const text = SETTINGS.replace('berth-0', member).replace(
     '[facts.workers]',
-    `${DESK}${LAB}[facts.workers]`,
+    `${DESK}[facts.workers]`,
   );
   return parseDeploy(
     member === 'berth-1' ? text.replace('site = "a"', 'site = "b"') : text,
--- a/test/gather.test.ts
+++ b/test/gather.test.ts
@@ -33,7 +33,6 @@
       priority: spec.priority,
       readyAt: i,
       patient: false,
-      idleOnly: false,
       dueAt: i,
       waiting: 0,
       unfinished: machines.length,
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -21,7 +21,6 @@
     priority: full.priority,
     readyAt: n,
     patient: false,
-    idleOnly: false,
     dueAt: n,
     waiting: full.tasks,
     unfinished: full.tasks,
