--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -219,9 +219,22 @@
     }
   }
 
+  /**
+   * Without these lines a log cannot tell a fleet that stays small because the cloud does not serve
+   * from one that nothing was rented for.
+   */
   private note(served: boolean): void {
-    if (served) this.troubleSince = null;
-    else this.troubleSince ??= this.runtime.clock.now();
+    const { clock, log } = this.runtime;
+    if (!served) {
+      if (this.troubleSince === null) log.info({}, 'the cloud does not serve');
+      this.troubleSince ??= clock.now();
+      return;
+    }
+    if (this.troubleSince !== null) {
+      const forMs = Math.round(clock.now() - this.troubleSince);
+      log.info({ forMs }, 'the cloud serves again');
+    }
+    this.troubleSince = null;
   }
 }
 
