--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -114,21 +114,18 @@
   }
 
   /**
-   * What is patient gets the room that nobody else took or has set aside on machines that are in use
-   * anyway: each burst of it would else be spread over machines without work, which could then neither
-   * go back nor take a gang. Machines are rented for all of it that will be ready before one could
-   * boot, less what its like holds by now and leaves by then.
+   * What is patient gets the room that nobody else took or has set aside. Machines are rented for all
+   * of it that will be ready before one could boot, less what its like holds by now and leaves by then.
    */
   private servePatient(): void {
     let leaving = this.s.leavingCpus;
     const upcoming = this.s.upcoming.map((job) => {
       return { job, missing: job.waiting, rules: new ZoneRules(job.spec, job.zones) };
     });
-    const inUse = this.up.filter((m) => m.tasksOf.size > 0 || this.reservations.needed.has(m.id));
     for (const work of this.patient) {
       const team = this.s.teams.get(work.job.spec.team);
       if (!team || work.job.gang) continue;
-      work.missing -= this.start(work.job, work.missing, work.rules, team, inUse);
+      work.missing -= this.start(work.job, work.missing, work.rules, team, this.up);
     }
     for (const { job, missing, rules } of [...this.patient, ...upcoming]) {
       const { cpus } = job.spec.need;
