Questions of users have a rate and a queue of their own, and come after all other work

Cause: comparisons and reads for questions took requests to the store at the urgency of submissions, of cancellations and of the election, in one queue. A controller that has just started read each job on its own; a comparison that queued was sent twice as if its answer were lost; what nobody waited for any more was asked all the same.

Change: Store has a budget for questions (half of the store's requests for all controllers together), which then come last in the common queue. JobStates keeps a queue for questions and one for submissions, cancellations and workers (state-comparisons.ts). Where many records are missing they are read in large pages, and what stands beside them is remembered. A question that would queue for more than half of its time is sent away at once with the time to come back.

--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -162,7 +162,7 @@
     const { signal } = this.leader.term;
     await this.repeat(job, 'a dependency has no record, the job waits', async () => {
       const open = ids.filter((id) => this.waits.get(job)?.missing.has(id));
-      const entries = await readJobEntries(store, open, signal);
+      const entries = await readJobEntries(store, open, { signal });
       for (const [id, entry] of entries) {
         if (!this.over.has(id)) this.leader.records.onJobEntry(entry);
       }
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -66,7 +66,7 @@
   query(id: string): Promise<Answer> {
     if (!wire.isJobId(id)) return Promise.resolve(UNKNOWN);
     return this.within(this.limits.pollMs, async (signal) => {
-      const job = await this.states.current(id, signal);
+      const job = await this.states.asked(id, signal);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
     });
   }
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -1,13 +1,12 @@
 import type { Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
-import { KEYS } from '../state/keys.js';
-import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
-import type { Condition, Entry, Store } from '../state/store.js';
+import { jobOfKey, KEYS } from '../state/keys.js';
+import type { Entry, RequestClass, Store } from '../state/store.js';
 import { readDependencies } from './dependencies.js';
 import type { JobPhase } from './job.js';
-import { readJobEntries } from './job-reader.js';
+import { MOST_SINGLE_READS, readJobEntries } from './job-reader.js';
 import { parseJob, type JobRecord } from './records.js';
-import { HEDGE_SHARE, hedged } from './user-requests.js';
+import { StateComparisons, type ReadState, type StateMemory } from './state-comparisons.js';
 
 /** What a controller knows of a job. */
 export interface JobState {
@@ -20,28 +19,18 @@
   dependencies: readonly string[];
 }
 
-interface Waiter {
-  /** Aborted once the question's own time is over: nobody waits for its answer any more. */
-  signal: AbortSignal | null;
-  resolve(job: JobState | null): void;
-  reject(reason: unknown): void;
-}
-
 /**
  * How many jobs a node remembers for each MB of its memory, at some 200 bytes each; beyond it the
  * ones asked for least lately are read again.
  */
 const KNOWN_PER_MB = 50;
 
+/** Where so many records are missing, those beside them are taken in as well. */
+const READ_AHEAD_FROM = 16;
+
 /** So many dependencies take as much memory as a job that is remembered. */
 const DEPENDENCIES_PER_JOB = 4;
 
-/** For how small a share of a poll's time questions gather before they are compared together. */
-const GATHERINGS = 16;
-
-/** How many comparisons are under way at once. */
-const COMPARISONS_AT_ONCE = 4;
-
 /**
  * The states of jobs, on every controller. A state that may still change rests on a comparison with
  * the store, or on a read, that began after the question came. One comparison serves all questions
@@ -59,15 +48,23 @@
 export class JobStates {
   private readonly known = new Map<string, JobState>();
   private knownDependencies = 0;
-  private asking = new Map<string, Waiter[]>();
-  private comparing = false;
+  private readonly questions: StateComparisons;
+  private readonly others: StateComparisons;
 
   constructor(
     private readonly store: Store,
     private readonly settings: Settings,
-    private readonly runtime: Runtime,
-    private readonly pollMs: number,
-  ) {}
+    runtime: Runtime,
+    pollMs: number,
+  ) {
+    const memory: StateMemory = {
+      remembered: (id) => this.known.get(id) ?? null,
+      read: (ids, from) => this.read(ids, from),
+    };
+    const { clock } = runtime;
+    this.questions = new StateComparisons(store, clock, pollMs, 'question', memory);
+    this.others = new StateComparisons(store, clock, pollMs, 0, memory);
+  }
 
   /** Whether the job is known to be accepted. */
   has(id: string): boolean {
@@ -75,14 +72,28 @@
   }
 
   /** The job's state at some time after this call; null: it was never accepted. */
-  async current(id: string, signal: AbortSignal | null = null): Promise<JobState | null> {
+  current(id: string, signal: AbortSignal | null = null): Promise<JobState | null> {
+    return this.currentBy(this.others, id, signal);
+  }
+
+  /** The same for a user's question, which comes after all other work. */
+  asked(id: string, signal: AbortSignal): Promise<JobState | null> {
+    return this.currentBy(this.questions, id, signal);
+  }
+
+  private async currentBy(
+    comparisons: StateComparisons,
+    id: string,
+    signal: AbortSignal | null,
+  ): Promise<JobState | null> {
     const remembered = this.known.get(id);
     if (remembered && remembered.phase !== 'open') return remembered;
     if (remembered && this.cancelledBefore(remembered)) return this.cancelled(id);
-    if (remembered && remembered.dependencies.length > 0) return this.withAncestors(id, signal);
-    const job = await this.compared(id, signal);
+    const needsOthers = remembered && remembered.dependencies.length > 0;
+    if (needsOthers) return this.withAncestors(comparisons, id, signal);
+    const job = await comparisons.compared(id, signal);
     if (job?.phase !== 'open' || job.dependencies.length === 0) return job;
-    return this.withAncestors(id, signal);
+    return this.withAncestors(comparisons, id, signal);
   }
 
   /** The state as far as it is remembered, which may be older than this call. */
@@ -96,13 +107,13 @@
   async firstUnknown(ids: readonly string[], signal: AbortSignal): Promise<string | null> {
     const unknown = ids.filter((id) => !this.known.has(id));
     if (unknown.length === 0) return null;
-    const entries = await readJobEntries(this.store, unknown, signal);
+    const entries = await readJobEntries(this.store, unknown, { signal });
     for (const id of unknown) {
       const entry = entries.get(id);
       if (!entry) return id;
     }
     // Their states will be asked for soon, with the job that names them.
-    if (entries.size <= this.mostConditions) {
+    if (entries.size <= this.others.mostConditions) {
       await Promise.all([...entries].map(([id, e]) => this.learn(id, e).catch(() => null)));
     }
     return null;
@@ -116,15 +127,21 @@
     this.forget(id);
     this.known.set(id, job);
     this.knownDependencies += job.dependencies.length;
-    const most = this.settings.machine.memoryMb * KNOWN_PER_MB;
     for (const oldest of this.known.keys()) {
-      const weight = this.known.size + this.knownDependencies / DEPENDENCIES_PER_JOB;
-      if (weight <= most || oldest === id) break;
+      if (this.knownWeight <= this.mostKnown || oldest === id) break;
       this.forget(oldest);
     }
     return job;
   }
 
+  private get knownWeight(): number {
+    return this.known.size + this.knownDependencies / DEPENDENCIES_PER_JOB;
+  }
+
+  private get mostKnown(): number {
+    return this.settings.machine.memoryMb * KNOWN_PER_MB;
+  }
+
   private forget(id: string): void {
     this.knownDependencies -= this.known.get(id)?.dependencies.length ?? 0;
     this.known.delete(id);
@@ -152,11 +169,15 @@
   }
 
   /** The state of an open job that needs others: all open ones before it are compared too. */
-  private async withAncestors(id: string, signal: AbortSignal | null): Promise<JobState | null> {
+  private async withAncestors(
+    comparisons: StateComparisons,
+    id: string,
+    signal: AbortSignal | null,
+  ): Promise<JobState | null> {
     const states = new Map<string, JobState>();
     let left = this.openBefore(id, states);
     while (left.length > 0) {
-      for (const [ancestor, state] of await this.comparedAll(left, signal)) {
+      for (const [ancestor, state] of await this.comparedAll(comparisons, left, signal)) {
         if (state) states.set(ancestor, state);
         else if (ancestor === id) return null;
         else throw new Error(`${ancestor}, which ${id} needs, is missing`);
@@ -190,27 +211,43 @@
   }
 
   private async comparedAll(
+    comparisons: StateComparisons,
     ids: string[],
     signal: AbortSignal | null,
   ): Promise<Map<string, JobState | null>> {
     // More than fit a few comparisons cost less requests as pages of records.
-    if (ids.length > this.mostConditions * COMPARISONS_AT_ONCE) return this.readAll(ids, signal);
+    if (ids.length > comparisons.mostAtOnce) return this.readAll(ids, signal);
     // A comparison of what is not remembered could only fail, and then be followed by a read.
     const known = ids.filter((id) => this.known.has(id));
     const unknown = ids.filter((id) => !this.known.has(id));
     const [states, read] = await Promise.all([
-      Promise.all(known.map((id) => this.compared(id, signal))),
+      Promise.all(known.map((id) => this.comparedOrOver(comparisons, id, signal))),
       this.readAll(unknown, signal),
     ]);
     known.forEach((id, i) => read.set(id, states[i]!));
     return read;
   }
 
+  private comparedOrOver(
+    comparisons: StateComparisons,
+    id: string,
+    signal: AbortSignal | null,
+  ): Promise<JobState | null> {
+    const known = this.known.get(id);
+    if (known && known.phase !== 'open') return Promise.resolve(known);
+    return comparisons.compared(id, signal);
+  }
+
+  private async readOne(id: string, from: RequestClass): Promise<JobState | null> {
+    const entry = await this.store.get(KEYS.job(id), from);
+    return entry && this.learn(id, entry);
+  }
+
   private async readAll(
     ids: string[],
     signal: AbortSignal | null,
   ): Promise<Map<string, JobState | null>> {
-    const entries = await readJobEntries(this.store, ids, signal ?? undefined);
+    const entries = await readJobEntries(this.store, ids, signal ? { signal } : {});
     const states = new Map<string, JobState | null>();
     for (const id of ids) {
       const entry = entries.get(id);
@@ -219,96 +256,24 @@
     return states;
   }
 
-  // ---- comparisons
-
-  private get mostConditions(): number {
-    // Looked up each time: a refusal of the last comparison may have lowered it.
-    return this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
-  }
-
-  /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
-  private compared(id: string, signal: AbortSignal | null): Promise<JobState | null> {
-    const known = this.known.get(id);
-    if (known && known.phase !== 'open') return Promise.resolve(known);
-    return new Promise((resolve, reject) => {
-      this.ask(id, [{ signal, resolve, reject }]);
-      if (!this.comparing) void this.compareAll();
-    });
-  }
+  // ---- records
 
-  private ask(id: string, waiters: Waiter[]): void {
-    this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
-  }
-
-  private async compareAll(): Promise<void> {
-    this.comparing = true;
-    while (this.asking.size > 0) {
-      // Users can wait this long, and a comparison of one job costs as much as one of many.
-      await this.runtime.clock.sleep(this.pollMs / GATHERINGS);
-      const asked = [...this.asking].slice(0, this.mostConditions * COMPARISONS_AT_ONCE);
-      for (const [id] of asked) this.asking.delete(id);
-      const batches: [string, Waiter[]][][] = [];
-      while (asked.length > 0) batches.push(asked.splice(0, this.mostConditions));
-      await Promise.all(batches.map((batch) => this.compareOrReject(batch)));
-    }
-    this.comparing = false;
-  }
-
-  private async compareOrReject(batch: [string, Waiter[]][]): Promise<void> {
-    try {
-      await this.compare(batch);
-    } catch (error) {
-      // Whoever asks is told at once that there is no answer now, and when to come back: held until
-      // the store serves again, questions would pile up and come late all the same.
-      for (const [, waiters] of batch) for (const w of waiters) w.reject(error);
+  private async read(ids: readonly string[], from: RequestClass): Promise<Map<string, ReadState>> {
+    if (ids.length <= MOST_SINGLE_READS) {
+      const states = ids.map((id) => this.readOne(id, from).catch(asError));
+      return new Map(await Promise.all(states.map(async (s, i) => [ids[i]!, await s] as const)));
     }
-  }
-
-  private async compare(batch: [string, Waiter[]][]): Promise<void> {
-    const compared = new Map(batch.map(([id]) => [id, this.known.get(id) ?? null]));
-    const when = [...compared].map(([id, job]) => ({
-      key: KEYS.job(id),
-      version: job?.version ?? 0,
-    }));
-    const outcome = await this.compareVersions(when);
-    const failed = new Set(outcome.ok ? [] : outcome.failed);
-    await Promise.all(
-      batch.map(async ([id, waiters]) => {
-        const changed = failed.has(KEYS.job(id));
-        // Of a failed comparison only the keys it names are known to differ; nothing is concluded
-        // about the others.
-        if (!outcome.ok && !changed) {
-          const open = waiters.filter((w) => !w.signal?.aborted);
-          if (open.length > 0) this.ask(id, open);
-          return;
-        }
-        // What was compared is the answer also if the job has been dropped from memory since then:
-        // an accepted job must never look as if it were unknown.
-        if (changed) await this.rereadFor(id, waiters);
-        else for (const w of waiters) w.resolve(this.known.get(id) ?? compared.get(id)!);
+    // Whoever lacks so many has just started, and will be asked for the others too.
+    const alsoRead = (e: Entry): void => this.learnAhead(e);
+    const ahead = ids.length >= READ_AHEAD_FROM ? { alsoRead } : {};
+    const entries = await readJobEntries(this.store, ids, { from, ...ahead });
+    const states = await Promise.all(
+      ids.map(async (id): Promise<[string, ReadState]> => {
+        const entry = entries.get(id);
+        return [id, entry ? await this.learn(id, entry).catch(asError) : null];
       }),
     );
-  }
-
-  /** Where one answer is lost, all questions that share the comparison would wait for it. */
-  private compareVersions(when: Condition[]): ReturnType<Store['txn']> {
-    const { clock } = this.runtime;
-    return hedged(clock, this.pollMs * HEDGE_SHARE, () => this.store.txn(when, [], 0));
-  }
-
-  /** One job that cannot be read now leaves the other answers of its comparison alone. */
-  private async rereadFor(id: string, waiters: Waiter[]): Promise<void> {
-    try {
-      const job = await this.reread(id);
-      for (const w of waiters) w.resolve(job);
-    } catch (error) {
-      for (const w of waiters) w.reject(error);
-    }
-  }
-
-  private async reread(id: string): Promise<JobState | null> {
-    const entry = await this.store.get(KEYS.job(id), 0);
-    return entry && this.learn(id, entry);
+    return new Map(states);
   }
 
   /** Takes in a record that was read just now, with the dependencies of an open job. */
@@ -324,6 +289,16 @@
     return this.remember(id, { version: entry.version, phase, tasks, dependencies });
   }
 
+  /** Takes in a record that nobody has asked for yet, if that costs no further request. */
+  private learnAhead(entry: Entry): void {
+    const id = jobOfKey(entry.key);
+    const record = parseJob(entry.value);
+    if (!record || this.known.has(id) || this.knownWeight >= this.mostKnown) return;
+    const { phase, tasks, needs } = record;
+    if (phase === 'open' && needs) return;
+    this.remember(id, { version: entry.version, phase, tasks, dependencies: [] });
+  }
+
   private async dependenciesOf(
     id: string,
     version: number,
@@ -336,4 +311,7 @@
   }
 }
 
+const asError = (reason: unknown): Error =>
+  reason instanceof Error ? reason : new Error(String(reason));
+
 const withdrawn = (job: JobState): JobState => ({ ...job, phase: 'cancelled', dependencies: [] });
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -30,6 +30,9 @@
 
 export type Urgency = 0 | 1 | 2;
 
+/** Requests for users' questions have a rate of their own and come after all others. */
+export type RequestClass = Urgency | 'question';
+
 interface Rate {
   perSecond: number;
   burst: number;
@@ -43,11 +46,23 @@
 const PERSISTENT_RATE_REFUSALS = 8;
 const SUCCESS_OFFSETS = 0.2;
 
+/**
+ * What users' questions at all controllers together may take of the store's requests, so that a storm
+ * of them leaves room for submissions, leadership and the leader's writes. One comparison answers as
+ * many questions as a transaction has conditions.
+ */
+const QUESTIONS_SHARE = 0.5;
+
+/** How many seconds' worth of these requests may come at once, as when a controller has just started. */
+const QUESTIONS_BURST_S = 0.5;
+
 export class Store {
   private readonly requests: Budget;
+  private readonly questions: Budget;
   private readonly writes: Budget;
   private contactAt = -Infinity;
   private refusedSince: number | null = null;
+  private noAnswerSince: number | null = null;
   /** Transactions refused for the rate lately, less a share of those that were applied. */
   private rateRefusals = 0;
   /** What the store allows, as far as this controller knows. */
@@ -56,16 +71,18 @@
   constructor(
     private readonly transport: Transport,
     private readonly runtime: Runtime,
-    settings: Settings,
+    private readonly settings: Settings,
     private readonly timeoutMs: number,
   ) {
     this.limits = new StoreLimits(settings.state, settings.state.next);
-    const { requests, writes } = this.rates();
+    const { requests, questions, writes } = this.rates();
     this.requests = new Budget(runtime.clock, requests.perSecond, requests.burst);
+    this.questions = new Budget(runtime.clock, questions.perSecond, questions.burst);
     this.writes = new Budget(runtime.clock, writes.perSecond, writes.burst);
     this.limits.changed.subscribe(() => {
       const lower = this.rates();
       this.requests.setRate(lower.requests.perSecond, lower.requests.burst);
+      this.questions.setRate(lower.questions.perSecond, lower.questions.burst);
       this.writes.setRate(lower.writes.perSecond, lower.writes.burst);
     });
   }
@@ -74,10 +91,12 @@
    * The limits hold for all nodes together. One node does nearly all of the writing, so each may
    * take half of the requests; what is refused all the same is tried again after a wait.
    */
-  private rates(): { requests: Rate; writes: Rate } {
+  private rates(): { requests: Rate; questions: Rate; writes: Rate } {
     const { rps, writeRps } = this.limits.effective();
+    const questions = (rps * QUESTIONS_SHARE) / this.settings.size;
     return {
       requests: { perSecond: rps / 2, burst: rps / 4 },
+      questions: { perSecond: questions, burst: Math.max(1, questions * QUESTIONS_BURST_S) },
       writes: { perSecond: writeRps * 0.85, burst: writeRps * 0.5 },
     };
   }
@@ -92,6 +111,17 @@
     return Math.max(this.writes.delayMs(changes, urgency), this.requests.delayMs(1, urgency));
   }
 
+  /** How long the last of so many requests for users' questions would queue here, in milliseconds. */
+  questionDelayMs(requests: number): number {
+    const queuedMs = Math.max(this.questions.delayMs(1, 0), this.requests.delayMs(1, LEAST_URGENT));
+    return queuedMs + ((requests - 1) / this.rates().questions.perSecond) * 1000;
+  }
+
+  /** Since when requests have had no answer at all, not even a refusal; null while they have. */
+  get silentSince(): number | null {
+    return this.noAnswerSince;
+  }
+
   /** When the store last answered anything but a refusal. */
   get answeredAt(): number {
     return this.contactAt;
@@ -102,8 +132,8 @@
     return this.refusedSince;
   }
 
-  async get(key: string, urgency: Urgency, signal?: AbortSignal): Promise<wire.Entry | null> {
-    const reply = await this.call('GET', wire.STORE_PATHS.key(key), null, urgency, signal);
+  async get(key: string, from: RequestClass, signal?: AbortSignal): Promise<wire.Entry | null> {
+    const reply = await this.call('GET', wire.STORE_PATHS.key(key), null, from, signal);
     if (reply.status === 404) return null;
     return wire.parseEntry(expect(reply, 200, key));
   }
@@ -144,9 +174,10 @@
     after: string | null,
     limit: number,
     signal?: AbortSignal,
+    from: RequestClass = 0,
   ): Promise<wire.RangePage> {
     const path = wire.STORE_PATHS.range(prefix, after, limit);
-    const reply = await this.call('GET', path, null, 0, signal);
+    const reply = await this.call('GET', path, null, from, signal);
     return wire.parseRange(expect(reply, 200, prefix));
   }
 
@@ -162,16 +193,20 @@
     const reply = await this.sendTxn(body, then.length > 0, urgency, signal);
     if (reply.status === 409) return { ok: false, failed: wire.parseConflict(reply.body) };
     if (reply.status === 400 && isLeaseGone(reply.body)) throw new LeaseGone('no such lease');
-    // Too large a value or too many changes: the announced limits hold by now, for every writer.
-    if (reply.status === 400 && this.limits.lower()) {
-      this.runtime.log.warn(
-        { changes: then.length },
-        'store refused a size, lower limits in force',
-      );
-    }
+    if (reply.status === 400) this.noteSizeRefusal(then.length);
     return { ok: true, revision: wire.parseCommitted(expect(reply, 200, 'txn')) };
   }
 
+  /** Which of these keys have other versions than these, without any change. */
+  async differing(when: wire.Condition[], from: RequestClass): Promise<string[]> {
+    const body = wire.txnBody(when, []);
+    const reply = await this.call('POST', wire.STORE_PATHS.txn, body, from);
+    if (reply.status === 409) return wire.parseConflict(reply.body);
+    if (reply.status === 400) this.noteSizeRefusal(0);
+    expect(reply, 200, 'comparison');
+    return [];
+  }
+
   private async sendTxn(
     body: object,
     changes: boolean,
@@ -190,6 +225,12 @@
     }
   }
 
+  /** Too large a value or too many operations: the announced limits hold by now, for everybody. */
+  private noteSizeRefusal(changes: number): void {
+    if (!this.limits.lower()) return;
+    this.runtime.log.warn({ changes }, 'store refused a size, lower limits in force');
+  }
+
   private noteRateRefusal(): void {
     this.rateRefusals++;
     if (this.rateRefusals < PERSISTENT_RATE_REFUSALS || !this.limits.lower()) return;
@@ -261,13 +302,14 @@
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body: object | null,
-    urgency: Urgency | null,
+    from: RequestClass | null,
     signal?: AbortSignal,
     timeoutMs = this.timeoutMs,
   ): Promise<Reply> {
-    if (urgency !== null) await this.requests.take(1, urgency, signal);
+    if (from !== null) await this.admit(from, signal);
     try {
       const reply = await this.transport.request(method, path, body, timeoutMs, signal);
+      this.noAnswerSince = null;
       if (reply.status === 503) throw new Refused(503, path);
       this.contactAt = this.runtime.clock.now();
       this.refusedSince = null;
@@ -276,12 +318,22 @@
     } catch (error) {
       if (!signal?.aborted && !(error instanceof Refused && error.status === 429)) {
         this.refusedSince ??= this.runtime.clock.now();
+        if (error instanceof NoAnswer) this.noAnswerSince ??= this.runtime.clock.now();
       }
       throw error;
     }
   }
+
+  /** Waits for the rate at which the store may be asked. */
+  private async admit(from: RequestClass, signal?: AbortSignal): Promise<void> {
+    if (from !== 'question') return this.requests.take(1, from, signal);
+    await this.questions.take(1, 0, signal);
+    await this.requests.take(1, LEAST_URGENT, signal);
+  }
 }
 
+const LEAST_URGENT = 2;
+
 function expect(reply: Reply, status: number, what: string): unknown {
   if (reply.status !== status) throw new Refused(reply.status, what);
   return reply.body;
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -29,6 +29,8 @@
   constructor(
     count: number,
     private readonly limits: Partial<Settings['state']> = {},
+    /** How many controllers the settings name. */
+    private readonly size = settings().size,
   ) {
     for (let i = 0; i < count; i++) this.restart(i);
   }
@@ -36,7 +38,7 @@
   /** The node begins anew, with nothing in memory. */
   restart(node: number): void {
     const base = settings();
-    const changed = { ...base, state: { ...base.state, ...this.limits } };
+    const changed = { ...base, size: this.size, state: { ...base.state, ...this.limits } };
     const random = fakeRandom(`node-${node}.${++this.lives}`);
     const runtime = { clock: this.clock, random, log, startedAt: 0 };
     const link = this.store.link((_method, path, body) => {
@@ -63,7 +65,20 @@
   }
 
   abort(node: number, ref: string): Promise<Answer> {
-    return this.after(this.apis[node]!.abort(ref));
+    return this.after(this.aborting(node, ref));
+  }
+
+  /** The same without letting time pass. */
+  submitting(node: number, ref: string): Promise<Answer> {
+    return this.apis[node]!.submit({ ...BODY, ref });
+  }
+
+  aborting(node: number, ref: string): Promise<Answer> {
+    return this.apis[node]!.abort(ref);
+  }
+
+  query(node: number, ref: string): Promise<Answer> {
+    return this.apis[node]!.query(ref);
   }
 
   async phase(node: number, ref: string): Promise<string> {
