--- a/src/jobs/state-comparisons.ts
+++ b/src/jobs/state-comparisons.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../runtime/clock.js';
 import { KEYS } from '../state/keys.js';
 import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
-import type { Condition, RequestClass, Store } from '../state/store.js';
+import { isRefusedSize, type Condition, type RequestClass, type Store } from '../state/store.js';
 import type { JobState } from './job-states.js';
 import { HEDGE_SHARE, hedged, Overloaded } from './user-requests.js';
 
@@ -42,6 +42,8 @@
 export class StateComparisons {
   private asking = new Map<string, Waiter[]>();
   private comparing = false;
+  /** The store refused comparisons of more jobs than this, though the known limits allow them. */
+  private mostCompared = Infinity;
 
   constructor(
     private readonly store: Store,
@@ -70,7 +72,8 @@
   /** How many jobs one comparison takes. */
   get mostConditions(): number {
     // Looked up each time: a refusal of the last comparison may have lowered it.
-    return this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
+    const known = this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
+    return Math.min(known, this.mostCompared);
   }
 
   /** How long one more question would wait for its comparison to be sent, in milliseconds. */
@@ -111,6 +114,10 @@
     try {
       return await this.compare(batch);
     } catch (error) {
+      if (isRefusedSize(error) && batch.length > 1) {
+        this.compareInSmaller(batch);
+        return [];
+      }
       // Whoever asks is told at once that there is no answer now, and when to come back: held until
       // the store serves again, questions would pile up and come late all the same.
       rejectAll(batch, error);
@@ -118,6 +125,15 @@
     }
   }
 
+  /**
+   * The store takes fewer conditions than this comparison had. Its limit may have fallen without any
+   * announcement; refused for good, the jobs that are asked for together would look forgotten.
+   */
+  private compareInSmaller(batch: Question[]): void {
+    if (batch.length <= this.mostConditions) this.mostCompared = batch.length >> 1;
+    for (const [id, waiters] of batch) this.ask(id, waiters);
+  }
+
   private async compare(batch: Question[]): Promise<Question[]> {
     const compared = new Map(batch.map(([id]) => [id, this.memory.remembered(id)]));
     const when = [...compared].map(([id, job]) => ({
