--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -8,7 +8,7 @@
 import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
-import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { heartbeats, MOST_VOUCHED, VOUCH_VERSION, type Message } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
@@ -21,6 +21,7 @@
 import { cancellationViewLimitMs } from './cancellation-view.js';
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
+import { SelfWatch } from './self-watch.js';
 import { StrayWorkers } from './stray-workers.js';
 import { SilentTerms } from './worker-silence.js';
 
@@ -54,6 +55,7 @@
   private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
+  private readonly selfWatch: SelfWatch;
   private readonly vouches: CancellationVouch;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
@@ -87,6 +89,7 @@
       workers.reportMs * REPORTS_PER_LOOK,
     );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
+    this.selfWatch = new SelfWatch(runtime.clock, runtime.log, workers.reportMs);
     this.cancellationLog = new CancellationLog(
       runtime.clock,
       runtime.startedAt,
@@ -97,7 +100,7 @@
       links.peerTransport,
       runtime,
       this.cancellationLog,
-      (peer) => this.membership.speaksCurrent(peer),
+      (peer) => this.membership.readsFrames(peer, VOUCH_VERSION),
     );
     this.jobApi = new JobApi(
       this.store,
@@ -165,6 +168,7 @@
   private async heartbeat(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
+      this.selfWatch.look(this.ready());
       const role = this.election.role.value;
       // One that stood still may lead no more: its word would hide that the next leader is silent.
       if (this.leader && role.kind === 'leader' && role.term.active(clock.now())) {
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -2,6 +2,7 @@
 import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '../../src/runtime/clock.js';
+import type { Logger } from '../../src/runtime/log.js';
 import type { Settings } from '../../src/settings/deploy.js';
 import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
@@ -11,12 +12,13 @@
 import type { Answered, FakeWorker } from './worker.js';
 import type { World } from './world.js';
 
-const silent = {
-  error: (): void => {},
-  warn: (): void => {},
-  info: (): void => {},
-  debug: (): void => {},
-};
+/** One line of a controller's log. */
+export interface LogLine {
+  member: string;
+  level: 'error' | 'warn' | 'info' | 'debug';
+  fields: object;
+  message: string;
+}
 
 export interface Node {
   name: string;
@@ -102,7 +104,7 @@
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.world.seed * 37 * this.lives),
-        log: silent,
+        log: this.logOf(node.name),
         startedAt: this.world.clock.now(),
       },
       {
@@ -135,6 +137,15 @@
     void controller.run(node.stop.signal);
   }
 
+  private logOf(member: string): Logger {
+    const note =
+      (level: LogLine['level']) =>
+      (fields: object, message: string): void => {
+        this.world.logged.push({ member, level, fields, message });
+      };
+    return { error: note('error'), warn: note('warn'), info: note('info'), debug: () => undefined };
+  }
+
   /** What becomes of a request of one process to the store. */
   private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
     if (life.aborted) return 'refuse';
