--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Transport } from '../src/http/client.js';
 import { machines } from './fakes/meeting.js';
+import { CURRENT, type Program } from './fakes/program.js';
 import { NEXT, ranged, runKeys } from './fakes/upgrade.js';
 import {
   allRun,
@@ -71,3 +73,72 @@
     await w.close();
   });
 }
+
+/** A controller as a version to come would be: its member record names formats that nobody else knows. */
+const LATER: Program = {
+  ...CURRENT,
+  version: 'later',
+  create: (settings, runtime, links) => {
+    const request: Transport['request'] = (method, path, body, ...rest) => {
+      const text = JSON.stringify(body)?.replace('"recordFormat":2', '"recordFormat":3');
+      const later = text?.replace('"frameVersions":[3,4]', '"frameVersions":[3,4,5]');
+      return links.store.request(method, path, later ? JSON.parse(later) : body, ...rest);
+    };
+    return CURRENT.create(settings, runtime, { ...links, store: { request } });
+  },
+};
+
+test('104c759 works beside a version of later formats as beside its own', async () => {
+  const w = new World(machines('abababab'), 3, 0, { next: NEXT });
+  install(w, ['104c759', '104c759', 'current']);
+  w.nodes[2]!.program = LATER;
+  await w.start();
+  assert.equal((w.store.get('members/berth-2') as { recordFormat: number }).recordFormat, 3);
+  const work = await startLongWork(w);
+  const starts = startsOf(w, work);
+  for (const node of [0, 2, 1]) {
+    await passOffice(w, node);
+    await w.until(() => runKeys(w).every(ranged), 30, 'records are ranged');
+  }
+  w.store.limits = NEXT;
+  await w.pass(20);
+  assert.ok(allRun(w, work));
+  assert.equal(startsOf(w, work), starts);
+  assert.deepEqual(w.wire.unreadable, []);
+  await w.close();
+});
+
+for (const [leader, others] of [
+  ['current', '104c759'],
+  ['104c759', 'current'],
+  ['current', '78ff1b1'],
+] as const) {
+  const covered = others !== '78ff1b1';
+
+  test(`${leader} leads ${others} through a refusal, a cancellation and an outage`, async () => {
+    const w = new World(machines('aabb'), 3);
+    install(w, [leader, others, others]);
+    await w.start();
+    await passOffice(w, 0);
+    const wish = { shape: 'service', pieces: 2, runMs: 0, urgency: 'production' } as const;
+    const kept = await w.accept(wish);
+    const cancelled = await w.accept(wish);
+    await w.until(() => w.running(kept) + w.running(cancelled) === 4, 20, 'replicas run');
+    const starts = w.starts.length;
+    // Nothing may rest on the message that tells the leader of a cancellation.
+    w.wire.loses = (_from, _to, message) => message.kind === 'cancelled';
+    w.trouble.refuse(0);
+    await w.clock.advance(300);
+    assert.equal(await w.cancel(cancelled, 1), 'withdrawn');
+    w.trouble.outage();
+    await w.pass(60);
+    // With vouches the work that was not cancelled outlasts it; the rules hold in any case.
+    if (covered) assert.equal(w.running(kept), 2);
+    w.trouble.over();
+    await w.until(() => w.running(kept) === 2, 60, 'what was not cancelled runs');
+    if (covered) assert.equal(w.starts.length, starts, 'nothing is started again');
+    assert.deepEqual(w.wire.unreadable, []);
+    await assertPhase(w, cancelled, 'withdrawn');
+    await w.close();
+  });
+}
