--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -4,7 +4,6 @@
 import { readRuns } from '../jobs/run-reader.js';
 import { RECORD_FORMATS } from '../membership/membership.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
-import { RECORD_FORMATS } from '../membership/membership.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
