--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -2,8 +2,8 @@
 import { Job, type StoredRuns } from '../jobs/tracked-job.js';
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { readRuns } from '../jobs/run-reader.js';
-import { jobOfKey, KEYS } from '../state/keys.js';
 import { RECORD_FORMATS } from '../membership/membership.js';
+import { jobOfKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -29,6 +29,8 @@
   fate(method: string, path: string, body: unknown): Fate;
   /** False while workers cannot reach it. */
   open: boolean;
+  /** False while users cannot reach it. */
+  usersOpen: boolean;
   /** Until when it stands still while its clocks run on. */
   frozenUntil: number;
   /** For how long its answers to users and workers are held up on their way. */
@@ -56,10 +58,25 @@
         stop: new AbortController(),
         fate: () => 'serve',
         open: true,
+        usersOpen: true,
         frozenUntil: 0,
         heldMs: 0,
       });
     }
+    world.wire.thaw = async (name) => {
+      const node = this.nodes.find((n) => n.name === name);
+      if (node && world.clock.now() < node.frozenUntil) await this.thaw(node);
+    };
+  }
+
+  /** The controllers that a load balancer would take for healthy; all if none is. */
+  healthy(): number[] {
+    const all = [...this.nodes.keys()];
+    const healthy = all.filter((i) => {
+      const { controller, frozenUntil, usersOpen } = this.nodes[i]!;
+      return usersOpen && frozenUntil <= this.world.clock.now() && controller?.ready();
+    });
+    return healthy.length > 0 ? healthy : all;
   }
 
   /** One controller as its users see it. */
@@ -67,7 +84,7 @@
     const node = this.nodes[i]!;
     return {
       name: node.name,
-      jobApi: () => node.controller?.jobApi ?? null,
+      jobApi: () => (node.usersOpen ? (node.controller?.jobApi ?? null) : null),
       alive: node.stop.signal,
       heldMs: node.heldMs,
       thaw: () => this.thaw(node),
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -59,6 +59,8 @@
   settling = false;
   /** A task has just completed. */
   onDone: (piece: Piece) => void = () => undefined;
+  /** Users come through the load balancer, which avoids controllers that fail its probes. */
+  balanced = false;
   /** Whether commands reach the workers' own addresses. */
   directOpen = true;
   private readonly end = new AbortController();
