--- a/test/request-limits.test.ts
+++ b/test/request-limits.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RunLayout } from '../src/jobs/run-layout.js';
 import type { Settings } from '../src/settings/deploy.js';
 import { Nodes } from './fakes/nodes.js';
 import { NEXT, runKeys } from './fakes/upgrade.js';
@@ -66,6 +67,18 @@
   assert.equal((await n.submit(0, 'req-2')).status, 201);
 });
 
+test('a superseded record stays until ranged ones hold all that it says', () => {
+  const layout = new RunLayout('req-1', 100, 50);
+  for (const section of layout.sections) section.version = 3;
+  layout.toRanged(30, () => false);
+  const [first, second, third] = layout.sections;
+  const removable = (...written: typeof layout.sections): number[] =>
+    layout.removable(new Set(written)).map((record) => record.from);
+  assert.deepEqual(removable(first!), [], 'tasks 30 to 49 are in the old record alone');
+  assert.deepEqual(removable(first!, second!), [0]);
+  assert.deepEqual(removable(second!, third!), []);
+});
+
 const SIX = ['a', 'b', 'a', 'b', 'a', 'b'].map((yard) => ({ yard }));
 const LONG = 400_000;
 
