--- a/test/fakes/persistent-users.ts
+++ b/test/fakes/persistent-users.ts
@@ -56,6 +56,7 @@
   }
 
   private anyNode(): number {
+    if (this.world.balanced) return this.world.random.pick(this.world.controllers.healthy());
     return Math.floor(this.world.random.next() * this.world.nodes.length);
   }
 
