--- a/src/fleet/boot-times.ts
+++ b/src/fleet/boot-times.ts
@@ -69,8 +69,8 @@
     let count = 0;
     for (const m of machines) {
       if (m.type?.name !== type.name || m.returning || !this.late(m, now)) continue;
-      if (!this.overtaken(m, type)) count++;
+      if (!this.overtaken(m, type) && ++count >= LATE_MACHINES_OF_SLOW_CLOUD) return true;
     }
-    return count >= LATE_MACHINES_OF_SLOW_CLOUD;
+    return false;
   }
 }
