--- a/test/large.test.ts
+++ b/test/large.test.ts
@@ -58,6 +58,22 @@
   assert.equal(lists[1]!.length, 899);
 });
 
+test('the log says once when the cloud does not serve, and once when it does again', async () => {
+  const { clock, cloud, runtime, rentals } = cloudOf(1);
+  const lines: unknown[][] = [];
+  const quiet = runtime.log.info;
+  runtime.log.info = (...line: unknown[]) => lines.push(line);
+  for (const down of [true, true, false, false]) {
+    cloud.down = down;
+    await after(clock, rentals.list());
+  }
+  runtime.log.info = quiet;
+  assert.deepEqual(
+    lines.map(([, message]) => message),
+    ['the cloud does not serve', 'the cloud serves again'],
+  );
+});
+
 test('rentals and returns of hundreds keep within what one call may carry, each machine once', async () => {
   const { clock, cloud, fakeStore, rentals, returned, term } = cloudOf(250);
   fakeStore.keys.set('leader', { value: {}, stamp: 1, hold: null });
