--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -81,7 +81,8 @@
     for (const job of inOrder(waiting, this.guaranteed)) {
       const team = this.s.teams.get(job.spec.team);
       if (!team) continue;
-      if (job.gang) this.gang(job, team);
+      if (job.onTrial) this.tryOut(job, team);
+      else if (job.gang) this.gang(job, team);
       else this.tasks(job, team);
     }
     this.servePatient();
@@ -95,6 +96,16 @@
     return this.result;
   }
 
+  /** Starts what there is free room for, and does nothing for the rest. */
+  private tryOut(job: JobView, team: TeamView): void {
+    if (job.gang) {
+      this.passWhole(job, team);
+      return;
+    }
+    const count = Math.min(job.waiting, limitRoom(team, job.spec));
+    if (count > 0) this.start(job, count, new ZoneRules(job.spec, job.zones), team, this.up);
+  }
+
   /** Starts the tasks of an array or service that find room, and makes or rents it for the others. */
   private tasks(job: JobView, team: TeamView): void {
     const count = Math.min(job.waiting, limitRoom(team, job.spec));
@@ -194,14 +205,7 @@
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
     if (limitRoom(team, job.spec) < job.spec.tasks) return;
-    const placed = this.finder.isFull(job.spec, this.up)
-      ? null
-      : placeGang(job, this.up, this.scarce);
-    if (placed) {
-      this.charge(team, job.spec, job.spec.tasks);
-      this.record(job, placed);
-      return;
-    }
+    if (this.passWhole(job, team)) return;
     if (job.patient) {
       const rules = new ZoneRules(job.spec, job.zones);
       this.patient.push({ job, missing: job.spec.tasks, rules });
@@ -213,4 +217,15 @@
     this.charge(team, job.spec, job.spec.tasks);
     if (!holdsGate && !behind) this.result.admit = job.id;
   }
+
+  /** A gang whose whole room is free and held now passes at once; false if it is not. */
+  private passWhole(job: JobView, team: TeamView): boolean {
+    const { spec } = job;
+    if (limitRoom(team, spec) < spec.tasks || this.finder.isFull(spec, this.up)) return false;
+    const placed = placeGang(job, this.up, this.scarce);
+    if (!placed) return false;
+    this.charge(team, spec, spec.tasks);
+    this.record(job, placed);
+    return true;
+  }
 }
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
-import { Controller } from '../../src/control/controller.js';
+import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '../../src/runtime/clock.js';
+import type { Logger } from '../../src/runtime/log.js';
 import type { Settings } from '../../src/settings/deploy.js';
-import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
-import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
+import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
 import { settings, settingsAmong } from './sample-settings.js';
 import type { Fate } from './store.js';
@@ -12,20 +12,25 @@
 import type { Answered, FakeWorker } from './worker.js';
 import type { World } from './world.js';
 
-const silent = {
-  error: (): void => {},
-  warn: (): void => {},
-  info: (): void => {},
-  debug: (): void => {},
-};
+/** One line of a controller's log. */
+export interface LogLine {
+  member: string;
+  level: 'error' | 'warn' | 'info' | 'debug';
+  fields: object;
+  message: string;
+}
 
 export interface Node {
   name: string;
+  /** The version that its next process runs. */
+  program: Program;
   controller: Controller | null;
   stop: AbortController;
   fate(method: string, path: string, body: unknown): Fate;
   /** False while workers cannot reach it. */
   open: boolean;
+  /** False while users cannot reach it. */
+  usersOpen: boolean;
   /** Until when it stands still while its clocks run on. */
   frozenUntil: number;
   /** For how long its answers to users and workers are held up on their way. */
@@ -48,14 +53,30 @@
     for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, count)) {
       this.nodes.push({
         name,
+        program: CURRENT,
         controller: null,
         stop: new AbortController(),
         fate: () => 'serve',
         open: true,
+        usersOpen: true,
         frozenUntil: 0,
         heldMs: 0,
       });
     }
+    world.wire.thaw = async (name) => {
+      const node = this.nodes.find((n) => n.name === name);
+      if (node && world.clock.now() < node.frozenUntil) await this.thaw(node);
+    };
+  }
+
+  /** The controllers that a load balancer would take for healthy; all if none is. */
+  healthy(): number[] {
+    const all = [...this.nodes.keys()];
+    const healthy = all.filter((i) => {
+      const { controller, frozenUntil, usersOpen } = this.nodes[i]!;
+      return usersOpen && frozenUntil <= this.world.clock.now() && controller?.ready();
+    });
+    return healthy.length > 0 ? healthy : all;
   }
 
   /** One controller as its users see it. */
@@ -63,7 +84,7 @@
     const node = this.nodes[i]!;
     return {
       name: node.name,
-      jobApi: () => node.controller?.jobApi ?? null,
+      jobApi: () => (node.usersOpen ? (node.controller?.jobApi ?? null) : null),
       alive: node.stop.signal,
       heldMs: node.heldMs,
       thaw: () => this.thaw(node),
@@ -74,23 +95,23 @@
     const node = this.nodes[i]!;
     const stop = new AbortController();
     node.stop = stop;
-    const controller = new Controller(
+    const controller = node.program.create(
       settingsAmong(
         node.name,
         this.nodes.map((n) => n.name),
         this.state,
       ),
-      OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.world.seed * 37 * this.lives),
-        log: silent,
+        log: this.logOf(node.name),
         startedAt: this.world.clock.now(),
       },
       {
         peerTransport: this.world.wire.attach(
           node.name,
           this.nodes.map((n) => n.name),
+          node.program.frames,
         ),
         store: this.through(
           node,
@@ -116,6 +137,15 @@
     void controller.run(node.stop.signal);
   }
 
+  private logOf(member: string): Logger {
+    const note =
+      (level: LogLine['level']) =>
+      (fields: object, message: string): void => {
+        this.world.logged.push({ member, level, fields, message });
+      };
+    return { error: note('error'), warn: note('warn'), info: note('info'), debug: () => undefined };
+  }
+
   /** What becomes of a request of one process to the store. */
   private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
     if (life.aborted) return 'refuse';
@@ -194,7 +224,7 @@
 
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
-    const { controller } = this.nodes[node]!;
+    const { controller, program } = this.nodes[node]!;
     await this.thaw(this.nodes[node]!);
     const { yard } = report as { yard: string };
     const cutOff = this.apart && yard !== this.zoneOf(this.nodes[node]!);
@@ -204,12 +234,9 @@
       if (!open) await this.world.clock.sleep(5000);
       throw new Error('no connection');
     }
-    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
-    assert.ok(parsed);
-    const outcome = await controller.report(parsed);
+    const answer = await program.answerReport(controller, JSON.parse(JSON.stringify(report)));
+    assert.notEqual(answer.status, 400);
     await this.world.clock.sleep(1 + this.nodes[node]!.heldMs);
-    return outcome.kind === 'orders'
-      ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
-      : { status: 421, body: redirectAnswer(outcome.leader) };
+    return answer;
   }
 }
