--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -8,18 +8,20 @@
 import { CancellationLog } from '../jobs/cancellation-log.js';
 import { JobApi, type Counts } from '../jobs/job-api.js';
 import { CancellationVouch } from '../peer/cancellation-vouch.js';
-import { heartbeats, MOST_VOUCHED, type Message } from '../peer/frames.js';
+import { heartbeats, MOST_VOUCHED, VOUCH_VERSION, type Message } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
+import { probeStore } from '../state/probe.js';
 import { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
 import { cancellationViewLimitMs } from './cancellation-view.js';
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
+import { SelfWatch } from './self-watch.js';
 import { StrayWorkers } from './stray-workers.js';
 import { SilentTerms } from './worker-silence.js';
 
@@ -53,6 +55,7 @@
   private readonly silentTerms = new SilentTerms();
   private readonly strays: StrayWorkers;
   private readonly cancellationLog: CancellationLog;
+  private readonly selfWatch: SelfWatch;
   private readonly vouches: CancellationVouch;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
@@ -86,6 +89,7 @@
       workers.reportMs * REPORTS_PER_LOOK,
     );
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
+    this.selfWatch = new SelfWatch(runtime.clock, runtime.log, workers.reportMs);
     this.cancellationLog = new CancellationLog(
       runtime.clock,
       runtime.startedAt,
@@ -96,7 +100,7 @@
       links.peerTransport,
       runtime,
       this.cancellationLog,
-      (peer) => this.membership.speaksCurrent(peer),
+      (peer) => this.membership.readsFrames(peer, VOUCH_VERSION),
     );
     this.jobApi = new JobApi(
       this.store,
@@ -143,6 +147,8 @@
   private onPeer(message: Message): void {
     if (message.kind === 'cancelled') this.leader?.announceCancelled(message.id);
     else if (message.kind === 'heartbeat') {
+      // Left over from an earlier leader, which stood still or whose messages were held up.
+      if (message.token < this.currentToken) return;
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
       this.strays.clear();
@@ -152,12 +158,20 @@
     }
   }
 
+  /** The token of the newest term that this controller knows of. */
+  private get currentToken(): number {
+    const role = this.election.role.value;
+    return role.kind === 'leader' ? role.term.token : role.token;
+  }
+
   /** The leader tells the others how far jobs are, for display. */
   private async heartbeat(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
+      this.selfWatch.look(this.ready());
       const role = this.election.role.value;
-      if (this.leader && role.kind === 'leader') {
+      // One that stood still may lead no more: its word would hide that the next leader is silent.
+      if (this.leader && role.kind === 'leader' && role.term.active(clock.now())) {
         for (const message of heartbeats(role.term.token, this.leader.allCounts())) {
           for (const peer of this.links.peerTransport.peers)
             this.links.peerTransport.send(peer, message);
@@ -222,6 +236,9 @@
     try {
       await Promise.all([
         duty(this.runtime, 'heartbeat', signal, restartMs, (s) => this.heartbeat(s)),
+        duty(this.runtime, 'store probe', signal, restartMs, (s) =>
+          probeStore(this.store, this.runtime.clock, restartMs, s),
+        ),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -11,7 +11,7 @@
 import type { Job } from '../jobs/live.js';
 import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
-import type { Membership } from '../membership/membership.js';
+import { RECORD_FORMATS, type Membership } from '../membership/membership.js';
 import { duty, type Runtime } from '../runtime/duty.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -26,6 +26,7 @@
 import { LongPoll } from './long-poll.js';
 import { MachineReconciler } from './machine-reconciler.js';
 import { longestHoldMs, ReportHandler } from './report-handler.js';
+import { SilentMachines } from './silent-machines.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
@@ -64,6 +65,7 @@
   readonly lifetimeMs: number;
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
+  readonly silentMachines: SilentMachines;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -103,9 +105,12 @@
       settings.workers.leaseMs,
       this.zoneDelegates,
     );
+    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m) =>
+      this.fleet.silentFrom(m),
+    );
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
-      rangesReadable: () => parts.membership.allCurrent,
+      rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
       rangesWanted: () => store.limits.recordsMustShrink,
     };
     this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -2,6 +2,7 @@
 import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '../../src/runtime/clock.js';
+import type { Logger } from '../../src/runtime/log.js';
 import type { Settings } from '../../src/settings/deploy.js';
 import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
@@ -11,12 +12,13 @@
 import type { Answered, FakeWorker } from './worker.js';
 import type { World } from './world.js';
 
-const silent = {
-  error: (): void => {},
-  warn: (): void => {},
-  info: (): void => {},
-  debug: (): void => {},
-};
+/** One line of a controller's log. */
+export interface LogLine {
+  member: string;
+  level: 'error' | 'warn' | 'info' | 'debug';
+  fields: object;
+  message: string;
+}
 
 export interface Node {
   name: string;
@@ -27,6 +29,8 @@
   fate(method: string, path: string, body: unknown): Fate;
   /** False while workers cannot reach it. */
   open: boolean;
+  /** False while users cannot reach it. */
+  usersOpen: boolean;
   /** Until when it stands still while its clocks run on. */
   frozenUntil: number;
   /** For how long its answers to users and workers are held up on their way. */
@@ -54,10 +58,25 @@
         stop: new AbortController(),
         fate: () => 'serve',
         open: true,
+        usersOpen: true,
         frozenUntil: 0,
         heldMs: 0,
       });
     }
+    world.wire.thaw = async (name) => {
+      const node = this.nodes.find((n) => n.name === name);
+      if (node && world.clock.now() < node.frozenUntil) await this.thaw(node);
+    };
+  }
+
+  /** The controllers that a load balancer would take for healthy; all if none is. */
+  healthy(): number[] {
+    const all = [...this.nodes.keys()];
+    const healthy = all.filter((i) => {
+      const { controller, frozenUntil, usersOpen } = this.nodes[i]!;
+      return usersOpen && frozenUntil <= this.world.clock.now() && controller?.ready();
+    });
+    return healthy.length > 0 ? healthy : all;
   }
 
   /** One controller as its users see it. */
@@ -65,7 +84,7 @@
     const node = this.nodes[i]!;
     return {
       name: node.name,
-      jobApi: () => node.controller?.jobApi ?? null,
+      jobApi: () => (node.usersOpen ? (node.controller?.jobApi ?? null) : null),
       alive: node.stop.signal,
       heldMs: node.heldMs,
       thaw: () => this.thaw(node),
@@ -85,7 +104,7 @@
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.world.seed * 37 * this.lives),
-        log: silent,
+        log: this.logOf(node.name),
         startedAt: this.world.clock.now(),
       },
       {
@@ -118,6 +137,15 @@
     void controller.run(node.stop.signal);
   }
 
+  private logOf(member: string): Logger {
+    const note =
+      (level: LogLine['level']) =>
+      (fields: object, message: string): void => {
+        this.world.logged.push({ member, level, fields, message });
+      };
+    return { error: note('error'), warn: note('warn'), info: note('info'), debug: () => undefined };
+  }
+
   /** What becomes of a request of one process to the store. */
   private fate(node: Node, life: AbortSignal, method: string, path: string, body: unknown): Fate {
     if (life.aborted) return 'refuse';
