--- a/test/night-log.test.ts
+++ b/test/night-log.test.ts
@@ -1,12 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { World, type LogLine } from './fakes/world.js';
+import type { LogLine } from './fakes/recorded-log.js';
+import { World } from './fakes/world.js';
 
 const FOUR = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
 
-/** Lines of one message, without the members that wrote them. */
+/** All lines of one message. */
 const lines = (w: World, message: string): LogLine[] =>
-  w.logged.filter((line) => line.message === message);
+  w.controllers.log.lines.filter((line) => line.message === message);
 
 test('machines that hang show as one event at info level, with what their leases cost', async () => {
   const w = new World(FOUR);
