The end of a small job is written before its run records are deleted, while writes wait

Cause: a one-task job costs four changes of the store (accepted, started, over, run record deleted). Sharing transactions alone does not help: each put and delete counts.

Change: while writes wait, the final state is written alone, on condition of the same versions as before; the run records are deleted later, those of several jobs in one transaction, and only while no other write waits. A successor finds them: a run record of a job of which only the final state is left. Keys and formats are the same; nothing is left behind before all controllers are of the current version.

--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -16,6 +16,8 @@
   private revision = 0;
   /** Jobs announced as cancelled before the records were read. */
   private readonly announced = new Set<string>();
+  /** Jobs of which the store held only the final state when the records were read. */
+  private readonly over = new Set<string>();
 
   constructor(private readonly leader: Leader) {
     // Every report that waits for the records listens to it.
@@ -54,6 +56,7 @@
         this.revision = jobs.revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.over.clear();
         this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
         runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
@@ -70,7 +73,11 @@
     const { runtime, store } = this.leader.parts;
     const perRange = tasksPerRange(store.limits.smallest().valueBytes);
     const { runs, unreadable } = readRuns(entries, (id) => this.leader.jobs.get(id) ?? null);
-    for (const { key, job } of unreadable) {
+    for (const { id, key, version, job } of unreadable) {
+      if (job === null && this.over.has(id)) {
+        this.leader.ledger.leftovers.add([{ key, version }]);
+        continue;
+      }
       // What cannot be read may still run: the job is left alone rather than started again.
       runtime.log.error({ key }, 'unreadable run record, left as occupied');
       if (job) job.blind = true;
@@ -151,6 +158,7 @@
     const known = this.leader.jobs.get(id);
     if (!known) {
       if (!record.spec || record.at === undefined) {
+        if (!this.ready && record.phase !== 'open') this.over.add(id);
         this.leader.dependencies.ended(id, record.phase, record.doneAt ?? null);
         return;
       }
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -204,6 +204,9 @@
       duty(runtime, 'vouches', signal, restartMs, (s) => this.askForVouches(s)),
       duty(runtime, 'rounds', signal, restartMs, (s) => this.rounds.run(s)),
       duty(runtime, 'rewrite runs', signal, restartMs, (s) => this.rewriter.run(restartMs, s)),
+      duty(runtime, 'leftover records', signal, restartMs, (s) =>
+        this.ledger.leftovers.run(restartMs / 4, s),
+      ),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
     ]);
--- a/src/jobs/job-transaction.ts
+++ b/src/jobs/job-transaction.ts
@@ -28,8 +28,10 @@
   /** What is deleted. */
   removed: StoredSection[];
   jobRecord: JobRecord | null;
-  /** True if only the final state is left after it. */
+  /** True if only the final state is left after it, but for `leftovers`. */
   closes: boolean;
+  /** Run records that mean nothing after it, and are deleted later on. */
+  leftovers: StoredSection[];
   /** It changes nothing: records are moved to another layout. */
   background: boolean;
 }
@@ -45,6 +47,8 @@
     private readonly runtime: Runtime,
     private readonly term: Term,
     private readonly refusals: WriteRefusals,
+    /** Whether run records of a job that is over may be left for later. */
+    private readonly mayLeaveRecords: () => boolean,
   ) {}
 
   /** The next transaction of a job; `w` marks its records. */
@@ -60,6 +64,7 @@
       removed: [],
       jobRecord: null,
       closes: false,
+      leftovers: [],
       background: false,
     };
   }
@@ -77,11 +82,14 @@
       transaction.jobRecord = this.finalRecord(job, w);
       return transaction;
     }
-    transaction.removed = stored.slice(0, most);
-    for (const { key, version } of transaction.removed) {
+    const leaves = stored.length <= most && this.mayLeaveRecords();
+    const records = stored.slice(0, most);
+    for (const { key, version } of records) {
       transaction.when.push({ key, version });
-      transaction.then.push({ delete: key });
+      if (!leaves) transaction.then.push({ delete: key });
     }
+    if (leaves) transaction.leftovers = records;
+    else transaction.removed = records;
     if (stored.length > most) return transaction;
     const { phase, tasks, doneAt } = this.finalRecord(job, w);
     transaction.jobRecord = { w, phase, tasks, ...(doneAt === undefined ? {} : { doneAt }) };
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -6,6 +6,7 @@
 import type { JobPhase } from './job.js';
 import { canClose, TransactionBuilder, type JobTransaction } from './job-transaction.js';
 import type { Job, Placement } from './live.js';
+import { LeftoverRecords } from './leftover-records.js';
 import { tasksPerRange, type JobRecord } from './records.js';
 import type { LayoutPolicy } from './run-layout.js';
 import { recordRemoved, TransactionCommitter } from './transaction-committer.js';
@@ -48,6 +49,7 @@
 export class Ledger {
   private writes = 0;
   private readonly refusals: WriteRefusals;
+  readonly leftovers: LeftoverRecords;
   private readonly builder: TransactionBuilder;
   private readonly committer: TransactionCommitter;
 
@@ -61,7 +63,14 @@
     private readonly events: LedgerEvents,
   ) {
     this.refusals = new WriteRefusals(limits, endsWaitMs);
-    this.builder = new TransactionBuilder(runtime, term, this.refusals);
+    // A leader of an earlier version would take them for records that it cannot read.
+    this.builder = new TransactionBuilder(
+      runtime,
+      term,
+      this.refusals,
+      () => layouts.rangesReadable() && store.writesWaiting > 0,
+    );
+    this.leftovers = new LeftoverRecords(store, runtime, term);
     this.committer = new TransactionCommitter(store, term, {
       jobChanged: (job, version, record) => events.jobChanged(job, version, record),
       refused: (job, changes, error) => this.refused(job, changes, error),
@@ -176,6 +185,7 @@
       job.version = revision;
       if (phase === job.phase) job.phaseStored = true;
       if (transaction.closes) job.closed = true;
+      this.leftovers.add(transaction.leftovers);
       this.events.ended(job, phase);
     }
     const ended = new Set(ends);
--- a/src/jobs/run-reader.ts
+++ b/src/jobs/run-reader.ts
@@ -6,7 +6,7 @@
 /** What the run records of all jobs say, and which of them no job can be found for or be read. */
 export interface ReadRuns {
   runs: Map<Job, StoredRuns>;
-  unreadable: { key: string; job: Job | null }[];
+  unreadable: { id: string; key: string; version: number; job: Job | null }[];
 }
 
 /** Sorts run records by job, in both layouts. */
@@ -17,8 +17,9 @@
     const id = entry.key.split('/')[1] ?? '';
     const job = jobOf(id);
     const stored = job && (runs.get(job) ?? { indexed: [], ranged: [] });
-    if (!job || !stored || !take(entry, job, stored)) unreadable.push({ key: entry.key, job });
-    else runs.set(job, stored);
+    if (!job || !stored || !take(entry, job, stored)) {
+      unreadable.push({ id, key: entry.key, version: entry.version, job });
+    } else runs.set(job, stored);
   }
   return { runs, unreadable };
 }
--- a/src/jobs/transaction-committer.ts
+++ b/src/jobs/transaction-committer.ts
@@ -70,7 +70,7 @@
    */
   private async reconcile(job: Job, transaction: JobTransaction, key: string): Promise<void> {
     const entry = await this.store.read(key, this.term.signal);
-    const removed = transaction.removed.find((r) => r.key === key);
+    const removed = [...transaction.removed, ...transaction.leftovers].find((r) => r.key === key);
     if (removed && !entry) return recordRemoved(job, removed);
     const known = job.layout.stored().find((s) => s.key === key);
     const section = known ?? job.layout.sections.find((s) => s.key === key);
--- a/test/fakes/sample-settings.ts
+++ b/test/fakes/sample-settings.ts
@@ -40,12 +40,14 @@
 sockets = 500
 `;
 
-/** A team whose work needs no GPUs. */
+/** A team whose work needs no GPUs, and one without a guarantee. */
 const DESK = `
 [[facts.teams]]
 name = "desk"
 cpus = 4.0
 cpus_max = 16.0
+[[facts.teams]]
+name = "guests"
 `;
 
 /** The second controller is in zone b, the others are in zone a. */
