--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -220,11 +220,11 @@
 
   /** A gang whose whole room is free and held now passes at once; false if it is not. */
   private passWhole(job: JobView, team: TeamView): boolean {
-    if (limitRoom(team, job.spec) < job.spec.tasks || this.finder.isFull(job.spec, this.up))
-      return false;
+    const { spec } = job;
+    if (limitRoom(team, spec) < spec.tasks || this.finder.isFull(spec, this.up)) return false;
     const placed = placeGang(job, this.up, this.scarce);
     if (!placed) return false;
-    this.charge(team, job.spec, job.spec.tasks);
+    this.charge(team, spec, spec.tasks);
     this.record(job, placed);
     return true;
   }
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
-import { Controller } from '../../src/control/controller.js';
+import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '../../src/runtime/clock.js';
 import type { Settings } from '../../src/settings/deploy.js';
-import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
-import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
+import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
 import { settings, settingsAmong } from './sample-settings.js';
 import type { Fate } from './store.js';
@@ -21,6 +20,8 @@
 
 export interface Node {
   name: string;
+  /** The version that its next process runs. */
+  program: Program;
   controller: Controller | null;
   stop: AbortController;
   fate(method: string, path: string, body: unknown): Fate;
@@ -48,6 +49,7 @@
     for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, count)) {
       this.nodes.push({
         name,
+        program: CURRENT,
         controller: null,
         stop: new AbortController(),
         fate: () => 'serve',
@@ -74,13 +76,12 @@
     const node = this.nodes[i]!;
     const stop = new AbortController();
     node.stop = stop;
-    const controller = new Controller(
+    const controller = node.program.create(
       settingsAmong(
         node.name,
         this.nodes.map((n) => n.name),
         this.state,
       ),
-      OPERATOR_DEFAULTS,
       {
         clock: this.clockOf(node),
         random: fakeRandom(`${node.name}.${++this.lives}`, this.world.seed * 37 * this.lives),
@@ -91,6 +92,7 @@
         peerTransport: this.world.wire.attach(
           node.name,
           this.nodes.map((n) => n.name),
+          node.program.frames,
         ),
         store: this.through(
           node,
@@ -194,7 +196,7 @@
 
   /** A report's way to a controller; also for copies that come late. */
   async deliver(node: number, report: object): Promise<Answered> {
-    const { controller } = this.nodes[node]!;
+    const { controller, program } = this.nodes[node]!;
     await this.thaw(this.nodes[node]!);
     const { yard } = report as { yard: string };
     const cutOff = this.apart && yard !== this.zoneOf(this.nodes[node]!);
@@ -204,12 +206,9 @@
       if (!open) await this.world.clock.sleep(5000);
       throw new Error('no connection');
     }
-    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
-    assert.ok(parsed);
-    const outcome = await controller.report(parsed);
+    const answer = await program.answerReport(controller, JSON.parse(JSON.stringify(report)));
+    assert.notEqual(answer.status, 400);
     await this.world.clock.sleep(1 + this.nodes[node]!.heldMs);
-    return outcome.kind === 'orders'
-      ? { status: 200, body: reportAnswer(outcome.token, outcome.orders) }
-      : { status: 421, body: redirectAnswer(outcome.leader) };
+    return answer;
   }
 }
