--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -3,6 +3,7 @@
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { readRuns } from '../jobs/run-reader.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
+import { RECORD_FORMATS } from '../membership/membership.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
@@ -91,7 +92,8 @@
       this.leader.fleet.add(p, clock.now());
       if (job.phase !== 'open') p.stop = { graceMs: 0 };
     }
-    if (!job.foreignLayout || this.leader.parts.membership.allCurrent) return;
+    const { membership } = this.leader.parts;
+    if (!job.foreignLayout || membership.allRead(RECORD_FORMATS.rangedRuns)) return;
     // Only ranged records could go above them, and not every controller reads those.
     this.leader.parts.runtime.log.error({ job: job.id }, 'records of another layout, left as is');
     job.blind = true;
