--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -111,6 +111,7 @@
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
       rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
+      leftoversKnown: () => parts.membership.allRead(RECORD_FORMATS.leftoverRuns),
       rangesWanted: () => store.limits.recordsMustShrink,
     };
     this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -68,7 +68,7 @@
       runtime,
       term,
       this.refusals,
-      () => layouts.rangesReadable() && store.writesWaiting > 0,
+      () => layouts.leftoversKnown() && store.writesWaiting > 0,
     );
     this.leftovers = new LeftoverRecords(store, runtime, term);
     this.committer = new TransactionCommitter(store, term, {
--- a/src/jobs/run-layout.ts
+++ b/src/jobs/run-layout.ts
@@ -17,6 +17,8 @@
 export interface LayoutPolicy {
   /** True once every controller reads ranged records. */
   rangesReadable(): boolean;
+  /** True once every controller knows that run records of a job that is over mean nothing. */
+  leftoversKnown(): boolean;
   /** True if records have to become smaller. */
   rangesWanted(): boolean;
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -10,8 +10,10 @@
  * Formats of stored records. A change of any record or key gets the next number here, and none ever
  * changes its meaning: a program that reads a format also reads all before it. Versions without a
  * member record know the first alone.
+ *
+ * `leftoverRuns`: run records may be left of a job of which only the final state is stored.
  */
-export const RECORD_FORMATS = { indexedRuns: 1, rangedRuns: 2 } as const;
+export const RECORD_FORMATS = { indexedRuns: 1, rangedRuns: 2, leftoverRuns: 3 } as const;
 
 /** What a program understands of what others write. */
 export interface Formats {
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -29,7 +29,7 @@
     { clock } as unknown as Runtime,
     new Term('t', 1, 0, Infinity),
     new StoreLimits(settings().state),
-    { rangesReadable: () => false, rangesWanted: () => false },
+    { rangesReadable: () => false, leftoversKnown: () => false, rangesWanted: () => false },
     2500,
     {
       jobChanged: nothing,
@@ -52,7 +52,11 @@
     fakeStore.keys.set(`jobs/${one.id}`, { value: {}, stamp: 1, hold: null });
   }
   const readable = { on: true };
-  const layouts = { rangesReadable: () => readable.on, rangesWanted: () => false };
+  const layouts = {
+    rangesReadable: () => readable.on,
+    leftoversKnown: () => readable.on,
+    rangesWanted: () => false,
+  };
   const errors: object[] = [];
   const log = { error: (e: object) => errors.push(e), warn() {}, info() {}, debug() {} };
   const runtime = { clock, random: fakeRandom('r'), log, startedAt: 0 } as unknown as Runtime;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -69,7 +69,7 @@
     name: 'berth-2',
     version: '0.1.0',
     startedAt: 1_800_000_060_000,
-    recordFormat: 2,
+    recordFormat: 3,
     frameVersions: [...FRAME_VERSIONS],
   });
   const again = start('berth-1');
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -56,7 +56,11 @@
       runtime as unknown as Runtime,
       this.term,
       store.limits,
-      { rangesReadable: () => this.readable, rangesWanted: () => this.ranged },
+      {
+        rangesReadable: () => this.readable,
+        leftoversKnown: () => this.readable,
+        rangesWanted: () => this.ranged,
+      },
       10_000,
       {
         jobChanged: () => undefined,
