--- a/test/fakes/persistent-users.ts
+++ b/test/fakes/persistent-users.ts
@@ -11,12 +11,20 @@
 
 /** Users that repeat their requests, at any node, until they are answered. */
 export class PersistentUsers {
+  /** How many requests are being repeated now. */
+  private underWay = 0;
+
   constructor(
     private readonly world: World,
     /** Ends with the story. */
     private readonly end: AbortSignal,
   ) {}
 
+  /** Some request has no final answer yet: what it asks for may still come about. */
+  get busy(): boolean {
+    return this.underWay > 0;
+  }
+
   /** A user submits until the job is accepted. */
   async accepting(w: JobWish): Promise<string> {
     const { ref, body } = this.world.wish(w);
@@ -46,6 +54,15 @@
 
   /** Repeats a request every second as users do, for up to a minute. */
   private async persist(request: () => Promise<Answer>, what: string): Promise<Answer> {
+    this.underWay++;
+    try {
+      return await this.repeat(request, what);
+    } finally {
+      this.underWay--;
+    }
+  }
+
+  private async repeat(request: () => Promise<Answer>, what: string): Promise<Answer> {
     for (const until = this.world.clock.now() + PERSIST_MS; this.world.clock.now() < until;) {
       const answer = await request();
       if (answer.status === 200 || answer.status === 201) return answer;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -292,7 +292,9 @@
   async settle(seconds = 100): Promise<void> {
     this.settling = true;
     this.trouble.over();
-    const settled = (): boolean => [...this.accepted.keys()].every((ref) => this.isSettled(ref));
+    // A request that is still being repeated may change what has to end: it is waited for as well.
+    const settled = (): boolean =>
+      !this.persistent.busy && [...this.accepted.keys()].every((ref) => this.isSettled(ref));
     await this.until(settled, seconds, 'all jobs end or run');
     // Users expect a job's last state from 3 s after its last task.
     await this.pass(4);
