--- a/test/slow-boots.test.ts
+++ b/test/slow-boots.test.ts
@@ -74,3 +74,18 @@
   assert.ok(cut.every((id) => w.cloud.hosts.has(id)));
   await w.close();
 });
+
+test('machines without work are kept where their whole zone is silent: a cut is the likelier reason', async () => {
+  const w = new World([{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }]);
+  await w.start();
+  await w.submit({ shape: 'service', pieces: 2, gpus: 8, runMs: 1_000_000, yard: 'a' });
+  await w.pass(6);
+  const silent = [...w.workers.values()].filter((x) => x.yard === 'b');
+  for (const worker of silent) {
+    assert.equal(worker.pieces.length, 0);
+    worker.dead = true;
+  }
+  await w.pass(BOOT_S * 3 + 30);
+  assert.ok(silent.every(({ id }) => w.cloud.hosts.has(id)));
+  await w.close();
+});
