--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -2,9 +2,8 @@
 import { JobApi, type Answer } from '../../src/jobs/job-api.js';
 import type { Settings } from '../../src/settings/deploy.js';
 import { Store } from '../../src/state/store.js';
-import { SUBMISSION } from './samples.js';
 import { FakeClock } from './clock.js';
-import { TYPE } from './samples.js';
+import { SUBMISSION, TYPE } from './samples.js';
 import { FakeStore, type Fate } from './store.js';
 import { fakeRandom, settings } from './world.js';
 
@@ -91,6 +90,11 @@
     this.put(`jobs/${ref}`, { w: 'leader', phase, tasks: 1 });
   }
 
+  /** Jobs of one task that are accepted and open. */
+  acceptAll(refs: string[]): void {
+    for (const ref of refs) this.put(`jobs/${ref}`, { w: 'w', phase: 'open', tasks: 1 });
+  }
+
   put(key: string, value: object): void {
     this.store.write(key, value);
   }
--- a/test/request-answers.test.ts
+++ b/test/request-answers.test.ts
@@ -8,10 +8,6 @@
 const phaseIn = (answer: { body: object }): string | undefined =>
   (answer.body as { phase?: string }).phase;
 
-function acceptAll(n: Nodes, refs: string[]): void {
-  for (const ref of refs) n.put(`jobs/${ref}`, { w: 'w', phase: 'open', tasks: 1 });
-}
-
 test('a node that remembers a job as open calls nothing pending that is accepted after its cancellation', async () => {
   const n = new Nodes(3);
   await n.submit(2, 'req-1');
@@ -52,7 +48,7 @@
     test(`a submission cut off and repeated, its last dependency ${end} after ${delayMs} ms, has one outcome`, async () => {
       const n = new Nodes(3, { valueBytes: 2048, txnOps: 4 });
       const all = ids(500);
-      acceptAll(n, all);
+      n.acceptAll(all);
       for (const ref of all.slice(0, -1)) n.finish(ref, 'done');
       const last = all[all.length - 1]!;
       // One node's transactions are answered late or never, and carried out all the same.
--- a/test/request-limits.test.ts
+++ b/test/request-limits.test.ts
@@ -12,10 +12,6 @@
 const ids = (from: number, count: number): string[] =>
   Array.from({ length: count }, (_, i) => `req-${String(from + i).padStart(6, '0')}`);
 
-function acceptAll(n: Nodes, refs: string[]): void {
-  for (const ref of refs) n.put(`jobs/${ref}`, { w: 'w', phase: 'open', tasks: 1 });
-}
-
 test('limits that fall unannounced forget no job that is asked for together with others', async () => {
   const n = new Nodes(2);
   const all = ids(1, 60);
@@ -36,7 +32,7 @@
     const n = new Nodes(2);
     n.store.limits = SMALL;
     const all = ids(1, count);
-    acceptAll(n, all);
+    n.acceptAll(all);
     let answer = await n.submit(0, 'req-9', all);
     for (let i = 0; i < 5 && answer.status === 503; i++) answer = await n.submit(0, 'req-9', all);
     assert.ok([200, 201].includes(answer.status), String(answer.status));
@@ -49,7 +45,7 @@
 test('a job accepted under larger limits can be cancelled under smaller ones that nobody announced', async () => {
   const n = new Nodes(2);
   const all = ids(1, 150);
-  acceptAll(n, all);
+  n.acceptAll(all);
   assert.equal((await n.submit(0, 'req-9', all)).status, 201);
   n.store.limits = { valueBytes: 1024, txnOps: 4 };
   assert.ok(JSON.stringify(n.store.get('jobs/req-9')).length > 1024);
