--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -15,6 +15,7 @@
 import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
+import { probeStore } from '../state/probe.js';
 import { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
 import { cancellationViewLimitMs } from './cancellation-view.js';
@@ -143,6 +144,8 @@
   private onPeer(message: Message): void {
     if (message.kind === 'cancelled') this.leader?.announceCancelled(message.id);
     else if (message.kind === 'heartbeat') {
+      // Left over from an earlier leader, which stood still or whose messages were held up.
+      if (message.token < this.currentToken) return;
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the strays go back to it.
       this.strays.clear();
@@ -152,12 +155,19 @@
     }
   }
 
+  /** The token of the newest term that this controller knows of. */
+  private get currentToken(): number {
+    const role = this.election.role.value;
+    return role.kind === 'leader' ? role.term.token : role.token;
+  }
+
   /** The leader tells the others how far jobs are, for display. */
   private async heartbeat(signal: AbortSignal): Promise<void> {
     const { clock } = this.runtime;
     while (!signal.aborted) {
       const role = this.election.role.value;
-      if (this.leader && role.kind === 'leader') {
+      // One that stood still may lead no more: its word would hide that the next leader is silent.
+      if (this.leader && role.kind === 'leader' && role.term.active(clock.now())) {
         for (const message of heartbeats(role.term.token, this.leader.allCounts())) {
           for (const peer of this.links.peerTransport.peers)
             this.links.peerTransport.send(peer, message);
@@ -222,6 +232,9 @@
     try {
       await Promise.all([
         duty(this.runtime, 'heartbeat', signal, restartMs, (s) => this.heartbeat(s)),
+        duty(this.runtime, 'store probe', signal, restartMs, (s) =>
+          probeStore(this.store, this.runtime.clock, restartMs, s),
+        ),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
           await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -29,15 +29,15 @@
     .all(wrongMethod);
   app
     .route('/work')
-    .post(json, async (req, res) => answer(res, await service.jobApi.submit(req.body)))
+    .post(json, async (req, res) => answer(res, service, await service.jobApi.submit(req.body)))
     .all(wrongMethod);
   app
     .route('/work/:id')
-    .get(async (req, res) => answer(res, await service.jobApi.query(req.params.id)))
+    .get(async (req, res) => answer(res, service, await service.jobApi.query(req.params.id)))
     .all(wrongMethod);
   app
     .route('/work/:id/abort')
-    .post(async (req, res) => answer(res, await service.jobApi.abort(req.params.id)))
+    .post(async (req, res) => answer(res, service, await service.jobApi.abort(req.params.id)))
     .all(wrongMethod);
   // Reports of unusual form; the others are read from the socket.
   app
@@ -55,7 +55,12 @@
   return app;
 }
 
-function answer(res: Response, a: Answer): void {
+/**
+ * A controller that calls itself unable lets its users go with the refusal: the load balancer looks
+ * at new connections only, and would move the others seconds later.
+ */
+function answer(res: Response, service: Service, a: Answer): void {
+  if (a.status === 503 && !service.ready()) res.setHeader('connection', 'close');
   if (a.retryAfter !== undefined) res.setHeader('retry-after', String(a.retryAfter));
   sendJson(res, a.status, a.body);
 }
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -34,6 +34,7 @@
   ) {}
 
   async add({ id, spec, dependencies }: Submission, signal: AbortSignal): Promise<Accepted> {
+    this.store.assertAnswers();
     const unknown = await this.unknownDependency(id, dependencies, signal);
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
     const { clock, random } = this.runtime;
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -131,6 +131,7 @@
 
   private async cancel(id: string, signal: AbortSignal): Promise<Answer> {
     for (;;) {
+      this.store.assertAnswers();
       const entry = await this.store.get(KEYS.job(id), 0, signal);
       if (!entry) return UNKNOWN;
       const record = parseJob(entry.value);
--- a/src/jobs/state-comparisons.ts
+++ b/src/jobs/state-comparisons.ts
@@ -57,9 +57,10 @@
   }
 
   /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
-  compared(id: string, signal: AbortSignal | null): Promise<JobState | null> {
+  async compared(id: string, signal: AbortSignal | null): Promise<JobState | null> {
+    this.store.assertAnswers();
     const delayMs = this.from === 'question' && !this.asking.has(id) ? this.delayMs : 0;
-    if (delayMs > this.pollMs * MOST_QUEUED_SHARE) return Promise.reject(new Overloaded(delayMs));
+    if (delayMs > this.pollMs * MOST_QUEUED_SHARE) throw new Overloaded(delayMs);
     return new Promise((resolve, reject) => {
       this.ask(id, [{ signal, resolve, reject }]);
       if (!this.comparing) void this.compareAll();
--- a/src/jobs/user-requests.ts
+++ b/src/jobs/user-requests.ts
@@ -62,7 +62,7 @@
 }
 
 /** Writes a user's transaction, unless more writes wait than the user should wait for. */
-export function commitForUser(
+export async function commitForUser(
   store: Store,
   clock: Clock,
   waits: RequestWaits,
@@ -70,8 +70,9 @@
   then: Change[],
   signal: AbortSignal,
 ): ReturnType<Store['txn']> {
+  store.assertAnswers();
   const delayMs = store.writeDelayMs(then.length, 0);
-  if (delayMs > waits.mostDelayMs) return Promise.reject(new Overloaded(delayMs));
+  if (delayMs > waits.mostDelayMs) throw new Overloaded(delayMs);
   // What still queues here is not without an answer yet.
   const afterMs = waits.hedgeMs + delayMs;
   return hedged(clock, afterMs, () => store.txn(when, then, 0, signal), signal);
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -56,6 +56,13 @@
 /** How many seconds' worth of these requests may come at once, as when a controller has just started. */
 const QUESTIONS_BURST_S = 0.5;
 
+/**
+ * So many requests in a row without any answer, over this share of a request's time, are more than
+ * answers that were lost one by one; users are sent away then.
+ */
+const SILENT_REQUESTS = 3;
+const SILENT_SHARE = 0.5;
+
 export class Store {
   private readonly requests: Budget;
   private readonly questions: Budget;
@@ -63,6 +70,7 @@
   private contactAt = -Infinity;
   private refusedSince: number | null = null;
   private noAnswerSince: number | null = null;
+  private withoutAnswer = 0;
   /** Transactions refused for the rate lately, less a share of those that were applied. */
   private rateRefusals = 0;
   /** What the store allows, as far as this controller knows. */
@@ -117,9 +125,14 @@
     return queuedMs + ((requests - 1) / this.rates().questions.perSecond) * 1000;
   }
 
-  /** Since when requests have had no answer at all, not even a refusal; null while they have. */
-  get silentSince(): number | null {
-    return this.noAnswerSince;
+  /**
+   * Throws if requests get no answer at all, not even a refusal, so that a user is told so at once
+   * instead of waiting for one more of them. Requests of our own find out when that is over.
+   */
+  assertAnswers(): void {
+    const silentMs = this.runtime.clock.now() - (this.noAnswerSince ?? Infinity);
+    if (this.withoutAnswer < SILENT_REQUESTS || silentMs < this.timeoutMs * SILENT_SHARE) return;
+    throw new Refused(503, 'a silent store');
   }
 
   /** When the store last answered anything but a refusal. */
@@ -310,6 +323,7 @@
     try {
       const reply = await this.transport.request(method, path, body, timeoutMs, signal);
       this.noAnswerSince = null;
+      this.withoutAnswer = 0;
       if (reply.status === 503) throw new Refused(503, path);
       this.contactAt = this.runtime.clock.now();
       this.refusedSince = null;
@@ -318,12 +332,17 @@
     } catch (error) {
       if (!signal?.aborted && !(error instanceof Refused && error.status === 429)) {
         this.refusedSince ??= this.runtime.clock.now();
-        if (error instanceof NoAnswer) this.noAnswerSince ??= this.runtime.clock.now();
+        if (error instanceof NoAnswer) this.noteNoAnswer();
       }
       throw error;
     }
   }
 
+  private noteNoAnswer(): void {
+    this.noAnswerSince ??= this.runtime.clock.now();
+    this.withoutAnswer++;
+  }
+
   /** Waits for the rate at which the store may be asked. */
   private async admit(from: RequestClass, signal?: AbortSignal): Promise<void> {
     if (from !== 'question') return this.requests.take(1, from, signal);
--- a/test/store-reachability.test.ts
+++ b/test/store-reachability.test.ts
@@ -38,3 +38,32 @@
   }
   await w.close();
 });
+
+for (const how of ['refuse', 'lose request'] as const) {
+  test(`a controller for which the store does nothing but ${how} knows it without a question, and holds nobody`, async () => {
+    const w = new World(TWO, 3);
+    await w.start();
+    const job = await w.submit({ shape: 'service', runMs: 0 }, w.leader);
+    const cut = (w.leader + 1) % 3;
+    w.nodes[cut]!.fate = () => how;
+    // One request without an answer, and what its peers say after another report interval.
+    await w.pass(4);
+    assert.equal(w.nodes[cut]!.controller!.ready(), false);
+    for (const ask of [
+      () => w.user(cut).query(job),
+      () => w.user(cut).abort(job),
+      () => w.user(cut).submit(w.wish({}).body),
+    ]) {
+      const from = w.clock.now();
+      const answer = ask();
+      await w.clock.advance(150);
+      assert.equal((await w.ask(answer)).status, 503);
+      assert.ok(w.clock.now() - from <= 400, `held for ${w.clock.now() - from} ms`);
+    }
+    w.nodes[cut]!.fate = () => 'serve';
+    await w.pass(1.5);
+    assert.equal(w.nodes[cut]!.controller!.ready(), true);
+    assert.equal(await w.phase(job, cut), 'running');
+    await w.close();
+  });
+}
