Work without a claim runs on what is up, is hardly rented for, and leaves spare machines

Machines that held nothing but a few of them were kept for as long as the last one ran, since only empty ones go back.

Change: such work is served last, on what is up, and rented for only as far as so many tasks have to run at once to be in time; one task of each job begins after a boot at most. A machine that holds such work alone counts as spare and is drained if all of it finds room elsewhere, but for what was lost once or is half done and never saved.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -123,18 +123,18 @@
     return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed });
   }
 
-  /** Work leaves a machine that the cloud takes back or that has proven faulty. */
+  /** Work leaves a machine that the cloud takes back, has proven faulty or is to go back. */
   private drain(now: number): void {
     this.leader.reconciler.giveUpDead(now);
     for (const m of this.leader.fleet.machines.values()) {
-      if (m.noticeAt === null && !m.faulty) continue;
+      if (m.noticeAt === null && !m.faulty && !m.draining) continue;
       for (const p of m.placements.values()) {
         if (p.stop || p.job.phase !== 'open') continue;
         const grace = this.leader.stops.graceFor(p.job);
         if (p.job.gang) this.leader.stops.stopAll(p.job, grace);
         else this.leader.stops.stop(p, grace);
       }
-      if (m.faulty && m.placements.size === 0) this.leader.reconciler.giveBack(m);
+      if ((m.faulty || m.draining) && m.placements.size === 0) this.leader.reconciler.giveBack(m);
     }
   }
 
@@ -159,7 +159,7 @@
     for (const job of touched) this.leader.ledger.flush(job);
     if (!mayRent) return;
     for (const rent of result.rents) this.leader.rentals.rent(rent);
-    this.leader.reconciler.giveBackSurplus(result.spare, now);
+    this.leader.reconciler.giveBackSurplus(result, now);
   }
 
   private place(job: Job, on: { machine: string; count: number }[], now: number): void {
--- a/src/control/machine-reconciler.ts
+++ b/src/control/machine-reconciler.ts
@@ -5,6 +5,7 @@
 import { Spares } from '../scheduler/spares.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
+import type { Plan } from '../scheduler/model.js';
 import type { Listed } from '../wire/cloud.js';
 
 /** For how many times the list's lag a machine that went back is not believed to be there again. */
@@ -114,25 +115,44 @@
     return heard > silent;
   }
 
-  /** Gives back what was beyond need for a while: the dearest first, then what has idled longest. */
-  giveBackSurplus(spare: string[], now: number): void {
-    const idle = new Set(spare);
+  /**
+   * Gives back empty machines that were beyond need for a while: the dearest first, then what has
+   * idled longest. Machines that hold opportunistic work alone count as spare beside them, and those
+   * that can be are drained. Empty ones are not given back in their place: work with a claim would
+   * wait for the guests to leave.
+   */
+  giveBackSurplus(plan: Pick<Plan, 'spare' | 'clearable'>, now: number): void {
+    const idle = new Set(plan.spare);
     const byType = new Map<string, Machine[]>();
     for (const name of this.types().keys()) byType.set(name, []);
     for (const m of this.fleet.machines.values()) {
-      if (idle.has(m.id) && m.placements.size === 0 && m.type) byType.get(m.type.name)?.push(m);
-      else m.idleSince = now;
+      const spare = idle.has(m.id) && m.type !== null;
+      if (spare) byType.get(m.type!.name)?.push(m);
+      if (!spare || m.placements.size > 0) m.idleSince = now;
     }
     for (const [name, machines] of byType) {
-      const type = this.types().get(name)!;
-      const surplus = this.spares.surplus(name, machines.length, now, this.keepMs(type));
-      if (surplus === 0) continue;
-      machines.sort((a, b) => Number(a.spot) - Number(b.spot) || a.idleSince - b.idleSince);
-      for (const m of machines.slice(0, surplus)) this.giveBack(m);
+      const keepMs = this.keepMs(this.types().get(name)!);
+      const empty = machines.filter((m) => m.placements.size === 0);
+      const surplus = this.spares.surplus(name, empty.length, now, keepMs);
+      const withGuests = this.spares.surplus(`${name} with guests`, machines.length, now, keepMs);
+      empty.sort((a, b) => Number(a.spot) - Number(b.spot) || a.idleSince - b.idleSince);
+      for (const m of empty.slice(0, surplus)) this.giveBack(m);
+      const drained = this.drain(machines, plan.clearable, withGuests - surplus);
       this.spares.returned(name, surplus);
+      this.spares.returned(`${name} with guests`, surplus + drained);
     }
   }
 
+  /** Drains up to `most` of these machines; not while others drain, since all of it takes the same room. */
+  private drain(machines: Machine[], clearable: readonly string[], most: number): number {
+    if (most <= 0 || clearable.length === 0) return 0;
+    if ([...this.fleet.machines.values()].some((m) => m.draining && !m.returning)) return 0;
+    const byId = new Map(machines.map((m) => [m.id, m]));
+    const drained = clearable.flatMap((id) => byId.get(id) ?? []).slice(0, most);
+    for (const m of drained) m.draining = true;
+    return drained.length;
+  }
+
   /** How long an idle machine is kept. */
   keepMs(type: MachineType): number {
     return type.bootMs * this.operator.fleet.idleBoots * this.tightness(type);
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -13,6 +13,7 @@
 } from '../scheduler/model.js';
 import { pipelineUrgency, type PipelineStep, type StepUrgency } from '../scheduler/pipelines.js';
 import type { Settings } from '../settings/deploy.js';
+import { tasksAtOnce } from './opportunistic-work.js';
 import type { Leader } from './leader.js';
 
 /** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
@@ -24,6 +25,9 @@
  */
 const PATIENCE_BOOTS = 0.25;
 
+/** What runs for longer than estimated is expected to go on for this share of its estimate. */
+const LEAST_REMAINING = 0.25;
+
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
@@ -45,7 +49,7 @@
   const { workers } = leader.parts.settings;
   const views: MachineView[] = [];
   for (const m of leader.fleet.machines.values()) {
-    if (!m.type || m.returning || m.noticeAt !== null || m.faulty) continue;
+    if (!m.type || m.returning || m.noticeAt !== null || m.faulty || m.draining) continue;
     const up = m.usable(now, workers.leaseMs / 3);
     const booting = m.coming(now, workers.leaseMs, leader.fleet.boots);
     if (!up && !booting) continue;
@@ -138,6 +142,10 @@
   return Math.min(...types.map((t) => t.bootMs));
 }
 
+function longestBootMs(leader: Leader): number {
+  return Math.max(0, ...[...leader.types.values()].map((type) => type.bootMs));
+}
+
 function leavingCpus(leader: Leader): number {
   let cpus = 0;
   for (const { spec, placements } of leader.jobs.values()) {
@@ -173,6 +181,7 @@
       bootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < bootMs * PATIENCE_BOOTS,
+    opportunistic: tasksAtOnce(leader.parts.settings, job, waitedMs, longestBootMs(leader)),
     waiting: job.startable,
     // What waits of a job that fails everywhere takes nothing of its team's guarantee from the rest.
     unfinished: job.failures.suspected ? job.placements.size : spec.tasks - job.doneCount,
@@ -285,7 +294,7 @@
     const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
     for (const p of job.placements.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
-      const { checkpointMs } = job.spec;
+      const { checkpointMs, estimateMs } = job.spec;
       list.push({
         job: job.id,
         task: p.task,
@@ -293,6 +302,8 @@
         spec: job.spec,
         priority,
         lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
+        unsavedStops: job.unsavedStops.get(p.task) ?? 0,
+        remainingMs: Math.max(estimateMs - ran, estimateMs * LEAST_REMAINING),
         wholeGang: job.gang !== null,
         // A trial of what fails everywhere is over soon: nothing is rented instead of its room.
         stopping: p.stop !== null || job.phase !== 'open' || job.failures.suspected,
--- a/src/control/task-stops.ts
+++ b/src/control/task-stops.ts
@@ -15,6 +15,10 @@
 
   stop(p: Placement, graceMs: number): void {
     if (p.stop && p.stop.graceMs <= graceMs) return;
+    if (!p.stop && p.state === 'running' && (graceMs === 0 || p.job.spec.checkpointMs === 0)) {
+      const { unsavedStops } = p.job;
+      unsavedStops.set(p.task, (unsavedStops.get(p.task) ?? 0) + 1);
+    }
     p.stop = { graceMs };
     if (p.stage === 'recording' || p.stage === 'recorded') this.leader.fleet.withdraw(p);
     else if (!this.leader.longPoll.release(p.machine)) this.halt(p, graceMs);
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -38,6 +38,8 @@
   missedLists = 0;
   noticeAt: number | null = null;
   returning = false;
+  /** What is on it is being stopped, so that it can go back. */
+  draining = false;
   /** Sessions that ended although we answered: its worker does not get the answers. */
   deafSessions = 0;
   /** What is known of each job that failed here. */
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -54,6 +54,8 @@
   doneCount = 0;
   private readonly done: Uint8Array;
   readonly failures: FailureHistory;
+  /** How often running tasks were stopped without being saved; what this leader knows of it. */
+  readonly unsavedStops = new Map<number, number>();
   /** Exited starts whose end is not in the store yet. */
   exited: Placement[] = [];
   writing = false;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -38,6 +38,12 @@
    * stopped for it yet, and no more is rented than its like will not leave.
    */
   patient: boolean;
+  /**
+   * Of work that may wait and has no claim to a guarantee: how many of its tasks have to run at once
+   * for it to be in time. It takes what is left on machines that are up, nothing makes way for it,
+   * and nothing is rented for more than these. Null for all other work.
+   */
+  opportunistic: number | null;
   /** Tasks that are neither done nor possibly on a machine. */
   waiting: number;
   unfinished: number;
@@ -77,6 +83,10 @@
   priority: Priority;
   /** Work that would have to be done again, in machine milliseconds. */
   lossMs: number;
+  /** How often it was stopped before without being saved. */
+  unsavedStops: number;
+  /** For how long it should still run, by its owner's estimate. */
+  remainingMs: number;
   /** All tasks of a gang stop together. */
   wholeGang: boolean;
   /** It makes room by itself: it was told to stop, or will most likely fail. */
@@ -136,6 +146,8 @@
   admit: string | null;
   stops: { job: string; task: number }[];
   rents: Rent[];
-  /** Machines that no task in sight needs. */
+  /** Machines that no task in sight needs, but opportunistic ones. */
   spare: string[];
+  /** Of these, what holds opportunistic work that finds room elsewhere; the emptiest first. */
+  clearable: string[];
 }
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -11,6 +11,7 @@
   ContendedTypes,
   ZoneRules,
 } from './placement.js';
+import { clearable, holdsOnly } from './opportunistic.js';
 import { Preemption } from './preemption.js';
 import { RentalPlan } from './rental-plan.js';
 import { Reservations } from './reservations.js';
@@ -29,6 +30,8 @@
   );
 }
 
+const isOpportunistic = (job: JobView): boolean => job.opportunistic !== null;
+
 /** A wait that is not worth stopping others for. */
 const QUICK_S = 3;
 
@@ -43,9 +46,33 @@
   rules: ZoneRules;
 }
 
+/** An opportunistic job while a round serves it. */
+class OpportunisticWork {
+  readonly rules: ZoneRules;
+  /** Its tasks that are on machines or start, and those that wait. */
+  running: number;
+  left: number;
+
+  constructor(
+    readonly job: JobView,
+    readonly team: TeamView,
+  ) {
+    this.rules = new ZoneRules(job.spec, job.zones);
+    this.running = [...job.zones.values()].reduce((a, b) => a + b, 0);
+    this.left = job.waiting;
+  }
+}
+
 class Round {
   private readonly up: MachineView[];
-  private readonly result: Plan = { starts: [], admit: null, stops: [], rents: [], spare: [] };
+  private readonly result: Plan = {
+    starts: [],
+    admit: null,
+    stops: [],
+    rents: [],
+    spare: [],
+    clearable: [],
+  };
   private readonly guaranteed: Set<string>;
   private readonly contended: ContendedTypes;
   private readonly finder: RoomFinder;
@@ -55,11 +82,20 @@
   private readonly gangs: GangReservations;
   /** Patient work that found no room, and how many tasks of it. */
   private readonly patient: PatientWork[] = [];
+  /** Opportunistic jobs, those that wait and those that do not. */
+  private readonly opportunistic: ReadonlySet<string>;
+  /** Some opportunistic work found no room. */
+  private starved = false;
 
   constructor(private readonly s: Snapshot) {
     this.up = s.machines.filter((m) => m.up);
     const booting = s.machines.filter((m) => !m.up);
-    this.contended = new ContendedTypes(s.jobs, s.types, this.up);
+    this.opportunistic = new Set(s.jobs.filter(isOpportunistic).map((j) => j.id));
+    this.contended = new ContendedTypes(
+      s.jobs.filter((j) => !isOpportunistic(j)),
+      s.types,
+      this.up,
+    );
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
     this.finder = new RoomFinder(this.up, this.contended);
@@ -78,7 +114,8 @@
 
   run(): Plan {
     const waiting = this.s.jobs.filter((j) => j.waiting > 0 && j.admissible);
-    for (const job of inOrder(waiting, this.guaranteed)) {
+    const claims = waiting.filter((j) => !isOpportunistic(j) || j.onTrial);
+    for (const job of inOrder(claims, this.guaranteed)) {
       const team = this.s.teams.get(job.spec.team);
       if (!team) continue;
       if (job.onTrial) this.tryOut(job, team);
@@ -86,18 +123,65 @@
       else this.tasks(job, team);
     }
     this.servePatient();
+    this.serveOpportunistic(waiting.filter((j) => isOpportunistic(j) && !j.onTrial));
     // Moves only while nothing waits: what is stopped has to start again at once.
     this.result.stops =
-      waiting.length === 0
+      claims.length === 0
         ? consolidate(this.s.movable, this.up, this.s.jobs)
         : this.preemption.stops;
     this.result.rents = this.rentals.rents();
-    this.result.spare = this.up
-      .filter((m) => !this.reservations.needed.has(m.id) && m.tasksOf.size === 0)
-      .map((m) => m.id);
+    const spare = this.up.filter(
+      (m) => !this.reservations.needed.has(m.id) && holdsOnly(m, this.opportunistic),
+    );
+    this.result.spare = spare.map((m) => m.id);
+    if (this.opportunistic.size > 0 && !this.starved) {
+      const jobs = new Map(this.s.jobs.map((j) => [j.id, j]));
+      const starting = new Set(this.result.starts.flatMap((s) => s.on.map((o) => o.machine)));
+      this.result.clearable = clearable(
+        spare.filter((m) => !starting.has(m.id)),
+        this.up,
+        this.s.victims,
+        jobs,
+      );
+    }
     return this.result;
   }
 
+  /**
+   * Opportunistic work takes what nobody else took or has set aside: one task of each job that has
+   * none first, or small jobs would wait for the end of large ones. What it must have to be in time is
+   * rented; its room counts as spare all the same.
+   */
+  private serveOpportunistic(jobs: JobView[]): void {
+    const work = inOrder(jobs, this.guaranteed).flatMap((job) => {
+      const team = this.s.teams.get(job.spec.team);
+      return team ? [new OpportunisticWork(job, team)] : [];
+    });
+    for (const w of work) if (w.running === 0) this.startSome(w, 1);
+    for (const w of work) {
+      if (w.job.gang) {
+        if (!this.passWhole(w.job, w.team) && w.job.opportunistic! > 0) this.gang(w.job, w.team);
+        continue;
+      }
+      this.startSome(w, Infinity);
+      const left = Math.min(w.left, limitRoom(w.team, w.job.spec));
+      if (left <= 0) continue;
+      this.starved = true;
+      const most = Math.min(left, w.job.opportunistic! - w.running);
+      if (most <= 0) continue;
+      this.charge(w.team, w.job.spec, most);
+      this.reservations.reserve(w.job, most, w.rules);
+    }
+  }
+
+  private startSome(w: OpportunisticWork, most: number): void {
+    const count = Math.min(w.left, most, limitRoom(w.team, w.job.spec));
+    if (w.job.gang || count <= 0) return;
+    const started = this.start(w.job, count, w.rules, w.team, this.up);
+    w.left -= started;
+    w.running += started;
+  }
+
   /** Starts what there is free room for, and does nothing for the rest. */
   private tryOut(job: JobView, team: TeamView): void {
     if (job.gang) {
@@ -195,7 +279,7 @@
 
   private record(job: JobView, placed: { machine: MachineView; count: number }[]): void {
     for (const { machine } of placed) {
-      this.reservations.needed.add(machine.id);
+      if (!isOpportunistic(job)) this.reservations.needed.add(machine.id);
       expectImage(job.spec, machine);
     }
     this.result.starts.push({
--- a/test/consolidation.test.ts
+++ b/test/consolidation.test.ts
@@ -41,6 +41,7 @@
       gang: null,
       admissible: true,
       onTrial: false,
+      opportunistic: null,
     };
   });
   const up = ids.map((id): MachineView => {
--- /dev/null
+++ b/test/opportunistic.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Priority, type JobSpec } from '../src/jobs/job.js';
+import { Job } from '../src/jobs/tracked-job.js';
+import { tasksAtOnce } from '../src/control/opportunistic-work.js';
+import { SPEC } from './fakes/samples.js';
+import { settings, World, type JobWish } from './fakes/world.js';
+
+const BOOT_MS = 40_000;
+
+const GUESTS: JobWish = { crew: 'guests', urgency: 'best_effort', gpus: 0 };
+
+/** How many tasks at once a job asks for that has waited for so long. */
+function atOnce(spec: Partial<JobSpec>, waitedMs: number, finishedMs?: number): number | null {
+  const full = { ...SPEC, team: 'guests', priority: Priority.Low, ...spec };
+  const objective = { kind: 'finished', jobClass: 'c', share: 1, times: 1 };
+  const objectives = finishedMs === undefined ? [] : [{ ...objective, withinMs: finishedMs }];
+  return tasksAtOnce(
+    { ...settings(), objectives },
+    new Job('req-1', full, 0, 1, 10),
+    waitedMs,
+    BOOT_MS,
+  );
+}
+
+test('opportunistic work asks for no more at once than it needs to be in time', () => {
+  assert.equal(atOnce({ tasks: 40 }, 0), 0);
+  // Whatever is asked for, one task of it begins.
+  assert.equal(atOnce({ tasks: 40 }, BOOT_MS + 1), 1);
+  assert.equal(atOnce({ tasks: 40 }, 0, 240_000), 6);
+  assert.equal(atOnce({ tasks: 40 }, 150_000, 240_000), 24);
+  assert.equal(atOnce({ tasks: 40, deadlineMs: 60_000 }, 0), 40);
+  // What has a claim or a priority does not wait.
+  assert.equal(atOnce({ team: 'vision' }, 0), null);
+  assert.equal(atOnce({ priority: Priority.Normal }, 0), null);
+  assert.equal(atOnce({ kind: 'service' }, 0), null);
+});
+
+test('with no machine up, guests of many tasks and of one begin all the same, on few machines', async () => {
+  const w = new World([]);
+  await w.start();
+  const many = await w.submit({ ...GUESTS, pieces: 200, vcpus: 12, runMs: 100_000 });
+  const one = await w.submit({ ...GUESTS, vcpus: 0.25, runMs: 5000 });
+  await w.until(() => w.running(many) > 0, 120, 'the large one begins');
+  await w.until(() => w.stored(one) === 'done', 30, 'the small one is done');
+  assert.ok(w.cloud.hosts.size <= 6, 'fifty machines are not rented for it');
+  await w.close();
+});
+
+test('the last guests on many machines are moved together, and these machines go back', async () => {
+  // Machines were kept for as long as the last of their guests ran: 133 of them after a busy night.
+  const w = new World(Array.from({ length: 6 }, () => ({ yard: 'a' })));
+  await w.start();
+  const steady = await w.submit({ shape: 'service', runMs: 0 });
+  await w.submit({ ...GUESTS, pieces: 18, vcpus: 12, runMs: 20_000 });
+  const long = await w.submit({ ...GUESTS, pieces: 6, vcpus: 12, runMs: 300_000 });
+  await w.until(() => w.running(long) === 6, 30, 'some run for long');
+  await w.until(() => w.cloud.hosts.size <= 2, 150, 'few machines are left');
+  await w.until(() => w.running(long) === 6, 30, 'all of them run');
+  assert.equal(w.running(steady), 1);
+  await w.close();
+});
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -29,6 +29,7 @@
     gang: full.kind === 'gang' ? { holdsGate: false, suspensions: 0 } : null,
     admissible: true,
     onTrial: false,
+    opportunistic: null,
     ...view,
   };
 }
@@ -89,6 +90,8 @@
     spec: of.spec,
     priority: of.priority,
     lossMs: 0,
+    unsavedStops: 0,
+    remainingMs: 10_000,
     wholeGang: false,
     stopping: false,
   }));
@@ -111,6 +114,8 @@
     spec: running.spec,
     priority: running.priority,
     lossMs: 0,
+    unsavedStops: 0,
+    remainingMs: 10_000,
     wholeGang: false,
     stopping: false,
   }));
@@ -158,6 +163,8 @@
     spec: batch.spec,
     priority: batch.priority,
     lossMs: machine === 'm1' ? 0 : 5000,
+    unsavedStops: 0,
+    remainingMs: 10_000,
     wholeGang: false,
     stopping: false,
   }));
@@ -209,6 +216,8 @@
     spec: holder.spec,
     priority: holder.priority,
     lossMs: 0,
+    unsavedStops: 0,
+    remainingMs: 10_000,
     wholeGang: false,
     stopping: false,
   }));
@@ -308,6 +317,8 @@
       spec: holder.spec,
       priority: holder.priority,
       lossMs: 0,
+      unsavedStops: 0,
+      remainingMs: 10_000,
       wholeGang: false,
       stopping: false,
     }));
@@ -400,3 +411,63 @@
   const both = withinGuarantee([small, steps], new Map([['vision', cpus]]));
   assert.deepEqual([...both], [small.id, steps.id]);
 });
+
+/** A job of a team without a guarantee that may wait; `atOnce`: what it needs to be in time. */
+const guest = (atOnce: number, spec: Partial<JobSpec> = {}, view: Partial<JobView> = {}): JobView =>
+  job(
+    { team: 'guests', priority: Priority.Low, need: { cpus: 12, gpus: 0, memoryGb: 4 }, ...spec },
+    { opportunistic: atOnce, ...view },
+  );
+
+const withGuests = (s: Partial<Snapshot>): Snapshot =>
+  snapshot({
+    offers: [{ type: TYPE, zone: 'a', spot: false, price: 20 }],
+    teams: new Map([
+      ['vision', team(0)],
+      ['guests', team(0, 0, Infinity)],
+    ]),
+    ...s,
+  });
+
+test('opportunistic work takes what is up, and rents only what it needs to be in time', () => {
+  const jobs = [guest(0, { tasks: 500 })];
+  const waits = plan(withGuests({ machines: [machine('m1')], jobs }));
+  assert.equal(started(waits, jobs[0]!.id), 4);
+  assert.deepEqual(waits.rents, []);
+  // Ten at once are four here, and six on two more machines.
+  const inTime = plan(withGuests({ machines: [machine('m1')], jobs: [guest(10, { tasks: 500 })] }));
+  assert.equal(inTime.rents[0]?.count, 2);
+  // A claim goes first, and what it has set aside is not taken.
+  const claim = job({ kind: 'gang', tasks: 2, need: { cpus: 43, gpus: 8, memoryGb: 230 } });
+  const both = plan(withGuests({ machines: [machine('m1')], jobs: [...jobs, claim] }));
+  assert.equal(started(both, jobs[0]!.id), 0);
+});
+
+test('a machine that holds opportunistic work alone is spare, and cleared if all of it fits elsewhere', () => {
+  // 100 machines were kept for minutes by a few tasks of guests on each.
+  const held = guest(0, { tasks: 5 }, { waiting: 0 });
+  const replica = job({ kind: 'service', priority: Priority.Production }, { waiting: 0 });
+  const on = (m: string, tasks: number[]): VictimView[] =>
+    tasks.map((task) => ({ ...runningTasks(held, 1)[0]!, task, machine: m }));
+  const used = (n: number): Partial<MachineView> => ({
+    free: { cpus: 48 - 12 * n, gpus: 8, memoryGb: 288 - 4 * n },
+    tasksOf: new Map([[held.id, n]]),
+  });
+  const inUse = { free: { cpus: 20, gpus: 1, memoryGb: 9 }, tasksOf: new Map([[replica.id, 3]]) };
+  const run = (few: Partial<VictimView>, two: number): ReturnType<typeof plan> =>
+    plan(
+      withGuests({
+        machines: [machine('m1', used(1)), machine('m2', used(two)), machine('m3', inUse)],
+        jobs: [held, replica],
+        victims: [
+          ...on('m1', [0]).map((v) => ({ ...v, ...few })),
+          ...on('m2', [1, 2, 3, 4].slice(0, two)),
+        ],
+      }),
+    );
+  assert.deepEqual(run({}, 4).spare, ['m1', 'm2']);
+  assert.deepEqual(run({}, 4).clearable, ['m1']);
+  // What was lost once, or has lost more than is left, is not moved: it would never be done.
+  assert.deepEqual(run({ unsavedStops: 1 }, 4).clearable, []);
+  assert.deepEqual(run({ lossMs: 40_000 }, 4).clearable, []);
+});
