--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -12,6 +12,7 @@
   heartbeats,
   MOST_CANCELLATIONS,
   CANCELLATIONS_VERSION,
+  VOUCHES_VERSION,
   type Message,
 } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
@@ -82,6 +83,7 @@
       runtime,
       settings.member,
       lifetimeMs,
+      (peer) => this.membership.readsFrames(peer, VOUCHES_VERSION),
     );
     this.membership = new Membership(
       this.store,
@@ -154,6 +156,7 @@
     else if (message.kind === 'heartbeat') {
       // Left over from an earlier leader, which stood still or whose messages were held up.
       if (message.token < this.currentToken) return;
+      this.endDeposedTerm(message.token);
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the workers go back to it.
       this.partitioned.clear();
@@ -163,6 +166,17 @@
     }
   }
 
+  /**
+   * Another controller leads a later term. A leader whom the store refuses alone learns of it only in
+   * this way; while it held on to its own term it could promise the other nothing in an outage.
+   */
+  private endDeposedTerm(token: number): void {
+    const role = this.election.role.value;
+    if (role.kind !== 'leader' || role.term.token >= token) return;
+    this.runtime.log.warn({ token: role.term.token, later: token }, 'deposed by a later term');
+    role.term.end();
+  }
+
   /** The token of the newest term that this controller knows of. */
   private get currentToken(): number {
     const role = this.election.role.value;
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -24,6 +24,11 @@
   /** An attempt to take office is under way, or may still be carried out by the store. */
   private contesting = false;
   private contestFrom = 0;
+  /**
+   * The version at which this process last read the leader key from the store; null once it has
+   * contested after that. While it stands, no term of this process can be newer.
+   */
+  private seenToken: number | null = null;
 
   constructor(
     private readonly store: Store,
@@ -31,10 +36,14 @@
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
+    /** Whether a controller is known to read vouches. */
+    readsVouches: (peer: string) => boolean,
   ) {
     this.extensionVote = new LeaseExtensionVote(peerTransport, runtime, {
       mayLead: () => this.role.value.kind === 'leader' || this.contesting,
       storeServes: () => this.storeServes(),
+      knowsNoLater: (token) => this.seenToken === token,
+      readsVouches,
     });
   }
 
@@ -85,6 +94,7 @@
 
   private announce(entry: Entry): void {
     const value = z.parse(leaderValue, entry.value);
+    this.seenToken = entry.version;
     const before = this.role.value;
     if (before.kind === 'follower' && before.token === entry.version) return;
     this.role.next({ kind: 'follower', leader: value.member, token: entry.version });
@@ -133,6 +143,7 @@
     // From here on until the store's definite answer nothing may be pledged, and nothing is.
     if (this.extensionVote.heldForMs > 0) return null;
     this.contesting = true;
+    this.seenToken = null;
     try {
       const token = await this.create(value, lease, signal);
       if (token !== null) return { term: this.take(value.term, token, sentAt), lease };
@@ -207,12 +218,26 @@
     return this.lifetimeMs * PLEDGE_SHARE;
   }
 
-  private async askPledges(term: Term): Promise<void> {
+  /**
+   * Asks the others for votes. Once the right has lapsed a promise for the time to come is not
+   * enough, since another may have come and gone: they have to vouch that none did.
+   */
+  private async askVotes(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
-    const granted = await this.extensionVote.collect(term.token, this.pledgeMs, this.pledgeMs / 2);
-    log.debug({ granted }, 'asked for votes');
-    if (granted) term.pledged(clock.now(), sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS);
+    const until = sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS;
+    const withinMs = this.pledgeMs / 2;
+    const lapsed = !term.active(sentAt);
+    const granted = lapsed
+      ? await this.extensionVote.collectVouches(term.token, this.pledgeMs, withinMs)
+      : await this.extensionVote.collect(term.token, this.pledgeMs, withinMs);
+    log.debug({ granted, lapsed }, 'asked for votes');
+    if (!granted) return;
+    if (!lapsed) term.pledged(clock.now(), until);
+    else if (!term.signal.aborted) {
+      if (!term.active(clock.now())) log.info({ token: term.token }, 'lapsed right taken up again');
+      term.vouched(until);
+    }
   }
 
   /**
@@ -229,7 +254,7 @@
       while (!signal.aborted) {
         await clock.sleep(jitter(failing ? this.pledgeMs / 4 : everyMs, random), either);
         // A silent store must not hold up the asking.
-        if (failing) void this.askPledges(term);
+        if (failing) void this.askVotes(term);
         // The leader gives up by itself when the store contradicts its records.
         if (either.aborted) break;
         const sentAt = clock.now();
@@ -243,7 +268,7 @@
             return;
           }
           log.debug({ error: String(error) }, 'renewal failed');
-          if (!failing) void this.askPledges(term);
+          if (!failing) void this.askVotes(term);
           failing = true;
         }
       }
--- a/src/election/term.ts
+++ b/src/election/term.ts
@@ -20,7 +20,7 @@
     setMaxListeners(0, this.over.signal);
   }
 
-  /** True while no other node can have taken office: by the store's lease or by others' votes. */
+  /** True while no other controller can have taken office: by the store's lease or others' votes. */
   active(now: number): boolean {
     return !this.over.signal.aborted && now < Math.max(this.until, this.pledgedUntil);
   }
@@ -39,6 +39,14 @@
     if (this.active(now)) this.pledgedUntil = Math.max(this.pledgedUntil, until);
   }
 
+  /**
+   * All other controllers have promised not to contest and vouch that nobody has led since this term
+   * began: the right is taken up, also where it had lapsed.
+   */
+  vouched(until: number): void {
+    this.pledgedUntil = Math.max(this.pledgedUntil, until);
+  }
+
   end(): void {
     this.over.abort(new Error('the term is over'));
   }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -25,7 +25,13 @@
    */
   | { kind: 'askCancellations'; ask: number; sinceMs: number }
   /** `cancelled`: all of them; null: the speaker cannot be sure. */
-  | { kind: 'cancellations'; ask: number; cancelled: string[] | null };
+  | { kind: 'cancellations'; ask: number; cancelled: string[] | null }
+  /**
+   * A leader whose right has lapsed asks for a pledge, and whether its term is the newest that the
+   * receiver can have known or been part of.
+   */
+  | { kind: 'askVouch'; ask: number; token: number; forMs: number }
+  | { kind: 'vouch'; ask: number; granted: boolean };
 
 export interface JobCounts {
   id: string;
@@ -44,15 +50,19 @@
   'store',
   'askCancellations',
   'cancellations',
+  'askVouch',
+  'vouch',
 ] as const;
 const MAGIC = 0x4c48;
 /** The version of all kinds up to `store`; who knows no later one closes a connection that brings it. */
 const VERSION = 3;
-/** The version of the kinds that came later, which go only to controllers known to read them. */
+/** The versions of the kinds that came later, which go only to controllers known to read them. */
 export const CANCELLATIONS_VERSION = 4;
+export const VOUCHES_VERSION = 5;
 /** The versions of frames that this program understands. */
-export const FRAME_VERSIONS: readonly number[] = [VERSION, CANCELLATIONS_VERSION];
+export const FRAME_VERSIONS: readonly number[] = [VERSION, CANCELLATIONS_VERSION, VOUCHES_VERSION];
 const FIRST_CANCELLATIONS_KIND = KINDS.indexOf('askCancellations');
+const FIRST_VOUCHES_KIND = KINDS.indexOf('askVouch');
 const HEADER = 12;
 export const MAX_PAYLOAD = 256 * 1024;
 /** How many jobs' counts fit into one frame, however long their names are. */
@@ -60,8 +70,10 @@
 /** How many jobs' names fit into one answer, however long they are. */
 export const MOST_CANCELLATIONS = Math.floor((MAX_PAYLOAD - 9) / (1 + 255));
 
-const versionOf = (kind: number): number =>
-  kind < FIRST_CANCELLATIONS_KIND ? VERSION : CANCELLATIONS_VERSION;
+function versionOf(kind: number): number {
+  if (kind < FIRST_CANCELLATIONS_KIND) return VERSION;
+  return kind < FIRST_VOUCHES_KIND ? CANCELLATIONS_VERSION : VOUCHES_VERSION;
+}
 
 /** A leader's heartbeat in as many frames as its jobs need. */
 export function heartbeats(token: number, counts: JobCounts[]): Message[] {
@@ -170,8 +182,10 @@
     case 'cancelled':
       return w.text(m.id);
     case 'askPledge':
+    case 'askVouch':
       return w.u32(m.ask).u64(m.token).u32(m.forMs);
     case 'pledge':
+    case 'vouch':
       return w.u32(m.ask).u8(m.granted ? 1 : 0);
     case 'askFree':
       return w.u32(m.ask);
@@ -206,8 +220,10 @@
     case 'cancelled':
       return { kind, id: r.text() };
     case 'askPledge':
+    case 'askVouch':
       return { kind, ask: r.u32(), token: r.u64(), forMs: r.u32() };
     case 'pledge':
+    case 'vouch':
       return { kind, ask: r.u32(), granted: r.u8() === 1 };
     case 'askFree':
       return { kind, ask: r.u32() };
--- a/src/peer/lease-extension-vote.ts
+++ b/src/peer/lease-extension-vote.ts
@@ -9,6 +9,13 @@
   mayLead(): boolean;
   /** Asks the store something now; true if it served. */
   storeServes(): Promise<boolean>;
+  /**
+   * True if this process has read the leader key at this version and has not contested since: so no
+   * term of its own can have come after that one.
+   */
+  knowsNoLater(token: number): boolean;
+  /** Whether a controller is known to read vouches; an older one would close the connection. */
+  readsVouches(peer: string): boolean;
 }
 
 /**
@@ -41,6 +48,15 @@
     return this.askAll(withinMs, (ask) => ({ kind: 'askPledge', ask, token, forMs }));
   }
 
+  /**
+   * True if every other controller has promised the same and vouches besides that it has led no term
+   * after that of `token`. Only controllers take office, so nobody has then.
+   */
+  async collectVouches(token: number, forMs: number, withinMs: number): Promise<boolean> {
+    if (!this.peerTransport.peers.every((peer) => this.facts.readsVouches(peer))) return false;
+    return this.askAll(withinMs, (ask) => ({ kind: 'askVouch', ask, token, forMs }));
+  }
+
   /** True if every other controller says that it neither leads nor has pledged. */
   async allFree(withinMs: number): Promise<boolean> {
     return this.askAll(withinMs, (ask) => ({ kind: 'askFree', ask }));
@@ -60,7 +76,7 @@
   }
 
   private async on(from: string, m: Message): Promise<void> {
-    if (m.kind === 'pledge') this.count(m.ask, from, m.granted);
+    if (m.kind === 'pledge' || m.kind === 'vouch') this.count(m.ask, from, m.granted);
     else if (m.kind === 'free') this.count(m.ask, from, m.free);
     else if (m.kind === 'askFree') {
       const free = !this.facts.mayLead() && this.heldForMs === 0;
@@ -68,9 +84,17 @@
     } else if (m.kind === 'askPledge') {
       const granted = await this.grant(m.forMs);
       this.peerTransport.send(from, { kind: 'pledge', ask: m.ask, granted });
+    } else if (m.kind === 'askVouch') {
+      const granted = await this.vouch(m.token, m.forMs);
+      this.peerTransport.send(from, { kind: 'vouch', ask: m.ask, granted });
     }
   }
 
+  /** Looked at after the promise is made, so that it stays true for as long as that lasts. */
+  private async vouch(token: number, forMs: number): Promise<boolean> {
+    return (await this.grant(forMs)) && this.facts.knowsNoLater(token);
+  }
+
   private async grant(forMs: number): Promise<boolean> {
     if (this.facts.mayLead()) return false;
     // Promised before the store is asked, so that no attempt to lead can begin in between.
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -9,6 +9,9 @@
 import { FakeStore, type Fate } from './fakes/store.js';
 import { fakeRandom, settings } from './fakes/world.js';
 
+/** A version of frames that no program has yet. */
+const NEXT_FRAMES = Math.max(...FRAME_VERSIONS) + 1;
+
 const NAMES = ['berth-0', 'berth-1', 'berth-2'];
 const NEXT = { valueBytes: 2048, txnOps: 4, writeRps: 15 };
 
@@ -160,7 +163,7 @@
   const { clock, fakeStore, end, start } = three();
   const { keys } = releasedStores().after;
   const { rangedRuns } = RECORD_FORMATS;
-  const later = { recordFormat: rangedRuns + 1, frameVersions: [...FRAME_VERSIONS, 5] };
+  const later = { recordFormat: rangedRuns + 1, frameVersions: [...FRAME_VERSIONS, NEXT_FRAMES] };
   // The others run 104c759, and have written their records long before this upgrade.
   const released = keys['members/berth-1']!.value;
   for (const name of ['berth-1', 'berth-2'])
@@ -171,23 +174,26 @@
   assert.equal(store.limits.effective().txnOps, 4);
   assert.equal(membership.allRead(later.recordFormat), false, 'nobody is taken for new');
   assert.equal(membership.readsFrames('berth-1', CANCELLATIONS_VERSION), true);
-  assert.equal(membership.readsFrames('berth-1', 5), false);
+  assert.equal(membership.readsFrames('berth-1', NEXT_FRAMES), false);
   for (const name of ['berth-1', 'berth-2']) start(name, undefined, later);
   await clock.advance(5000);
   assert.equal(membership.allRead(later.recordFormat), true);
-  assert.equal(membership.readsFrames('berth-2', 5), true);
+  assert.equal(membership.readsFrames('berth-2', NEXT_FRAMES), true);
   end.abort();
 });
 
 test('frames of a new version are noticed also where the record format stays', async () => {
   const { clock, end, start } = three();
-  const later = { recordFormat: RECORD_FORMATS.rangedRuns, frameVersions: [...FRAME_VERSIONS, 5] };
+  const later = {
+    recordFormat: RECORD_FORMATS.rangedRuns,
+    frameVersions: [...FRAME_VERSIONS, NEXT_FRAMES],
+  };
   const { membership } = start('berth-0', undefined, later);
   for (const name of ['berth-1', 'berth-2']) start(name);
   await clock.advance(10_000);
-  assert.equal(membership.readsFrames('berth-2', 5), false);
+  assert.equal(membership.readsFrames('berth-2', NEXT_FRAMES), false);
   for (const name of ['berth-1', 'berth-2']) start(name, undefined, later);
   await clock.advance(5000);
-  assert.equal(membership.readsFrames('berth-2', 5), true);
+  assert.equal(membership.readsFrames('berth-2', NEXT_FRAMES), true);
   end.abort();
 });
