--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -28,9 +28,6 @@
 /** What runs for longer than estimated is expected to go on for this share of its estimate. */
 const LEAST_REMAINING = 0.25;
 
-/** How much a delay counts more with each time that it makes a job miss. */
-const MISSED_WEIGHT = 2;
-
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
@@ -292,30 +289,21 @@
   urgencies: ReadonlyMap<string, StepUrgency>,
 ): VictimView[] {
   const list: VictimView[] = [];
-  const wall = leader.parts.runtime.clock.wall();
   for (const job of leader.jobs.values()) {
     if (job.spec.kind === 'service') continue;
     const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
-    const endsInMs = remainingMs(leader, job, now);
-    const againMs = startMs(leader, job.spec);
-    const misses = dueTimes(leader, job).map((at) => at - wall);
     for (const p of job.placements.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
       const { checkpointMs, estimateMs } = job.spec;
-      const lossMs = checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran;
-      const leftMs = Math.max(estimateMs - ran, estimateMs * LEAST_REMAINING);
-      const stoppedBefore = job.unsavedStops.get(p.task) ?? 0;
       list.push({
         job: job.id,
         task: p.task,
         machine: p.machine,
         spec: job.spec,
         priority,
-        lossMs,
-        costMs: (againMs + lossMs) * (1 + stoppedBefore),
-        delayMs: delayCost(againMs + lossMs + leftMs, endsInMs, misses),
-        unsavedStops: stoppedBefore,
-        remainingMs: leftMs,
+        lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
+        unsavedStops: job.unsavedStops.get(p.task) ?? 0,
+        remainingMs: Math.max(estimateMs - ran, estimateMs * LEAST_REMAINING),
         wholeGang: job.gang !== null,
         // A trial of what fails everywhere is over soon: nothing is rented instead of its room.
         stopping: p.stop !== null || job.phase !== 'open' || job.failures.suspected,
@@ -325,33 +313,6 @@
   return list;
 }
 
-/** Times of day by which the aims for its class ask for a job to be done. */
-function dueTimes(leader: Leader, job: Job): number[] {
-  const { jobClass, deadlineMs } = job.spec;
-  const times: number[] = [];
-  for (const o of leader.parts.settings.objectives) {
-    if (o.jobClass !== jobClass) continue;
-    if (o.kind === 'finished' && o.withinMs !== null) times.push(job.submittedAt + o.withinMs);
-    if (o.kind === 'deadline' && deadlineMs !== null) {
-      times.push(job.submittedAt + deadlineMs * o.times);
-    }
-  }
-  return times;
-}
-
-/**
- * What it costs that a job is done later than expected: the time, and as much again for each time
- * by which it should be done and will not be any more.
- *
- * @param laterMs,endsInMs in what time it is done if the task is stopped, and if it is not
- * @param dueInMs in what times it should be done
- */
-function delayCost(laterMs: number, endsInMs: number, dueInMs: readonly number[]): number {
-  if (laterMs <= endsInMs) return 0;
-  const missed = dueInMs.filter((due) => endsInMs <= due && due < laterMs).length;
-  return (laterMs - endsInMs) * (1 + missed * MISSED_WEIGHT);
-}
-
 function movable(leader: Leader): ReplicaView[] {
   const list: ReplicaView[] = [];
   for (const job of leader.jobs.values()) {
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -83,10 +83,6 @@
   priority: Priority;
   /** Work that would have to be done again, in machine milliseconds. */
   lossMs: number;
-  /** Its loss and its start anew, in the same unit; more with each time that it was stopped before. */
-  costMs: number;
-  /** What it costs that its whole job is done later: once for all of its tasks. */
-  delayMs: number;
   /** How often it was stopped before without being saved. */
   unsavedStops: number;
   /** For how long it should still run, by its owner's estimate. */
--- a/src/scheduler/opportunistic.ts
+++ b/src/scheduler/opportunistic.ts
@@ -1,7 +1,7 @@
 import { fits, take, type Need } from '../fleet/types.js';
 import type { JobSpec } from '../jobs/job.js';
 import type { JobView, MachineView, VictimView } from './model.js';
-import { allows, shareOf, ZoneRules } from './placement.js';
+import { allows, ZoneRules } from './placement.js';
 
 /** How many machines are cleared at once at most: a search for room takes time. */
 const MOST_CLEARED = 8;
@@ -17,6 +17,15 @@
   );
 }
 
+/** What a task takes of a machine, as the largest of its shares. */
+function shareOf({ need }: JobSpec, { room }: MachineView['type']): number {
+  return Math.max(
+    need.cpus / room.cpus,
+    room.gpus > 0 ? need.gpus / room.gpus : 0,
+    need.memoryGb / room.memoryGb,
+  );
+}
+
 /** True if nothing is on a machine but work of these jobs, or nothing at all. */
 export const holdsOnly = (m: MachineView, jobs: ReadonlySet<string>): boolean =>
   [...m.tasksOf.keys()].every((job) => jobs.has(job));
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -24,15 +24,6 @@
   return shape;
 }
 
-/** What a task takes of a machine, as the largest of its shares. */
-export function shareOf({ need }: JobSpec, { room }: MachineType): number {
-  return Math.max(
-    need.cpus / room.cpus,
-    room.gpus > 0 ? need.gpus / room.gpus : 0,
-    need.memoryGb / room.memoryGb,
-  );
-}
-
 /** Where the tasks of one job may still go while a round places them one by one. */
 export class ZoneRules {
   private readonly counts: Map<string, number>;
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,7 +1,7 @@
 import { fits, howMany, take, type Need } from '../fleet/types.js';
 import { outranks, rank } from './order.js';
 import type { JobView, MachineView, TeamView, VictimView } from './model.js';
-import { allows, shapeOf, shareOf, type ZoneRules } from './placement.js';
+import { allows, shapeOf, type ZoneRules } from './placement.js';
 
 /**
  * Stops work to make room: of lower priority, or, for a job within its team's guarantee, what
@@ -17,9 +17,6 @@
   /** Room that what is being stopped on a machine will leave, beyond what is free there. */
   private readonly leaving = new Map<string, Need>();
 
-  /** By how much jobs are put off by what was chosen. */
-  private readonly delayed = new Map<string, number>();
-
   /** Shapes for which no more was found, and after how many stops. */
   private readonly inVain = new Map<string, number>();
   /** The least important priority among what may be stopped. */
@@ -43,10 +40,9 @@
         this.lowest = Math.max(this.lowest, v.priority);
       }
     }
-    // The least important first, and of these what costs least for the room that it leaves.
-    for (const m of up) {
-      const costs = (v: VictimView): number => (v.costMs + v.delayMs) / shareOf(v.spec, m.type);
-      this.byMachine.get(m.id)?.sort((a, b) => b.priority - a.priority || costs(a) - costs(b));
+    // The least important first, and of these the cheapest loss.
+    for (const list of this.byMachine.values()) {
+      list.sort((a, b) => b.priority - a.priority || a.lossMs - b.lossMs);
     }
   }
 
@@ -146,23 +142,10 @@
     return found;
   }
 
-  /** What these cost together; a job that is put off already loses less by another of its tasks. */
-  private lossOf(victims: VictimView[]): number {
-    const delays = new Map<string, number>();
-    let loss = 0;
-    for (const v of victims) {
-      loss += v.costMs + 1;
-      delays.set(v.job, Math.max(delays.get(v.job) ?? 0, v.delayMs));
-    }
-    for (const [job, ms] of delays) loss += Math.max(0, ms - (this.delayed.get(job) ?? 0));
-    return loss;
-  }
-
   private stopFor(job: JobView, choice: Choice): void {
     const leaving = this.leaving.get(choice.machine.id)!;
     for (const v of choice.victims) {
       this.chosen.add(v);
-      this.delayed.set(v.job, Math.max(this.delayed.get(v.job) ?? 0, v.delayMs));
       this.stops.push({ job: v.job, task: v.task });
       take(leaving, v.spec.need, -1);
       const leavingTeam = this.leavingTeam(v.spec.team);
@@ -202,6 +185,7 @@
     const room = this.coming(machine);
     const { need } = job.spec;
     const own = rank(job.priority, guaranteed);
+    let loss = 0;
     for (const v of this.byMachine.get(machine.id) ?? []) {
       if (victims.length > 0 && fits(need, room)) break;
       if (this.chosen.has(v)) continue;
@@ -216,26 +200,11 @@
         (guaranteed && v.spec.team !== job.spec.team && this.overGuarantee(v.spec.team));
       if (!may) continue;
       victims.push(v);
+      loss += v.lossMs + 1;
       take(room, v.spec.need, -1);
     }
-    if (victims.length === 0 || !fits(need, room)) return null;
-    const kept = withoutUnneeded(victims, need, room);
-    return { machine, victims: kept, loss: this.lossOf(kept) };
-  }
-}
-
-/**
- * Of what was chosen one after the other, what was chosen first may not be needed any more once
- * something larger leaves: many small tasks are not stopped beside one that makes room by itself.
- */
-function withoutUnneeded(victims: VictimView[], need: Need, room: Need): VictimView[] {
-  const kept = new Set(victims);
-  for (const v of [...victims].sort((a, b) => b.costMs + b.delayMs - a.costMs - a.delayMs)) {
-    take(room, v.spec.need, 1);
-    if (kept.size > 1 && fits(need, room)) kept.delete(v);
-    else take(room, v.spec.need, -1);
+    return victims.length > 0 && fits(need, room) ? { machine, victims, loss } : null;
   }
-  return [...kept];
 }
 
 /** What is stopped on a machine to make room for one task. */
