--- /dev/null
+++ b/src/control/pipeline-steps.ts
@@ -0,0 +1,78 @@
+/**
+ * What the leader knows of open jobs as steps of pipelines: what each waits for, how long it still
+ * takes, and by when its class is asked to be done.
+ */
+import type { JobSpec } from '../jobs/job.js';
+import type { Job } from '../jobs/tracked-job.js';
+import type { PipelineStep } from '../scheduler/pipelines.js';
+import type { Settings } from '../settings/deploy.js';
+import type { Leader } from './leader.js';
+
+/** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
+const START_REPORTS = 2;
+
+/** The jobs that are neither done nor cancelled. */
+export function* openJobs(leader: Leader): Iterable<Job> {
+  for (const job of leader.jobs.values()) if (job.phase === 'open') yield job;
+}
+
+/** All open jobs with what they wait for and how long they still take. */
+export function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
+  const aims = deadlineSteps(leader.parts.settings);
+  const steps: PipelineStep[] = [];
+  for (const job of openJobs(leader)) {
+    steps.push({
+      id: job.id,
+      spec: job.spec,
+      submittedAt: job.submittedAt,
+      readyAt: job.readyAt,
+      dependencies: job.dependencies,
+      remainingMs: remainingMs(leader, job, now),
+      deadlineSteps: aims.get(job.spec.jobClass) ?? [],
+    });
+  }
+  return steps;
+}
+
+/**
+ * Expected time until a job is done once it is ready: its estimate and, if some of it is still to
+ * be started, the image's fetch and the time to record and send its starts.
+ */
+function remainingMs(leader: Leader, job: Job, now: number): number {
+  const { spec } = job;
+  // A service is never done, and nobody may wait for it.
+  if (spec.kind === 'service') return 0;
+  if (job.waiting > 0) return startMs(leader, spec) + spec.estimateMs;
+  let most = 0;
+  for (const p of job.placements.values()) {
+    const left =
+      p.runningSince === null
+        ? startMs(leader, spec) + spec.estimateMs
+        : spec.estimateMs - (now - p.runningSince);
+    most = Math.max(most, left);
+  }
+  return most;
+}
+
+/** From when a job is ready until its tasks run, where there is room for them. */
+function startMs(leader: Leader, spec: JobSpec): number {
+  let fetchMs = 0;
+  for (const type of leader.types.values()) {
+    if (spec.types !== null && !spec.types.includes(type.name)) continue;
+    fetchMs = Math.max(fetchMs, (spec.imageGb / type.fetchGbPerS) * 1000);
+  }
+  return fetchMs + leader.parts.settings.workers.reportMs * START_REPORTS;
+}
+
+/** By which multiples of their deadline the jobs of a class should be done, smallest first. */
+function deadlineSteps(settings: Settings): Map<string, number[]> {
+  const steps = new Map<string, number[]>();
+  for (const o of settings.objectives) {
+    if (o.kind !== 'deadline' || o.jobClass === null) continue;
+    steps.set(
+      o.jobClass,
+      [...(steps.get(o.jobClass) ?? []), o.times].sort((a, b) => a - b),
+    );
+  }
+  return steps;
+}
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,6 +1,5 @@
 import type { Machine } from '../fleet/machine.js';
 import type { Job } from '../jobs/tracked-job.js';
-import type { JobSpec } from '../jobs/job.js';
 import type { MachineType } from '../fleet/types.js';
 import type {
   JobView,
@@ -11,12 +10,9 @@
   TeamView,
   VictimView,
 } from '../scheduler/model.js';
-import { pipelineUrgency, type PipelineStep, type StepUrgency } from '../scheduler/pipelines.js';
-import type { Settings } from '../settings/deploy.js';
+import { pipelineUrgency, type StepUrgency } from '../scheduler/pipelines.js';
 import type { Leader } from './leader.js';
-
-/** A step's start takes about so many report intervals: an end seen, a start recorded and sent. */
-const START_REPORTS = 2;
+import { openJobs, pipelineSteps } from './pipeline-steps.js';
 
 /**
  * For what share of a boot work without GPUs waits for what its like leaves, unless it is pressed.
@@ -24,23 +20,44 @@
  */
 const PATIENCE_BOOTS = 0.25;
 
+/** What all parts of one snapshot share, worked out once. */
+interface Moment {
+  leader: Leader;
+  /** Steady time, and time of day. */
+  now: number;
+  wall: number;
+  urgencies: ReadonlyMap<string, StepUrgency>;
+  types: readonly MachineType[];
+  /** The shortest boot where all machines have GPUs; null where some have none. */
+  gpuBootMs: number | null;
+}
+
 /** What the leader believes at one moment, for a round of decisions. */
 export function takeSnapshot(leader: Leader, now: number): Snapshot {
-  const urgencies = pipelineUrgency(pipelineSteps(leader, now), leader.parts.runtime.clock.wall());
+  const wall = leader.parts.runtime.clock.wall();
+  const urgencies = pipelineUrgency(pipelineSteps(leader, now), wall);
+  const types = [...leader.types.values()];
+  const moment = { leader, now, wall, urgencies, types, gpuBootMs: gpuBootMs(types) };
   return {
     machines: machineViews(leader, now),
-    jobs: jobViews(leader, now, urgencies),
-    upcoming: upcoming(leader, now, urgencies),
+    jobs: jobViews(moment),
+    upcoming: upcoming(moment),
     leavingCpus: leavingCpus(leader),
     teams: teamViews(leader),
-    types: [...(leader.parts.catalogue.types.value?.values() ?? [])],
-    offers: offers(leader),
-    victims: victims(leader, now, urgencies),
+    types,
+    offers: offers(moment),
+    victims: victims(moment),
     movable: movable(leader),
-    gateShut: [...leader.jobs.values()].some((j) => j.gang?.holdsGate && j.phase === 'open'),
+    gateShut: [...openJobs(leader)].some((job) => job.gang?.holdsGate),
   };
 }
 
+/** The shortest boot where all machines have GPUs; null where some have none. */
+function gpuBootMs(types: readonly MachineType[]): number | null {
+  if (types.some((type) => type.room.gpus === 0)) return null;
+  return Math.min(...types.map((type) => type.bootMs));
+}
+
 function machineViews(leader: Leader, now: number): MachineView[] {
   const { workers } = leader.parts.settings;
   const views: MachineView[] = [];
@@ -52,7 +69,7 @@
     views.push(machineView(m, m.type, up, leader.reconciler.keepMs(m.type)));
   }
   leader.rentals.onOrder(now).forEach((r, i) => {
-    const type = leader.parts.catalogue.types.value?.get(r.type);
+    const type = leader.types.get(r.type);
     if (!type) return;
     for (let n = 0; n < r.count; n++) {
       views.push({
@@ -98,46 +115,27 @@
 }
 
 /** Jobs that wait for others take no part in the decisions. */
-function jobViews(
-  leader: Leader,
-  now: number,
-  urgencies: ReadonlyMap<string, StepUrgency>,
-): JobView[] {
+function jobViews(moment: Moment): JobView[] {
   const views: JobView[] = [];
-  const bootMs = bootMsWithGpus(leader);
-  for (const job of leader.jobs.values()) {
-    if (job.phase !== 'open' || job.readyAt === null) continue;
-    views.push(jobView(leader, job, job.readyAt, bootMs, now, urgencies));
+  for (const job of openJobs(moment.leader)) {
+    if (job.readyAt !== null) views.push(jobView(moment, job, job.readyAt));
   }
   return views;
 }
 
 /** Work without GPUs that is expected to be ready before a machine that is rented now is up. */
-function upcoming(
-  leader: Leader,
-  now: number,
-  urgencies: ReadonlyMap<string, StepUrgency>,
-): JobView[] {
+function upcoming(moment: Moment): JobView[] {
+  const { gpuBootMs, urgencies, wall } = moment;
   const views: JobView[] = [];
-  const bootMs = bootMsWithGpus(leader);
-  if (bootMs === null) return views;
-  const wall = leader.parts.runtime.clock.wall();
-  for (const job of leader.jobs.values()) {
-    if (job.phase !== 'open' || job.readyAt !== null || job.unreadable) continue;
+  if (gpuBootMs === null) return views;
+  for (const job of openJobs(moment.leader)) {
+    if (job.readyAt !== null || job.unreadable || job.spec.need.gpus > 0) continue;
     const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
-    if (job.spec.need.gpus > 0 || readyInMs > bootMs) continue;
-    views.push(jobView(leader, job, wall + readyInMs, bootMs, now, urgencies));
+    if (readyInMs <= gpuBootMs) views.push(jobView(moment, job, wall + readyInMs));
   }
   return views;
 }
 
-/** The shortest boot where all machines have GPUs; null where some have none. */
-function bootMsWithGpus(leader: Leader): number | null {
-  const types = [...(leader.parts.catalogue.types.value?.values() ?? [])];
-  if (types.some((t) => t.room.gpus === 0)) return null;
-  return Math.min(...types.map((t) => t.bootMs));
-}
-
 function leavingCpus(leader: Leader): number {
   let cpus = 0;
   for (const { spec, placements } of leader.jobs.values()) {
@@ -146,21 +144,15 @@
   return cpus;
 }
 
-function jobView(
-  leader: Leader,
-  job: Job,
-  readyAt: number,
-  bootMs: number | null,
-  now: number,
-  urgencies: ReadonlyMap<string, StepUrgency>,
-): JobView {
+function jobView(moment: Moment, job: Job, readyAt: number): JobView {
+  const { now, wall, gpuBootMs } = moment;
   const { spec, gang } = job;
   const zones = new Map<string, number>();
   for (const p of job.placements.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
   // A gang is placed anew only when nothing of its last attempt can be left.
   const gangMay = !gang || (job.placements.size === 0 && gang.phase !== 'suspended');
-  const urgency = urgencies.get(job.id);
-  const waitedMs = leader.parts.runtime.clock.wall() - readyAt;
+  const urgency = moment.urgencies.get(job.id);
+  const waitedMs = wall - readyAt;
   return {
     id: job.id,
     spec,
@@ -170,9 +162,9 @@
     patient:
       spec.kind !== 'service' &&
       spec.need.gpus === 0 &&
-      bootMs !== null &&
+      gpuBootMs !== null &&
       !(urgency?.pressed ?? false) &&
-      waitedMs < bootMs * PATIENCE_BOOTS,
+      waitedMs < gpuBootMs * PATIENCE_BOOTS,
     waiting: job.startable,
     // What waits of a job that fails everywhere takes nothing of its team's guarantee from the rest.
     unfinished: job.failures.suspected ? job.placements.size : spec.tasks - job.doneCount,
@@ -184,67 +176,6 @@
   };
 }
 
-function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
-  const aims = deadlineSteps(leader.parts.settings);
-  const steps: PipelineStep[] = [];
-  for (const job of leader.jobs.values()) {
-    if (job.phase !== 'open') continue;
-    steps.push({
-      id: job.id,
-      spec: job.spec,
-      submittedAt: job.submittedAt,
-      readyAt: job.readyAt,
-      dependencies: job.dependencies,
-      remainingMs: remainingMs(leader, job, now),
-      deadlineSteps: aims.get(job.spec.jobClass) ?? [],
-    });
-  }
-  return steps;
-}
-
-/**
- * Expected time until a job is done once it is ready: its estimate and, if some of it is still to
- * be started, the image's fetch and the time to record and send its starts.
- */
-function remainingMs(leader: Leader, job: Job, now: number): number {
-  const { spec } = job;
-  // A service is never done, and nobody may wait for it.
-  if (spec.kind === 'service') return 0;
-  if (job.waiting > 0) return startMs(leader, spec) + spec.estimateMs;
-  let most = 0;
-  for (const p of job.placements.values()) {
-    const left =
-      p.runningSince === null
-        ? startMs(leader, spec) + spec.estimateMs
-        : spec.estimateMs - (now - p.runningSince);
-    most = Math.max(most, left);
-  }
-  return most;
-}
-
-/** From when a job is ready until its tasks run, where there is room for them. */
-function startMs(leader: Leader, spec: JobSpec): number {
-  let fetchMs = 0;
-  for (const type of leader.parts.catalogue.types.value?.values() ?? []) {
-    if (spec.types !== null && !spec.types.includes(type.name)) continue;
-    fetchMs = Math.max(fetchMs, (spec.imageGb / type.fetchGbPerS) * 1000);
-  }
-  return fetchMs + leader.parts.settings.workers.reportMs * START_REPORTS;
-}
-
-/** By which multiples of their deadline the jobs of a class should be done, smallest first. */
-function deadlineSteps(settings: Settings): Map<string, number[]> {
-  const steps = new Map<string, number[]>();
-  for (const o of settings.objectives) {
-    if (o.kind !== 'deadline' || o.jobClass === null) continue;
-    steps.set(
-      o.jobClass,
-      [...(steps.get(o.jobClass) ?? []), o.times].sort((a, b) => a - b),
-    );
-  }
-  return steps;
-}
-
 /** What may be on machines counts in full until it is proven gone. */
 function teamViews(leader: Leader): Map<string, TeamView> {
   const teams = new Map<string, TeamView>();
@@ -261,9 +192,9 @@
   return teams;
 }
 
-function offers(leader: Leader): Offer[] {
+function offers({ leader, types }: Moment): Offer[] {
   const list: Offer[] = [];
-  for (const type of leader.parts.catalogue.types.value?.values() ?? []) {
+  for (const type of types) {
     for (const zone of type.zones) {
       for (const spot of [false, true]) {
         if (leader.rentals.refused(type.name, zone, spot)) continue;
@@ -274,11 +205,7 @@
   return list;
 }
 
-function victims(
-  leader: Leader,
-  now: number,
-  urgencies: ReadonlyMap<string, StepUrgency>,
-): VictimView[] {
+function victims({ leader, now, urgencies }: Moment): VictimView[] {
   const list: VictimView[] = [];
   for (const job of leader.jobs.values()) {
     if (job.spec.kind === 'service') continue;
@@ -304,8 +231,8 @@
 
 function movable(leader: Leader): ReplicaView[] {
   const list: ReplicaView[] = [];
-  for (const job of leader.jobs.values()) {
-    if (job.spec.kind !== 'service' || job.phase !== 'open') continue;
+  for (const job of openJobs(leader)) {
+    if (job.spec.kind !== 'service') continue;
     for (const p of job.placements.values()) {
       if (p.stop) return [];
       if (p.state !== 'running') continue;
