A controller told to end while an upgrade is not complete comes to its end

Two duties of the controller ended in the same wait for the signal, written twice. Standing once (untilAborted), it also resolves where the signal was aborted before: membership returns from its loop because of the abort, and the listener that was added then never heard of it, so Controller.run did not end until the process had nothing else to do.

Every story now checks at its end that each controller of the present version has come to its end. Released versions are left out: they are what they are.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -16,7 +16,7 @@
 } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
-import { duty, type Runtime } from '../runtime/duty.js';
+import { duty, untilAborted, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -246,11 +246,11 @@
         ),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
-          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+          await untilAborted(s);
         }),
         duty(this.runtime, 'membership', signal, restartMs, async (s) => {
           await this.membership.run(s);
-          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+          await untilAborted(s);
         }),
         duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
       ]);
--- a/src/runtime/duty.ts
+++ b/src/runtime/duty.ts
@@ -31,3 +31,14 @@
     if (!signal.aborted) await runtime.clock.sleep(jitter(restartMs, runtime.random), signal);
   }
 }
+
+/**
+ * For a duty that has nothing left to do: resolves once `signal` is aborted, at once if it was. A
+ * listener alone never hears of an end that came before it.
+ */
+export function untilAborted(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    signal.addEventListener('abort', () => resolve(), { once: true });
+  });
+}
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -43,6 +43,8 @@
   /** The zones cannot reach each other; both reach the store. */
   apart = false;
   private lives = 0;
+  /** Controllers of the present version whose processes have not come to their end. */
+  readonly unfinished = new Set<AbortController>();
 
   constructor(
     private readonly world: World,
@@ -134,7 +136,11 @@
       },
     );
     node.controller = controller;
-    void controller.run(node.stop.signal);
+    const ended = controller.run(stop.signal);
+    // A released version is what it is; of ours each has to come to its end once it is told to.
+    if (node.program !== CURRENT) return;
+    this.unfinished.add(stop);
+    void ended.finally(() => this.unfinished.delete(stop));
   }
 
   private logOf(member: string): Logger {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -115,6 +115,7 @@
     const broken = this.checker.violations.map((v) => `${v.at / 1000} s: ${v.rule}: ${v.what}`);
     assert.deepEqual(broken.slice(0, MOST_TOLD), []);
     assert.deepEqual(this.broken, []);
+    assert.equal(this.controllers.unfinished.size, 0, 'every controller ends when it is told to');
   }
 
   // ---- controllers
