Split state/store.ts: rates and contact have modules of their own

The store held its requests, the rates that hold them down, and what the outcomes of requests say of whether it serves. Left in it: transactions and their repetition, whose result types are used everywhere.

Behaviour unchanged: the 109 stories of nine files on budgets, answers, storms, limits and refusals pass.

--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -3,8 +3,10 @@
 import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import * as wire from '../wire/store.js';
-import { Budget, type Urgency } from './budget.js';
+import type { Urgency } from './budget.js';
 import { StoreLimits } from './limits.js';
+import { StoreContact } from './store-contact.js';
+import { StoreRates, type RequestClass } from './store-rates.js';
 
 export type { Change, Condition, Entry, StoreEvent } from '../wire/store.js';
 
@@ -30,13 +32,7 @@
 
 export type { Urgency } from './budget.js';
 
-/** Requests for users' questions have a rate of their own and come after all others. */
-export type RequestClass = Urgency | 'question';
-
-interface Rate {
-  perSecond: number;
-  burst: number;
-}
+export type { RequestClass } from './store-rates.js';
 
 /**
  * Bursts of several controllers together are refused now and then. Where more than one transaction
@@ -46,31 +42,10 @@
 const PERSISTENT_RATE_REFUSALS = 8;
 const SUCCESS_OFFSETS = 0.2;
 
-/**
- * What users' questions at all controllers together may take of the store's requests, so that a storm
- * of them leaves room for submissions, leadership and the leader's writes. One comparison answers as
- * many questions as a transaction has conditions.
- */
-const QUESTIONS_SHARE = 0.5;
-
-/** How many seconds' worth of these requests may come at once, as when a controller has just started. */
-const QUESTIONS_BURST_S = 0.5;
-
-/**
- * So many requests in a row without any answer, over this share of a request's time, are more than
- * answers that were lost one by one; users are sent away then.
- */
-const SILENT_REQUESTS = 3;
-const SILENT_SHARE = 0.5;
-
+/** The state service as one controller uses it: its requests, their rates and their repetitions. */
 export class Store {
-  private readonly requests: Budget;
-  private readonly questions: Budget;
-  private readonly writes: Budget;
-  private contactAt = -Infinity;
-  private refusedSince: number | null = null;
-  private noAnswerSince: number | null = null;
-  private withoutAnswer = 0;
+  private readonly rates: StoreRates;
+  private readonly contact: StoreContact;
   /** Transactions refused for the rate lately, less a share of those that were applied. */
   private rateRefusals = 0;
   /** What the store allows, as far as this controller knows. */
@@ -79,50 +54,27 @@
   constructor(
     private readonly transport: Transport,
     private readonly runtime: Runtime,
-    private readonly settings: Settings,
+    settings: Settings,
     private readonly timeoutMs: number,
   ) {
     this.limits = new StoreLimits(settings.state, settings.state.next);
-    const { requests, questions, writes } = this.rates();
-    this.requests = new Budget(runtime.clock, requests.perSecond, requests.burst);
-    this.questions = new Budget(runtime.clock, questions.perSecond, questions.burst);
-    this.writes = new Budget(runtime.clock, writes.perSecond, writes.burst);
-    this.limits.changed.subscribe(() => {
-      const lower = this.rates();
-      this.requests.setRate(lower.requests.perSecond, lower.requests.burst);
-      this.questions.setRate(lower.questions.perSecond, lower.questions.burst);
-      this.writes.setRate(lower.writes.perSecond, lower.writes.burst);
-    });
-  }
-
-  /**
-   * The limits hold for all nodes together. One node does nearly all of the writing, so each may
-   * take half of the requests; what is refused all the same is tried again after a wait.
-   */
-  private rates(): { requests: Rate; questions: Rate; writes: Rate } {
-    const { rps, writeRps } = this.limits.effective();
-    const questions = (rps * QUESTIONS_SHARE) / this.settings.size;
-    return {
-      requests: { perSecond: rps / 2, burst: rps / 4 },
-      questions: { perSecond: questions, burst: Math.max(1, questions * QUESTIONS_BURST_S) },
-      writes: { perSecond: writeRps * 0.85, burst: writeRps * 0.5 },
-    };
+    this.rates = new StoreRates(runtime.clock, this.limits, settings.size);
+    this.contact = new StoreContact(runtime.clock, timeoutMs);
   }
 
   /** How many callers wait for their share of the writes. */
   get writesWaiting(): number {
-    return this.writes.waiting;
+    return this.rates.writesWaiting;
   }
 
   /** How long a transaction of so many puts and deletes would queue here, in milliseconds. */
   writeDelayMs(changes: number, urgency: Urgency): number {
-    return Math.max(this.writes.delayMs(changes, urgency), this.requests.delayMs(1, urgency));
+    return this.rates.writeDelayMs(changes, urgency);
   }
 
   /** How long the last of so many requests for users' questions would queue here, in milliseconds. */
   questionDelayMs(requests: number): number {
-    const queuedMs = Math.max(this.questions.delayMs(1, 0), this.requests.delayMs(1, LEAST_URGENT));
-    return queuedMs + ((requests - 1) / this.rates().questions.perSecond) * 1000;
+    return this.rates.questionDelayMs(requests);
   }
 
   /**
@@ -130,19 +82,17 @@
    * instead of waiting for one more of them. Requests of our own find out when that is over.
    */
   assertAnswers(): void {
-    const silentMs = this.runtime.clock.now() - (this.noAnswerSince ?? Infinity);
-    if (this.withoutAnswer < SILENT_REQUESTS || silentMs < this.timeoutMs * SILENT_SHARE) return;
-    throw new Refused(503, 'a silent store');
+    if (this.contact.silent) throw new Refused(503, 'a silent store');
   }
 
   /** When the store last answered anything but a refusal. */
   get answeredAt(): number {
-    return this.contactAt;
+    return this.contact.answeredAt;
   }
 
   /** Since when every request has failed; null while the store serves. */
   get failingSince(): number | null {
-    return this.refusedSince;
+    return this.contact.failingSince;
   }
 
   async get(key: string, from: RequestClass, signal?: AbortSignal): Promise<wire.Entry | null> {
@@ -201,7 +151,7 @@
     urgency: Urgency,
     signal?: AbortSignal,
   ): Promise<{ ok: true; revision: number } | { ok: false; failed: string[] }> {
-    if (then.length > 0) await this.writes.take(then.length, urgency, signal);
+    if (then.length > 0) await this.rates.admitWrites(then.length, urgency, signal);
     const body = wire.txnBody(when, then);
     const reply = await this.sendTxn(body, then.length > 0, urgency, signal);
     if (reply.status === 409) return { ok: false, failed: wire.parseConflict(reply.body) };
@@ -319,40 +269,22 @@
     signal?: AbortSignal,
     timeoutMs = this.timeoutMs,
   ): Promise<Reply> {
-    if (from !== null) await this.admit(from, signal);
+    if (from !== null) await this.rates.admit(from, signal);
     try {
       const reply = await this.transport.request(method, path, body, timeoutMs, signal);
-      this.noAnswerSince = null;
-      this.withoutAnswer = 0;
+      this.contact.answered();
       if (reply.status === 503) throw new Refused(503, path);
-      this.contactAt = this.runtime.clock.now();
-      this.refusedSince = null;
+      this.contact.served();
       if (reply.status === 429) throw new Refused(429, path);
       return reply;
     } catch (error) {
-      if (!signal?.aborted && !(error instanceof Refused && error.status === 429)) {
-        this.refusedSince ??= this.runtime.clock.now();
-        if (error instanceof NoAnswer) this.noteNoAnswer();
-      }
+      const rateAlone = error instanceof Refused && error.status === 429;
+      if (!signal?.aborted && !rateAlone) this.contact.failed(error);
       throw error;
     }
   }
-
-  private noteNoAnswer(): void {
-    this.noAnswerSince ??= this.runtime.clock.now();
-    this.withoutAnswer++;
-  }
-
-  /** Waits for the rate at which the store may be asked. */
-  private async admit(from: RequestClass, signal?: AbortSignal): Promise<void> {
-    if (from !== 'question') return this.requests.take(1, from, signal);
-    await this.questions.take(1, 0, signal);
-    await this.requests.take(1, LEAST_URGENT, signal);
-  }
 }
 
-const LEAST_URGENT = 2;
-
 function expect(reply: Reply, status: number, what: string): unknown {
   if (reply.status !== status) throw new Refused(reply.status, what);
   return reply.body;
