Split jobs/tracked-job.ts: done tasks and the entries of run records have modules of their own

The job kept its bitmap of done tasks by hand in six places and knew how each layout of records writes a start.

The 89 stories of nine files on layouts, records of released versions, upgrades and the ledger pass.

--- /dev/null
+++ b/src/jobs/done-tasks.ts
@@ -0,0 +1,54 @@
+/** Task numbers as ranges, both ends included. */
+export type TaskRanges = [number, number][];
+
+/** Which tasks of a job are done: one byte for each, as arrays may have 100,000. */
+export class DoneTasks {
+  private readonly flags: Uint8Array;
+  private total = 0;
+
+  constructor(tasks: number) {
+    this.flags = new Uint8Array(tasks);
+  }
+
+  /** How many are done. */
+  get count(): number {
+    return this.total;
+  }
+
+  has(task: number): boolean {
+    return this.flags[task] === 1;
+  }
+
+  /** False if it was done already. */
+  add(task: number): boolean {
+    if (this.has(task)) return false;
+    this.flags[task] = 1;
+    this.total++;
+    return true;
+  }
+
+  /** Those in `ranges` are done as well; numbers beyond the job's tasks mean nothing. */
+  addRanges(ranges: TaskRanges): void {
+    for (const [from, to] of ranges) {
+      for (let t = from; t <= to && t < this.flags.length; t++) this.add(t);
+    }
+  }
+
+  remove(task: number): void {
+    if (!this.has(task)) return;
+    this.flags[task] = 0;
+    this.total--;
+  }
+
+  /** The tasks from `from` up to but without `to` that are done. */
+  ranges(from: number, to: number): TaskRanges {
+    const ranges: TaskRanges = [];
+    for (let t = from; t < to; t++) {
+      if (!this.has(t)) continue;
+      const last = ranges[ranges.length - 1];
+      if (last && last[1] === t - 1) last[1] = t;
+      else ranges.push([t, t]);
+    }
+    return ranges;
+  }
+}
--- /dev/null
+++ b/src/jobs/placed-entries.ts
@@ -0,0 +1,50 @@
+/** How starts of tasks stand in run records, whose layouts `run-layout.ts` explains. */
+import type { RangedRunRecord, RunRecord } from './records.js';
+
+/** What a record keeps of a start. */
+export interface RecordedStart {
+  task: number;
+  attempt: number;
+  machine: string;
+  session: number;
+  zone: string;
+}
+
+/** An indexed record has an entry for each start. */
+export function placedByTask(starts: RecordedStart[]): RunRecord['placed'] {
+  return starts.map(({ task, attempt, machine, session, zone }) => {
+    return [task, attempt, machine, session, zone];
+  });
+}
+
+/** In a ranged record, starts of one attempt on one machine share an entry. */
+export function placedByMachine(starts: RecordedStart[]): RangedRunRecord['placed'] {
+  const entries = new Map<string, RangedRunRecord['placed'][number]>();
+  for (const { task, attempt, machine, session, zone } of starts) {
+    const key = `${machine}|${session}|${attempt}|${zone}`;
+    const entry = entries.get(key);
+    if (entry) entry[4].push(task);
+    else entries.set(key, [machine, session, zone, attempt, [task]]);
+  }
+  return [...entries.values()];
+}
+
+/** The starts that an indexed record holds. */
+export function* startsByTask({ placed }: RunRecord): Iterable<RecordedStart> {
+  for (const [task, attempt, machine, session, zone] of placed) {
+    yield { task, attempt, machine, session, zone };
+  }
+}
+
+/** The starts that a ranged record holds. */
+export function* startsByMachine({ placed }: RangedRunRecord): Iterable<RecordedStart> {
+  for (const [machine, session, zone, attempt, tasks] of placed) {
+    for (const task of tasks) yield { task, attempt, machine, session, zone };
+  }
+}
+
+/** The tasks that an indexed record says something of; of a range of done ones the two ends. */
+export function* tasksNamed({ done, placed }: RunRecord): Iterable<number> {
+  for (const ends of done) yield* ends;
+  for (const [task] of placed) yield task;
+}
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -1,6 +1,15 @@
 import type { TaskState } from '../wire/report.js';
+import { DoneTasks } from './done-tasks.js';
 import { FailureHistory } from './failures.js';
 import type { JobPhase, JobSpec } from './job.js';
+import {
+  placedByMachine,
+  placedByTask,
+  startsByMachine,
+  startsByTask,
+  tasksNamed,
+  type RecordedStart,
+} from './placed-entries.js';
 import type { GangRecord, RangedRunRecord, RunRecord } from './records.js';
 import { RunLayout, type Section } from './run-layout.js';
 
@@ -12,13 +21,8 @@
 export type Stage = 'recording' | 'recorded' | 'recovered' | 'offered' | 'reported';
 
 /** One start of one task. It occupies its place until it is proven gone. */
-export interface Placement {
+export interface Placement extends RecordedStart {
   job: Job;
-  task: number;
-  attempt: number;
-  machine: string;
-  session: number;
-  zone: string;
   stage: Stage;
   state: TaskState | null;
   placedAt: number;
@@ -51,8 +55,7 @@
   readonly layout: RunLayout;
   /** Its records are being rewritten in the background. */
   rewriting = false;
-  doneCount = 0;
-  private readonly done: Uint8Array;
+  private readonly done: DoneTasks;
   readonly failures: FailureHistory;
   /** Exited starts whose end is not in the store yet. */
   exited: Placement[] = [];
@@ -90,7 +93,7 @@
   ) {
     this.failures = new FailureHistory(reportMs);
     this.readyAt = submittedAt;
-    this.done = new Uint8Array(spec.tasks);
+    this.done = new DoneTasks(spec.tasks);
     this.layout = new RunLayout(id, spec.tasks, perIndexedRecord);
     this.gang =
       spec.kind === 'gang'
@@ -105,12 +108,16 @@
         : null;
   }
 
+  get doneCount(): number {
+    return this.done.count;
+  }
+
   get complete(): boolean {
     return this.doneCount === this.spec.tasks;
   }
 
   isDone(task: number): boolean {
-    return this.done[task] === 1;
+    return this.done.has(task);
   }
 
   get waiting(): number {
@@ -129,7 +136,7 @@
   waitingTasks(limit: number): number[] {
     const tasks: number[] = [];
     for (let t = 0; t < this.spec.tasks && tasks.length < limit; t++) {
-      if (this.done[t] === 0 && !this.placements.has(t)) tasks.push(t);
+      if (!this.done.has(t) && !this.placements.has(t)) tasks.push(t);
     }
     return tasks;
   }
@@ -147,10 +154,7 @@
   }
 
   markDone(task: number): void {
-    if (this.done[task] === 1) return;
-    this.done[task] = 1;
-    this.doneCount++;
-    this.touch(task);
+    if (this.done.add(task)) this.touch(task);
   }
 
   touch(task: number): void {
@@ -163,7 +167,7 @@
 
   /** True if nothing of these tasks has to be in the store. */
   private isEmpty(from: number, to: number): boolean {
-    for (let t = from; t < to; t++) if (this.done[t] === 1 || this.placements.has(t)) return false;
+    for (let t = from; t < to; t++) if (this.done.has(t) || this.placements.has(t)) return false;
     return true;
   }
 
@@ -179,33 +183,16 @@
   ): RunRecord | RangedRunRecord {
     const { from, to } = section;
     const placements = [...this.placements.values()].filter((p) => p.task >= from && p.task < to);
-    const done = this.doneRanges(from, to);
+    const done = this.done.ranges(from, to);
     if (this.layout.kind === 'ranged') {
       const gang = from === 0 ? this.gangRecord(wallOf) : {};
-      const placed = byMachine(placements);
+      const placed = placedByMachine(placements);
       return { w, from, to, attempt: this.attempt, done, placed, ...gang };
     }
-    const placed = placements.map((p): RunRecord['placed'][number] => [
-      p.task,
-      p.attempt,
-      p.machine,
-      p.session,
-      p.zone,
-    ]);
+    const placed = placedByTask(placements);
     return { w, attempt: this.attempt, done, placed, ...this.gangRecord(wallOf) };
   }
 
-  private doneRanges(from: number, to: number): [number, number][] {
-    const done: [number, number][] = [];
-    for (let t = from; t < to; t++) {
-      if (this.done[t] === 0) continue;
-      const last = done[done.length - 1];
-      if (last && last[1] === t - 1) last[1] = t;
-      else done.push([t, t]);
-    }
-    return done;
-  }
-
   private gangRecord(wallOf: (steady: number) => number): { gang?: GangRecord } {
     if (!this.gang || this.gang.phase === 'queued') return {};
     const { phase, suspensions, until } = this.gang;
@@ -221,11 +208,9 @@
     for (const { index, version, record } of stored.indexed) {
       this.layout.sections[index]!.version = version;
       this.attempt = Math.max(this.attempt, record.attempt);
-      this.restoreDone(record.done);
+      this.done.addRanges(record.done);
       if (record.gang) this.restoreGang(record.gang, now, sinceWall);
-      for (const [task, attempt, machine, session, zone] of record.placed) {
-        this.restorePlacement({ task, attempt, machine, session, zone }, now);
-      }
+      for (const start of startsByTask(record)) this.restorePlacement(start, now);
     }
     const ranged = [...stored.ranged].sort((a, b) => a.record.from - b.record.from);
     for (const { record } of ranged) this.restoreRange(record, now, sinceWall);
@@ -245,7 +230,7 @@
       to: Math.min(record.to, this.spec.tasks),
     }));
     const isEmpty = (from: number, to: number): boolean => this.isEmpty(from, to);
-    this.foreignLayout = indexed.some((r) => !this.layout.holds(r.index, tasksOf(r.record)));
+    this.foreignLayout = indexed.some((r) => !this.layout.holds(r.index, tasksNamed(r.record)));
     if (this.foreignLayout) this.layout.restoreForeign(indexed, sections, perRange, isEmpty);
     else if (ranged.length > 0) this.layout.restoreRanged(sections, perRange, isEmpty);
   }
@@ -253,30 +238,16 @@
   private restoreRange(record: RangedRunRecord, now: number, sinceWall: number): void {
     for (let t = record.from; t < record.to && t < this.spec.tasks; t++) {
       this.placements.delete(t);
-      if (this.done[t] === 1) this.doneCount--;
-      this.done[t] = 0;
+      this.done.remove(t);
     }
     this.attempt = Math.max(this.attempt, record.attempt);
-    this.restoreDone(record.done);
+    this.done.addRanges(record.done);
     if (this.gang && record.from === 0) {
       this.gang.phase = 'queued';
       this.gang.holdsGate = false;
       if (record.gang) this.restoreGang(record.gang, now, sinceWall);
     }
-    for (const [machine, session, zone, attempt, tasks] of record.placed) {
-      for (const task of tasks) {
-        this.restorePlacement({ task, attempt, machine, session, zone }, now);
-      }
-    }
-  }
-
-  private restoreDone(ranges: [number, number][]): void {
-    for (const [from, to] of ranges) {
-      for (let t = from; t <= to && t < this.spec.tasks; t++) {
-        if (this.done[t] === 0) this.doneCount++;
-        this.done[t] = 1;
-      }
-    }
+    for (const start of startsByMachine(record)) this.restorePlacement(start, now);
   }
 
   private restoreGang(record: GangRecord, now: number, sinceWall: number): void {
@@ -288,10 +259,7 @@
     this.gang.chargedAt = now;
   }
 
-  private restorePlacement(
-    start: Pick<Placement, 'task' | 'attempt' | 'machine' | 'session' | 'zone'>,
-    now: number,
-  ): void {
+  private restorePlacement(start: RecordedStart, now: number): void {
     this.placements.set(start.task, {
       job: this,
       ...start,
@@ -303,24 +271,3 @@
     });
   }
 }
-
-/** The tasks that a record says something of. */
-function* tasksOf({ done, placed }: RunRecord): Iterable<number> {
-  for (const [from, to] of done) {
-    yield from;
-    yield to;
-  }
-  for (const [task] of placed) yield task;
-}
-
-/** Starts of one attempt on one machine share an entry. */
-function byMachine(placements: Placement[]): RangedRunRecord['placed'] {
-  const entries = new Map<string, RangedRunRecord['placed'][number]>();
-  for (const { task, attempt, machine, session, zone } of placements) {
-    const key = `${machine}|${session}|${attempt}|${zone}`;
-    const entry = entries.get(key);
-    if (entry) entry[4].push(task);
-    else entries.set(key, [machine, session, zone, attempt, [task]]);
-  }
-  return [...entries.values()];
-}
