Tests: the checker of rules split by rule, no check changed

What was seen is now rules/observed.ts, what a rule is judged by rules/model.ts, and each rule stands in a module of its own: answers (forgotten, invented, not_done, went_back, accepted_unsound, refused_sound, orphaned), silence (forgotten by no answer), starts (ran_twice, wrong_place, too_early), usage (quota, overfull), cancellation (ran_cancelled), waiting (left_waiting). The checker keeps its exports and calls them in the order as before.

--- /dev/null
+++ b/test/fakes/rules/observed.ts
@@ -0,0 +1,134 @@
+import type { Amounts, JobRequest } from '../job-request.js';
+import type {
+  CheckerOptions,
+  JobHistory,
+  MachineSeen,
+  Rule,
+  TaskSeen,
+  Violation,
+} from './model.js';
+
+/** All that was seen so far, and the breaches found in it. Every rule reads it, none changes another's. */
+export class Observed {
+  readonly violations: Violation[] = [];
+  /** Since when there has been no trouble; null while there is. */
+  calmSince: number | null = null;
+  private readonly jobs = new Map<string, JobHistory>();
+  private readonly reported = new Set<string>();
+
+  constructor(readonly options: CheckerOptions) {}
+
+  get now(): number {
+    return this.options.now();
+  }
+
+  /** All jobs that anybody has named. */
+  all(): Iterable<JobHistory> {
+    return this.jobs.values();
+  }
+
+  /** As it was accepted or submitted last; null if it was never soundly submitted. */
+  private requestOf(ref: string): JobRequest | null {
+    return this.jobs.get(ref)?.request ?? null;
+  }
+
+  job(ref: string): JobHistory {
+    let job = this.jobs.get(ref);
+    if (!job) {
+      job = {
+        ref,
+        request: null,
+        sound: false,
+        submitAskedAt: Infinity,
+        abortAskedAt: Infinity,
+        acceptedAt: null,
+        final: null,
+        completed: new Set(),
+        doneBefore: false,
+        unansweredSince: null,
+        fittingSince: null,
+      };
+      this.jobs.set(ref, job);
+    }
+    return job;
+  }
+
+  /** Each breach is told once, at its first moment. */
+  report(rule: Rule, what: string): void {
+    if (this.reported.has(`${rule} ${what}`)) return;
+    this.reported.add(`${rule} ${what}`);
+    this.violations.push({ rule, at: this.now, what });
+  }
+
+  // ---- pipelines
+
+  before(job: JobHistory): JobHistory[] {
+    return (job.request?.waitsOn ?? []).map((ref) => this.job(ref));
+  }
+
+  /** All jobs that it needs, directly or through others. */
+  ancestors(job: JobHistory): readonly JobHistory[] {
+    if (!job.request || job.request.waitsOn.length === 0) return NONE;
+    const found = new Set<JobHistory>();
+    const add = (j: JobHistory): void => {
+      for (const other of this.before(j)) {
+        if (found.has(other)) continue;
+        found.add(other);
+        add(other);
+      }
+    };
+    add(job);
+    return [...found];
+  }
+
+  // ---- machines
+
+  /** Which tasks of a job are in which zone. */
+  zonesOf(
+    machines: MachineSeen[],
+    job: string,
+    counts: (t: TaskSeen) => boolean,
+  ): Map<string, Set<number>> {
+    const zones = new Map<string, Set<number>>();
+    for (const m of machines) {
+      for (const t of m.tasks) {
+        if (t.job !== job || !counts(t)) continue;
+        const here = zones.get(m.zone);
+        if (here) here.add(t.task);
+        else zones.set(m.zone, new Set([t.task]));
+      }
+    }
+    return zones;
+  }
+
+  /** What the teams' tasks take together, of those that count. */
+  usedByTeam(machines: MachineSeen[], counts: (t: TaskSeen) => boolean): Map<string, Amounts> {
+    const teams = new Map<string, Amounts>();
+    for (const m of machines) {
+      for (const t of m.tasks) {
+        const request = this.requestOf(t.job);
+        if (!request || !counts(t)) continue;
+        const used = teams.get(request.crew) ?? { cpus: 0, gpus: 0 };
+        used.cpus += request.vcpus;
+        used.gpus += request.gpus;
+        teams.set(request.crew, used);
+      }
+    }
+    return teams;
+  }
+
+  /** Below zero where the machine holds more than it has room for. */
+  freeRoom(m: MachineSeen): { cpus: number; gpus: number; memoryGb: number } {
+    const free = { ...this.options.fleet.types.get(m.type)!.room };
+    for (const t of m.tasks) {
+      const request = this.requestOf(t.job);
+      if (!request) continue;
+      free.cpus -= request.vcpus;
+      free.gpus -= request.gpus;
+      free.memoryGb -= request.memoryGb;
+    }
+    return free;
+  }
+}
+
+const NONE: readonly JobHistory[] = [];
