--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -1,4 +1,5 @@
 import type { Catalogue } from '../../src/fleet/catalogue.js';
+import type { Transport } from '../../src/http/client.js';
 import { JobApi, type Answer } from '../../src/jobs/job-api.js';
 import type { Settings } from '../../src/settings/deploy.js';
 import { Store } from '../../src/state/store.js';
@@ -7,6 +8,10 @@
 import { FakeStore, type Fate } from './store.js';
 import { fakeRandom, settings } from './world.js';
 
+/** How long the nodes keep a user who submits or cancels, and one who asks. */
+export const SUBMIT_MS = 4000;
+export const POLL_MS = 1600;
+
 const log = { error() {}, warn() {}, info() {}, debug() {} };
 
 interface Sent {
@@ -40,12 +45,16 @@
     const changed = { ...base, size: this.size, state: { ...base.state, ...this.limits } };
     const random = fakeRandom(`node-${node}.${++this.lives}`);
     const runtime = { clock: this.clock, random, log, startedAt: 0 };
-    const link = this.store.link((_method, path, body) => {
-      const sent = { node, path, body: body as Sent['body'] };
-      this.sent.push(sent);
-      return this.fate(sent);
-    });
-    const store = new Store(link, runtime, changed, 700);
+    const link = this.store.link((_method, path, body) =>
+      this.fate({ node, path, body: body as Sent['body'] }),
+    );
+    const transport: Transport = {
+      request: (method, path, body, ...rest) => {
+        this.sent.push({ node, path, body: structuredClone(body) as Sent['body'] });
+        return link.request(method, path, body, ...rest);
+      },
+    };
+    const store = new Store(transport, runtime, changed, 700);
     const types = { value: new Map([[TYPE.name, TYPE]]) };
     this.apis[node] = new JobApi(
       store,
@@ -54,7 +63,7 @@
       runtime,
       () => null,
       () => undefined,
-      { submitMs: 4000, pollMs: 1600 },
+      { submitMs: SUBMIT_MS, pollMs: POLL_MS },
     );
   }
 
@@ -99,6 +108,15 @@
     this.store.write(key, value);
   }
 
+  /** The answer, and after how many milliseconds it came. */
+  async timed(asked: Promise<Answer>): Promise<Answer & { afterMs: number }> {
+    const from = this.clock.now();
+    let got: Answer | null = null;
+    void asked.then((a) => (got = a));
+    for (let ms = 0; got === null && ms < 10_000; ms += 10) await this.clock.advance(10);
+    return { ...got!, afterMs: this.clock.now() - from };
+  }
+
   async after<T>(promise: Promise<T>): Promise<T> {
     let over = false;
     void promise.finally(() => (over = true)).catch(() => undefined);
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -33,6 +33,8 @@
 export type Fate =
   | 'serve'
   | 'refuse'
+  /** Refused for the rate. */
+  | 'rate'
   | 'lose request'
   | 'lose answer'
   | 'apply late'
@@ -79,6 +81,7 @@
         if (path.startsWith('/follow')) return this.follow(path, timeoutMs, signal, fate);
         const what = this.down ? 'refuse' : fate(method, path, copy);
         if (what === 'refuse') return { status: 503, body: { error: 'trouble' } };
+        if (what === 'rate') return { status: 429, body: {} };
         const unanswered = async (): Promise<never> => {
           await this.clock.sleep(timeoutMs, signal);
           throw new NoAnswer('lost');
--- a/test/fakes/upgrade.ts
+++ b/test/fakes/upgrade.ts
@@ -12,3 +12,13 @@
 export const runKeys = (w: World): string[] =>
   [...w.store.keys.keys()].filter((key) => key.startsWith('runs/'));
 export const ranged = (key: string): boolean => /\/p\d+$/.test(key);
+
+/** Ends the running tasks of a job that `which` names. */
+export function finish(w: World, job: string, which: (task: number) => boolean = () => true): void {
+  for (const p of w.on(job)) {
+    if (p.phase !== 'running' || !which(p.task)) continue;
+    p.phase = 'ended';
+    p.cause = 'done';
+    w.checker.completed(p.job, p.task);
+  }
+}
--- a/test/request-limits.test.ts
+++ b/test/request-limits.test.ts
@@ -3,7 +3,7 @@
 import { RunLayout } from '../src/jobs/run-layout.js';
 import type { Settings } from '../src/settings/deploy.js';
 import { Nodes } from './fakes/nodes.js';
-import { NEXT, runKeys } from './fakes/upgrade.js';
+import { finish, NEXT, runKeys } from './fakes/upgrade.js';
 import { World } from './fakes/world.js';
 
 /** Smaller than the settings of these nodes say, and announced to nobody. */
@@ -78,16 +78,6 @@
 const SIX = ['a', 'b', 'a', 'b', 'a', 'b'].map((yard) => ({ yard }));
 const LONG = 400_000;
 
-/** Ends the running tasks of a job that `which` names. */
-function finish(w: World, job: string, which: (task: number) => boolean = () => true): void {
-  for (const p of w.on(job)) {
-    if (p.phase !== 'running' || !which(p.task)) continue;
-    p.phase = 'ended';
-    p.cause = 'done';
-    w.checker.completed(p.job, p.task);
-  }
-}
-
 test('without a roll: all come back to smaller limits while records of larger ones are left', async () => {
   const state: Partial<Settings['state']> = {};
   const w = new World(SIX, 3, 0, state);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -3,7 +3,7 @@
 import type { Need } from '../src/fleet/types.js';
 import { parseRun } from '../src/jobs/records.js';
 import { fillFromProduction } from './fakes/production.js';
-import { makeOld, NEXT, ranged, runKeys } from './fakes/upgrade.js';
+import { finish, makeOld, NEXT, ranged, runKeys } from './fakes/upgrade.js';
 import { World } from './fakes/world.js';
 
 const SIX = ['a', 'b', 'a', 'b', 'a', 'b'].map((yard) => ({ yard }));
@@ -35,17 +35,6 @@
 const allRun = (w: World, work: Work): boolean =>
   w.running(work.array) === 150 && w.running(work.service) === 3 && w.running(work.gang) === 4;
 
-function finish(w: World, job: string): void {
-  for (const worker of w.workers.values()) {
-    for (const p of worker.pieces) {
-      if (p.job !== job || p.phase !== 'running') continue;
-      p.phase = 'ended';
-      p.cause = 'done';
-      w.checker.completed(p.job, p.task);
-    }
-  }
-}
-
 test('records keep the old layout until the last controller is new, under leaders of either kind', async () => {
   const w = new World(SIX, 3, 0, { next: NEXT });
   for (const node of [0, 1, 2]) makeOld(w, node);
