Names say what is meant: whyInfeasible, SnapshotContext; tests use one list of running tasks

`whyNever` told why a job can never run; the field calls such a job infeasible, as its module does. Two stories of the scheduler built the list that `runningTasks` in the same file gives.

--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -21,7 +21,7 @@
 const PATIENCE_BOOTS = 0.25;
 
 /** What all parts of one snapshot share, worked out once. */
-interface Moment {
+interface SnapshotContext {
   leader: Leader;
   /** Steady time, and time of day. */
   now: number;
@@ -37,16 +37,16 @@
   const wall = leader.parts.runtime.clock.wall();
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), wall);
   const types = [...leader.types.values()];
-  const moment = { leader, now, wall, urgencies, types, gpuBootMs: gpuBootMs(types) };
+  const context = { leader, now, wall, urgencies, types, gpuBootMs: gpuBootMs(types) };
   return {
     machines: machineViews(leader, now),
-    jobs: jobViews(moment),
-    upcoming: upcoming(moment),
+    jobs: jobViews(context),
+    upcoming: upcoming(context),
     leavingCpus: leavingCpus(leader),
     teams: teamViews(leader),
     types,
-    offers: offers(moment),
-    victims: victims(moment),
+    offers: offers(context),
+    victims: victims(context),
     movable: movable(leader),
     gateShut: [...openJobs(leader)].some((job) => job.gang?.holdsGate),
   };
@@ -115,23 +115,23 @@
 }
 
 /** Jobs that wait for others take no part in the decisions. */
-function jobViews(moment: Moment): JobView[] {
+function jobViews(context: SnapshotContext): JobView[] {
   const views: JobView[] = [];
-  for (const job of openJobs(moment.leader)) {
-    if (job.readyAt !== null) views.push(jobView(moment, job, job.readyAt));
+  for (const job of openJobs(context.leader)) {
+    if (job.readyAt !== null) views.push(jobView(context, job, job.readyAt));
   }
   return views;
 }
 
 /** Work without GPUs that is expected to be ready before a machine that is rented now is up. */
-function upcoming(moment: Moment): JobView[] {
-  const { gpuBootMs, urgencies, wall } = moment;
+function upcoming(context: SnapshotContext): JobView[] {
+  const { gpuBootMs, urgencies, wall } = context;
   const views: JobView[] = [];
   if (gpuBootMs === null) return views;
-  for (const job of openJobs(moment.leader)) {
+  for (const job of openJobs(context.leader)) {
     if (job.readyAt !== null || job.unreadable || job.spec.need.gpus > 0) continue;
     const readyInMs = urgencies.get(job.id)?.readyInMs ?? Infinity;
-    if (readyInMs <= gpuBootMs) views.push(jobView(moment, job, wall + readyInMs));
+    if (readyInMs <= gpuBootMs) views.push(jobView(context, job, wall + readyInMs));
   }
   return views;
 }
@@ -144,14 +144,14 @@
   return cpus;
 }
 
-function jobView(moment: Moment, job: Job, readyAt: number): JobView {
-  const { now, wall, gpuBootMs } = moment;
+function jobView(context: SnapshotContext, job: Job, readyAt: number): JobView {
+  const { now, wall, gpuBootMs } = context;
   const { spec, gang } = job;
   const zones = new Map<string, number>();
   for (const p of job.placements.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
   // A gang is placed anew only when nothing of its last attempt can be left.
   const gangMay = !gang || (job.placements.size === 0 && gang.phase !== 'suspended');
-  const urgency = moment.urgencies.get(job.id);
+  const urgency = context.urgencies.get(job.id);
   const waitedMs = wall - readyAt;
   return {
     id: job.id,
@@ -192,7 +192,7 @@
   return teams;
 }
 
-function offers({ leader, types }: Moment): Offer[] {
+function offers({ leader, types }: SnapshotContext): Offer[] {
   const list: Offer[] = [];
   for (const type of types) {
     for (const zone of type.zones) {
@@ -205,7 +205,7 @@
   return list;
 }
 
-function victims({ leader, now, urgencies }: Moment): VictimView[] {
+function victims({ leader, now, urgencies }: SnapshotContext): VictimView[] {
   const list: VictimView[] = [];
   for (const job of leader.jobs.values()) {
     if (job.spec.kind === 'service') continue;
--- a/src/jobs/feasible.ts
+++ b/src/jobs/feasible.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from './job.js';
 
 /** Why a job can never run; null if it can. */
-export function whyNever(
+export function whyInfeasible(
   spec: JobSpec,
   settings: Settings,
   types: ReadonlyMap<string, MachineType>,
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -5,7 +5,7 @@
 import * as wire from '../wire/submission.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Acceptance } from './acceptance.js';
-import { whyNever } from './feasible.js';
+import { whyInfeasible } from './feasible.js';
 import type { JobPhase } from './job.js';
 import { JobStates, type JobState } from './job-states.js';
 import { fitJobRecord, smallestCancelled } from './record-size.js';
@@ -91,7 +91,7 @@
     const { id, spec } = parsed.value;
     const types = this.catalogue.types.value;
     if (!types) return this.knownOr(id, signal, BUSY);
-    const never = whyNever(spec, this.settings, types);
+    const never = whyInfeasible(spec, this.settings, types);
     if (never !== null) return this.knownOr(id, signal, { status: 422, body: { error: never } });
     if (this.states.has(id)) return this.knownOr(id, signal, BUSY);
     return this.add(parsed.value, signal);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -202,16 +202,7 @@
 
 test('equal work does not displace equal work, except to give a team its guarantee', () => {
   const holder = job({ team: 'speech', tasks: 8 }, { waiting: 0 });
-  const victims = Array.from({ length: 8 }, (_, task) => ({
-    job: holder.id,
-    task,
-    machine: 'm1',
-    spec: holder.spec,
-    priority: holder.priority,
-    lossMs: 0,
-    wholeGang: false,
-    stopping: false,
-  }));
+  const victims = runningTasks(holder, 8);
   const full = (): MachineView => machine('m1', { free: { cpus: 40, gpus: 0, memoryGb: 256 } });
   const wish = job({ tasks: 2 });
   const within = (guarantee: number): ReturnType<typeof plan> =>
@@ -301,16 +292,7 @@
     { priority: Priority.High },
   );
   const stops = (holder: JobView, wish: JobView): number => {
-    const victims = Array.from({ length: 8 }, (_, task) => ({
-      job: holder.id,
-      task,
-      machine: 'm1',
-      spec: holder.spec,
-      priority: holder.priority,
-      lossMs: 0,
-      wholeGang: false,
-      stopping: false,
-    }));
+    const victims = runningTasks(holder, 8);
     const full = machine('m1', { free: { cpus: 7, gpus: 1, memoryGb: 100 } });
     // Nothing is guaranteed to the team: priority alone decides.
     const teams = new Map([['vision', team(8, 0)]]);
