Rentals: the record of an order that is over cannot come back by a late copy

The record is written on condition that there is none, so a copy without an answer could be carried out after the record was deleted, and the next leader counted machines that nobody ordered. Ruled out: overwriting each finished record (they gather for as long as a term lasts), and judging a record by its age (an order may be repeated for as long as the cloud is out of reach). Every such write is now also conditioned on the version of one guard key, written anew together with the deletion of a record of which a copy may still be under way. An order whose write fails on the guard alone reads it and is recorded anew. One key however long the term; the ordinary path costs one condition and no change. Also: an order that the cloud calls malformed no longer leaves its record; nothing is rented by a leader whose right has lapsed, as nothing was returned.

--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -49,9 +49,7 @@
         this.leader.dependencies.clear();
         for (const e of jobs.items) this.onJobEntry(e);
         this.restoreRuns(runs.items);
-        for (const e of rentals.items) {
-          this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
-        }
+        for (const e of rentals.items) this.leader.rentals.restore(e);
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         for (const id of this.announced) this.announceCancelled(id);
         this.revision = jobs.revision;
--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -3,11 +3,10 @@
 import { jitter } from '../runtime/random.js';
 import type { Settings } from '../settings/deploy.js';
 import { Budget } from '../state/budget.js';
-import { KEYS } from '../state/keys.js';
-import type { Store } from '../state/store.js';
+import type { Entry, Store } from '../state/store.js';
 import type { Term } from '../election/term.js';
-import { parseRental, type RentalRecord } from '../jobs/records.js';
 import type { Rent } from '../scheduler/model.js';
+import { RentalRecords } from './rental-records.js';
 import {
   listPath,
   MAX_RENT,
@@ -43,6 +42,7 @@
 /** The leader's dealings with the cloud. */
 export class Rentals {
   private readonly budget: Budget;
+  private readonly records: RentalRecords;
   private readonly pending = new Map<string, Pending>();
   private readonly refusals = new Map<string, Refusal>();
   private readonly returns = new Set<string>();
@@ -52,7 +52,7 @@
 
   constructor(
     private readonly cloud: Transport,
-    private readonly store: Store,
+    store: Store,
     private readonly runtime: Runtime,
     private readonly settings: Settings,
     private readonly term: Term,
@@ -61,16 +61,17 @@
   ) {
     const { rps } = settings.cloud;
     this.budget = new Budget(runtime.clock, rps * 0.9, rps);
+    this.records = new RentalRecords(store, term);
   }
 
   /** After a takeover: requests whose machines may not be in the list yet. */
-  restore(request: string, value: unknown): void {
-    const record = parseRental(value);
-    if (!record) return;
+  restore(entry: Entry): void {
+    const left = this.records.restore(entry);
+    if (!left) return;
     const { clock } = this.runtime;
-    this.pending.set(request, {
-      ...record,
-      request,
+    this.pending.set(left.request, {
+      ...left.record,
+      request: left.request,
       until: clock.now() + this.settings.cloud.listLagMs * 2,
     });
   }
@@ -80,7 +81,7 @@
     for (const [request, p] of this.pending) {
       if (p.until < now) {
         this.pending.delete(request);
-        void this.settle(request).catch(() => undefined);
+        void this.records.remove(request).catch(() => undefined);
       }
     }
     return [...this.pending.values()];
@@ -108,17 +109,7 @@
   private async order(request: string, rent: Rent): Promise<void> {
     const { clock, random, log } = this.runtime;
     const { signal } = this.term;
-    const record: RentalRecord = { w: request, ...rent, at: clock.wall() };
-    const fence = { key: KEYS.leader, version: this.term.token };
-    const written = await this.store.commit(
-      [fence, { key: KEYS.rental(request), version: 0 }],
-      [{ put: KEYS.rental(request), value: record }],
-      // A machine takes longest of all to come: its record never waits behind those of starts.
-      0,
-      signal,
-    );
-    // An unanswered copy that was applied makes the repeat fail on its own key alone.
-    if (!written.ok && written.failed.includes(KEYS.leader)) return this.term.end();
+    if (!(await this.records.add({ w: request, ...rent, at: clock.wall() }))) return;
     let wait = this.timeoutMs / 8;
     for (;;) {
       let reply: Reply | null = null;
@@ -137,31 +128,25 @@
         // The record stays until the list shows the machines, so that a successor does not order
         // the same again.
         await clock.sleep(this.settings.cloud.listLagMs * 2, signal);
-        await this.settle(request);
+        await this.records.remove(request);
         return;
       }
       if (reply && reply.status === 503 && noCapacity(reply.body)) {
         this.refuse(rent);
         this.pending.delete(request);
-        await this.settle(request);
+        await this.records.remove(request);
         return;
       }
-      if (reply && reply.status === 400) throw new Error('the cloud calls the request malformed');
+      if (reply && reply.status === 400) {
+        await this.records.remove(request);
+        throw new Error('the cloud calls the request malformed');
+      }
       await clock.sleep(jitter(wait, random), signal);
       signal.throwIfAborted();
       wait = Math.min(wait * 2, this.timeoutMs);
     }
   }
 
-  private async settle(request: string): Promise<void> {
-    await this.store.commit(
-      [{ key: KEYS.leader, version: this.term.token }],
-      [{ delete: KEYS.rental(request) }],
-      2,
-      this.term.signal,
-    );
-  }
-
   /**
    * An order that is refused costs the store two changes and the cloud a call. Where room is short
    * for minutes, asking for it at the same pace would hold up the starts and the users' submissions.
@@ -222,9 +207,10 @@
   private async call(method: 'GET' | 'POST', path: string, body: object | null): Promise<Reply> {
     const { signal } = this.term;
     await this.budget.take(1, path === PATHS.giveBack ? 0 : 1, signal);
-    // A return cannot be fenced: a controller that stood still may by now be the last to know that
-    // another leads and has placed work there.
-    if (path === PATHS.giveBack && !this.term.active(this.runtime.clock.now())) {
+    // Nothing in the cloud is fenced: a controller that stood still may by now be the last to know
+    // that another leads. It would return machines with work on them, or rent some for what was
+    // rented for already.
+    if (method === 'POST' && !this.term.active(this.runtime.clock.now())) {
       throw new NoAnswer('office has lapsed');
     }
     try {
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -21,6 +21,8 @@
   member: (name: string): string => `members/${encodeURIComponent(name)}`,
   zoneDelegate: (zone: string): string => `keeper/${encodeURIComponent(zone)}`,
   rental: (request: string): string => `rent/${request}`,
+  /** No order: see fleet/rental-records.ts. */
+  rentalGuard: 'rent/guard',
 } as const;
 
 /** What the key of a run record says: its number, or the first task of its range. */
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -23,10 +23,13 @@
 export class HistoryLost extends Error {}
 export class LeaseGone extends Error {}
 
-export type Outcome =
-  | { ok: true; revision: number }
-  /** `doubtful`: an earlier copy of the same transaction got no answer and may have been applied. */
-  | { ok: false; failed: string[]; doubtful: boolean };
+/**
+ * `doubtful`: an earlier copy of the same transaction got no answer. It may have been applied, or may
+ * be applied later if its conditions hold again then.
+ */
+export type Outcome = ({ ok: true; revision: number } | { ok: false; failed: string[] }) & {
+  doubtful: boolean;
+};
 
 export type { Urgency } from './budget.js';
 
@@ -267,7 +270,7 @@
       signal.throwIfAborted();
       try {
         const result = await this.txn(when, then, urgency, signal);
-        return result.ok ? result : { ...result, doubtful };
+        return { ...result, doubtful };
       } catch (error) {
         if (error instanceof NoAnswer) doubtful = true;
         else if (!(error instanceof Refused)) throw error;
