Late copies: pieces of dependencies and member records no longer come back

Pieces were written on condition that they are missing: a copy without an answer could bring them back after the job's end had removed them, and nothing removed them again. They now also need that the job is not accepted yet. A member record was written without a condition: a late copy of an earlier program's replaced that of a later one, and a format that all know was taken for unknown until that controller started again. It is conditioned on what it replaces. Looked at and found sound: zone delegate keys (their version), run records (leader key and version; one that returns after its job's end is a leftover), the leader key (its lease), types (written once). One test for each, seen failing before.

--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -83,7 +83,7 @@
       fitJobRecord(record, limits.valueBytes, types) ?? fitJobRecord(record, valueBytes, types);
     if (!value) return { kind: 'too large' };
     for (const group of groupPieces(pieces, limits)) {
-      await this.addPieces(group, signal);
+      if (!(await this.addPieces(id, group, signal))) return { kind: 'known' };
     }
     const key = KEYS.job(id);
     const outcome = await this.commit([{ key, version: 0 }], [{ put: key, value }], signal);
@@ -108,21 +108,32 @@
     return hedged(clock, this.waits.hedgeMs, read, signal);
   }
 
-  /** Writes those of the pieces that are not there yet; which are there is as it should be. */
-  private async addPieces(group: readonly Piece[], signal: AbortSignal): Promise<void> {
+  /**
+   * Writes those of the pieces that are not there yet; which are there is as it should be. False if
+   * the job has been accepted meanwhile: a copy that comes late would bring back pieces that were
+   * removed with the job's end, and nothing would ever remove them again.
+   */
+  private async addPieces(
+    id: string,
+    group: readonly Piece[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const notAccepted = { key: KEYS.job(id), version: 0 };
     let left = group;
     while (left.length > 0) {
       const outcome = await this.commit(
-        left.map((p) => ({ key: p.put, version: 0 })),
+        [notAccepted, ...left.map((p) => ({ key: p.put, version: 0 }))],
         left.map(({ put, value }) => ({ put, value })),
         signal,
       );
-      if (outcome.ok) return;
+      if (outcome.ok) return true;
+      if (outcome.failed.includes(notAccepted.key)) return false;
       const there = new Set(outcome.failed);
       const missing = left.filter((p) => !there.has(p.put));
       if (missing.length === left.length) throw new Error('a conflict that names no piece');
       left = missing;
     }
+    return true;
   }
 
   private commit(when: Condition[], then: Change[], signal: AbortSignal): ReturnType<Store['txn']> {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -112,10 +112,23 @@
       recordFormat: this.own.recordFormat,
       frameVersions: [...this.own.frameVersions],
     };
+    const key = KEYS.member(record.name);
+    // Conditioned on what it replaces: a copy without an answer may be carried out after a later
+    // program of this controller has written its own record.
+    let version = 0;
     let waitMs = this.refreshMs / 4;
     while (!signal.aborted) {
       try {
-        await this.store.txn([], [{ put: KEYS.member(record.name), value: record }], 1, signal);
+        const { ok } = await this.store.txn(
+          [{ key, version }],
+          [{ put: key, value: record }],
+          1,
+          signal,
+        );
+        if (!ok) {
+          version = (await this.store.get(key, 1, signal))?.version ?? 0;
+          continue;
+        }
         log.info({ ...record }, 'member record written');
         return;
       } catch (error) {
--- a/test/acceptance.test.ts
+++ b/test/acceptance.test.ts
@@ -219,6 +219,21 @@
   assert.equal((await n.submit(1, 'req-2', ['req-1'])).status, 200);
 });
 
+test('a late copy of pieces brings none back once their job is over and they were removed', async () => {
+  const n = new Nodes(1, { valueBytes: 2048, txnOps: 4 });
+  const all = names(1, 400);
+  acceptAll(n, all);
+  let late = 0;
+  n.fate = ({ body }) =>
+    body?.then.some((c) => c.write?.startsWith('needs/')) && late++ < 1 ? 'apply late' : 'serve';
+  const first = await n.submit(0, 'req-9', all);
+  if (first.status === 503) await n.submit(0, 'req-9', all);
+  assert.ok(needsOf(n, 'req-9'));
+  for (const key of pieceKeys(n)) n.store.keys.delete(key);
+  for (const apply of n.store.late.splice(0)) assert.equal(apply().status, 409);
+  assert.deepEqual(pieceKeys(n), []);
+});
+
 test('a cancellation holds at every node for all that need the job, as soon as it is answered', async () => {
   const n = new Nodes(3);
   await n.submit(0, 'req-1');
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -191,3 +191,22 @@
   assert.equal(membership.readsFrames('berth-2', 5), true);
   end.abort();
 });
+
+test('a late copy of a record does not replace that of a later program', async () => {
+  const { clock, fakeStore, end, start } = three();
+  let first = true;
+  const { rangedRuns } = RECORD_FORMATS;
+  const fate = (): Fate => {
+    const late = first;
+    first = false;
+    return late ? 'apply late' : 'serve';
+  };
+  start('berth-0', fate, { recordFormat: rangedRuns, frameVersions: FRAME_VERSIONS });
+  await clock.advance(5000);
+  start('berth-0');
+  await clock.advance(5000);
+  for (const apply of fakeStore.late.splice(0)) apply();
+  const { recordFormat } = fakeStore.get('members/berth-0') as { recordFormat: number };
+  assert.equal(recordFormat, Math.max(...Object.values(RECORD_FORMATS)));
+  end.abort();
+});
