Election: a leader that hears no answer of the store gives up office

Its requests may arrive all the same: its renewals kept the key from the others while its own right had lapsed, workers were turned away by all, and their leases ran out for as long as that lasted. After two renewals without any answer, its right lapsed for half of the leader lease, it ends term and lease. A refusal was not carried out and changes nothing; one answer missing may be due to a stall of its own. Ruled out: ending it as soon as the right lapses (a store that is slow for a moment would cost a change of leader).

--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -207,6 +207,15 @@
     return this.lifetimeMs * PLEDGE_SHARE;
   }
 
+  /**
+   * A request without an answer may have been carried out. A leader whose right has lapsed, and that
+   * goes on asking, would keep the key from those who hear the store's answers. A refusal was not
+   * carried out, and keeps nothing from anybody.
+   */
+  private longLapsed(term: Term): boolean {
+    return !term.active(this.runtime.clock.now() - this.lifetimeMs * LAPSED_SHARE);
+  }
+
   private async askPledges(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
@@ -217,7 +226,8 @@
 
   /**
    * Renews until the lease has ended. Past its bound the term is not active, but if the store then
-   * renews the lease after all, the key was ours all the time and the term goes on.
+   * renews the lease after all, the key was ours all the time and the term goes on; but where no
+   * answer comes for long it is given up, see `longLapsed`.
    */
   private async hold(term: Term, lease: number, signal: AbortSignal): Promise<void> {
     const { clock, random, log } = this.runtime;
@@ -225,6 +235,8 @@
     const either = AbortSignal.any([signal, term.signal]);
     setMaxListeners(0, either);
     let failing = false;
+    /** So many renewals in a row had no answer: one alone may be due to a stall of our own. */
+    let unanswered = 0;
     try {
       while (!signal.aborted) {
         await clock.sleep(jitter(failing ? this.pledgeMs / 4 : everyMs, random), either);
@@ -236,6 +248,7 @@
         try {
           await this.store.renew(lease, everyMs, signal);
           failing = false;
+          unanswered = 0;
           term.extend(this.bound(sentAt));
         } catch (error) {
           if (error instanceof LeaseGone) {
@@ -243,6 +256,11 @@
             return;
           }
           log.debug({ error: String(error) }, 'renewal failed');
+          unanswered = error instanceof NoAnswer ? unanswered + 1 : 0;
+          if (unanswered > 1 && this.longLapsed(term)) {
+            log.warn({ token: term.token }, 'leadership given up, the store does not answer');
+            break;
+          }
           if (!failing) void this.askPledges(term);
           failing = true;
         }
@@ -256,5 +274,7 @@
 }
 
 const PLEDGE_SHARE = 0.45;
+/** How long a leader without answers waits for the term to go on, as a share of its lease. */
+const LAPSED_SHARE = 0.5;
 /** Timers fire in steps of one or a few milliseconds. */
 const TICK_MS = 10;
