--- a/src/control/opportunistic-work.ts
+++ b/src/control/opportunistic-work.ts
@@ -9,7 +9,7 @@
  * Within how many boots opportunistic work of which nothing says when it is due should be done. Long
  * against its run time, so that what is rented for it is few and used for long.
  */
-const HORIZON_BOOTS = 60;
+const HORIZON_BOOTS = 30;
 
 /** After how many boots without any task of it begun room is made certain for one. */
 const UNBEGUN_BOOTS = 1;
