The only controller that is left does not leave office vacant as its workers come

Workers that try the one that is down next need a whole lease to reach the third. That one had resigned by then, hearing nobody, and did not contest for three leader leases: all workers were turned away and lost 10 s more. Ruled out: machines, the store, the election, processor time. Change: without another controller heard that the store serves, office is taken again after a quarter of a leader lease, and given up after 0.3 of a workers' lease instead of half, so that no worker meets the vacancy. The lost leases themselves stay lost.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -197,6 +197,7 @@
 
   async run(signal: AbortSignal): Promise<void> {
     const restartMs = this.settings.workers.reportMs;
+    const successorHeard = (): boolean => this.storeReachability.peerServed();
     const subscription = this.election.role.subscribe((role) => {
       if (role.kind !== 'leader') {
         // A new leader has time to be heard before its workers count as partitioned.
@@ -216,9 +217,10 @@
           cloudTimeoutMs: this.cloudTimeoutMs,
           cancellationQuery: this.cancellationQuery,
           silentTerms: this.silentTerms,
+          successorHeard,
         },
         role.term,
-        () => this.election.resign(role.term),
+        () => this.election.resign(role.term, successorHeard()),
       );
       this.leader = leader;
       void leader
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -43,6 +43,8 @@
   cloudTimeoutMs: number;
   cancellationQuery: CancellationQuery;
   silentTerms: SilentTerms;
+  /** Whether another controller that could lead is heard. */
+  successorHeard: () => boolean;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
--- a/src/control/worker-silence.ts
+++ b/src/control/worker-silence.ts
@@ -8,6 +8,12 @@
  */
 const NEVER_HEARD_SHARE = 0.5;
 
+/**
+ * The same for one that hears no other controller either. If it is cut off from all, each second counts.
+ * If it is the only one left, it is back in office before workers that tried two others come.
+ */
+const NEVER_HEARD_ALONE_SHARE = 0.3;
+
 /**
  * How many leases beyond a boot it waits the next time, doubled with every time after that. One lease
  * of silence proves that nothing runs any more; then others are rented, and have a lease to report.
@@ -37,9 +43,12 @@
     this.count = 0;
   }
 
-  /** How long a leader that has heard nobody in its term waits before it resigns. */
-  patienceMs(leaseMs: number, bootMs: number): number {
-    if (this.count === 0) return leaseMs * NEVER_HEARD_SHARE;
+  /**
+   * How long a leader that has heard nobody in its term waits before it resigns. `alone`: it hears no
+   * other controller that could lead.
+   */
+  patienceMs(leaseMs: number, bootMs: number, alone: boolean): number {
+    if (this.count === 0) return leaseMs * (alone ? NEVER_HEARD_ALONE_SHARE : NEVER_HEARD_SHARE);
     return (leaseMs * NEXT_TIME_LEASES + bootMs) * 2 ** (this.count - 1);
   }
 }
@@ -72,21 +81,21 @@
 
   /**
    * `bootMs`: how long the slowest machine takes to boot; `listed`: the cloud has listed its machines
-   * in this term.
+   * in this term; `alone`: no other controller that could lead is heard.
    */
   isTooLong(
     now: number,
     machines: Iterable<Machine>,
-    { bootMs, listed }: { bootMs: number; listed: boolean },
+    { bootMs, listed, alone }: { bootMs: number; listed: boolean; alone: boolean },
   ): boolean {
     const all = [...machines];
-    const silentFrom = now - this.patienceMs(all, bootMs);
+    const silentFrom = now - this.patienceMs(all, bootMs, alone);
     if (this.since > silentFrom) return false;
     return all.some((m) => this.mayReportElsewhere(m, silentFrom, listed));
   }
 
-  private patienceMs(machines: Machine[], bootMs: number): number {
-    if (!this.heardAny) return this.silentTerms.patienceMs(this.workers.leaseMs, bootMs);
+  private patienceMs(machines: Machine[], bootMs: number, alone: boolean): number {
+    if (!this.heardAny) return this.silentTerms.patienceMs(this.workers.leaseMs, bootMs, alone);
     const heard = machines.reduce((n, m) => n + (m.heardAt === null ? 0 : 1), 0);
     return this.workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, heard));
   }
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -183,9 +183,14 @@
     }
   }
 
-  /** Gives up office because others can serve better, and lets them go first. */
-  resign(term: Term): void {
-    this.contestFrom = this.runtime.clock.now() + this.lifetimeMs * 3;
+  /**
+   * Gives up office because others can serve better, and lets them go first. Who can take over does
+   * so at once; if no other controller is heard there may be none, and an office that stays vacant
+   * would turn away every worker that comes here.
+   */
+  resign(term: Term, successorHeard: boolean): void {
+    const leases = successorHeard ? RESIGNED_LEASES : ALONE_LEASES;
+    this.contestFrom = this.runtime.clock.now() + this.lifetimeMs * leases;
     term.end();
   }
 
@@ -256,5 +261,12 @@
 }
 
 const PLEDGE_SHARE = 0.45;
+
+/** For how many leader leases a controller that resigned does not contest. */
+const RESIGNED_LEASES = 3;
+
+/** The same where no other controller is heard: more than one that watches the key needs to take it. */
+const ALONE_LEASES = 0.25;
+
 /** Timers fire in steps of one or a few milliseconds. */
 const TICK_MS = 10;
--- a/test/silent-workers.test.ts
+++ b/test/silent-workers.test.ts
@@ -128,3 +128,25 @@
   assert.equal(terms(), 1);
   await w.close();
 });
+
+// Workers try two silent controllers before they come to the third, which takes a lease. That one
+// heard nobody for half a lease, resigned and turned all of them away for another round.
+test('the only controller that is left takes office again before its workers come', async () => {
+  const w = new World(FOUR, 3);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  const frozen = w.leader;
+  const [down, alone] = [(frozen + 1) % 3, (frozen + 2) % 3];
+  w.crash(down);
+  w.nodes[down]!.open = false;
+  w.freeze(frozen, 40_000);
+  // From the last answer before the silence, the leases have run out when they come to the third.
+  await w.until(() => w.running(job) === 0, LEASE_S + 1, 'leases run out');
+  await w.until(() => w.running(job) === 4, 4, 'replicas run again');
+  assert.equal(w.leader, alone);
+  w.nodes[down]!.open = true;
+  w.restart(down);
+  await w.pass(40);
+  await w.close();
+});
