A leader that took office again in vain hands over to the first controller that comes back

Change: if the last resignation was without another controller heard and one is heard now, half a lease of silence is enough again. Once for each such change, so that office does not flap where the machines are gone. Guard: a story in test/silent-workers.test.ts, seen failing before ("handed over: not within 8 s").

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -59,7 +59,7 @@
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
-      this.leader.parts.silentTerms.resigned();
+      this.leader.parts.silentTerms.resigned(!this.leader.parts.successorHeard());
       this.leader.resign();
       return;
     }
--- a/src/control/worker-silence.ts
+++ b/src/control/worker-silence.ts
@@ -33,9 +33,13 @@
  */
 export class SilentTerms {
   private count = 0;
+  /** The last time it heard no other controller that could have led instead. */
+  private wasAlone = false;
 
-  resigned(): void {
+  /** `alone`: no other controller that could lead was heard. */
+  resigned(alone: boolean): void {
     this.count++;
+    this.wasAlone = alone;
   }
 
   /** Workers have reported to this controller or to another leader since. */
@@ -49,6 +53,8 @@
    */
   patienceMs(leaseMs: number, bootMs: number, alone: boolean): number {
     if (this.count === 0) return leaseMs * (alone ? NEVER_HEARD_ALONE_SHARE : NEVER_HEARD_SHARE);
+    // Giving up office was in vain, as nobody was there to take it; now somebody is.
+    if (this.wasAlone && !alone) return leaseMs * NEVER_HEARD_SHARE;
     return (leaseMs * NEXT_TIME_LEASES + bootMs) * 2 ** (this.count - 1);
   }
 }
--- a/test/silent-workers.test.ts
+++ b/test/silent-workers.test.ts
@@ -150,3 +150,20 @@
   await w.pass(40);
   await w.close();
 });
+
+// It is back in office with nobody to hand it to, and waits for leases and a boot before it resigns again.
+test('a leader that no worker reaches hands over to the first controller that comes back', async () => {
+  const w = new World(FOUR, 3);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  const [first, second, alone] = [w.leader, (w.leader + 1) % 3, (w.leader + 2) % 3];
+  w.nodes[alone]!.open = false;
+  for (const ended of [first, second]) w.crash(ended);
+  await w.pass(LEASE_S * 2);
+  assert.equal(w.leader, alone);
+  w.restart(second);
+  await w.until(() => w.leader === second, 8, 'handed over');
+  await w.until(() => w.running(job) === 4, 10, 'replicas run again');
+  await w.close();
+});
