--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -1,7 +1,6 @@
 import { Priority, type JobSpec } from '../jobs/job.js';
 import { GangReservations } from './gang-reservations.js';
 import { consolidate } from './consolidation.js';
-import { LimitQueue } from './limit-queue.js';
 import { inOrder, withinGuarantee } from './order.js';
 import type { JobView, MachineView, Plan, Snapshot, TeamView } from './model.js';
 import {
@@ -54,7 +53,6 @@
   private readonly reservations: Reservations;
   private readonly preemption: Preemption;
   private readonly gangs: GangReservations;
-  private readonly limitQueue: LimitQueue;
   /** Patient work that found no room, and how many tasks of it. */
   private readonly patient: PatientWork[] = [];
 
@@ -64,7 +62,6 @@
     this.contended = new ContendedTypes(s.jobs, s.types, this.up);
     this.guaranteed = withinGuarantee(s.jobs, s.teams);
     this.preemption = new Preemption(s.victims, this.up, s.teams, this.guaranteed);
-    this.limitQueue = new LimitQueue(s.victims, s.types, this.guaranteed);
     this.finder = new RoomFinder(this.up, this.contended);
     this.rentals = new RentalPlan(s.offers, s.machines);
     this.reservations = new Reservations(this.finder, this.rentals, booting);
@@ -209,10 +206,7 @@
 
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
-    if (limitRoom(team, job.spec) < job.spec.tasks) {
-      if (this.limitQueue.keepsFor(job, team)) this.charge(team, job.spec, job.spec.tasks);
-      return;
-    }
+    if (limitRoom(team, job.spec) < job.spec.tasks) return;
     if (this.passWhole(job, team)) return;
     if (job.patient) {
       const rules = new ZoneRules(job.spec, job.zones);
