--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -24,6 +24,11 @@
   /** An attempt to take office is under way, or may still be carried out by the store. */
   private contesting = false;
   private contestFrom = 0;
+  /**
+   * The version at which this process last read the leader key from the store; null once it has
+   * contested after that. While it stands, no term of this process can be newer.
+   */
+  private seenToken: number | null = null;
 
   constructor(
     private readonly store: Store,
@@ -31,10 +36,14 @@
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
+    /** Whether a controller is known to read vouches. */
+    readsVouches: (peer: string) => boolean,
   ) {
     this.extensionVote = new LeaseExtensionVote(peerTransport, runtime, {
       mayLead: () => this.role.value.kind === 'leader' || this.contesting,
       storeServes: () => this.storeServes(),
+      knowsNoLater: (token) => this.seenToken === token,
+      readsVouches,
     });
   }
 
@@ -85,6 +94,7 @@
 
   private announce(entry: Entry): void {
     const value = z.parse(leaderValue, entry.value);
+    this.seenToken = entry.version;
     const before = this.role.value;
     if (before.kind === 'follower' && before.token === entry.version) return;
     this.role.next({ kind: 'follower', leader: value.member, token: entry.version });
@@ -133,6 +143,7 @@
     // From here on until the store's definite answer nothing may be pledged, and nothing is.
     if (this.extensionVote.heldForMs > 0) return null;
     this.contesting = true;
+    this.seenToken = null;
     try {
       const token = await this.create(value, lease, signal);
       if (token !== null) return { term: this.take(value.term, token, sentAt), lease };
@@ -212,17 +223,41 @@
     return this.lifetimeMs * PLEDGE_SHARE;
   }
 
-  private async askPledges(term: Term): Promise<void> {
+  /**
+   * A request without an answer may have been carried out. A leader whose right has lapsed, and that
+   * goes on asking, would keep the key from those who hear the store's answers. A refusal was not
+   * carried out, and keeps nothing from anybody.
+   */
+  private longLapsed(term: Term): boolean {
+    return !term.active(this.runtime.clock.now() - this.lifetimeMs * LAPSED_SHARE);
+  }
+
+  /**
+   * Asks the others for votes. Once the right has lapsed a promise for the time to come is not
+   * enough, since another may have come and gone: they have to vouch that none did.
+   */
+  private async askVotes(term: Term): Promise<void> {
     const { clock, log } = this.runtime;
     const sentAt = clock.now();
-    const granted = await this.extensionVote.collect(term.token, this.pledgeMs, this.pledgeMs / 2);
-    log.debug({ granted }, 'asked for votes');
-    if (granted) term.pledged(clock.now(), sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS);
+    const until = sentAt + this.pledgeMs * (1 - DRIFT) - TICK_MS;
+    const withinMs = this.pledgeMs / 2;
+    const lapsed = !term.active(sentAt);
+    const granted = lapsed
+      ? await this.extensionVote.collectVouches(term.token, this.pledgeMs, withinMs)
+      : await this.extensionVote.collect(term.token, this.pledgeMs, withinMs);
+    log.debug({ granted, lapsed }, 'asked for votes');
+    if (!granted) return;
+    if (!lapsed) term.pledged(clock.now(), until);
+    else if (!term.signal.aborted) {
+      if (!term.active(clock.now())) log.info({ token: term.token }, 'lapsed right taken up again');
+      term.vouched(until);
+    }
   }
 
   /**
    * Renews until the lease has ended. Past its bound the term is not active, but if the store then
-   * renews the lease after all, the key was ours all the time and the term goes on.
+   * renews the lease after all, the key was ours all the time and the term goes on; but where no
+   * answer comes for long it is given up, see `longLapsed`.
    */
   private async hold(term: Term, lease: number, signal: AbortSignal): Promise<void> {
     const { clock, random, log } = this.runtime;
@@ -230,17 +265,20 @@
     const either = AbortSignal.any([signal, term.signal]);
     setMaxListeners(0, either);
     let failing = false;
+    /** So many renewals in a row had no answer: one alone may be due to a stall of our own. */
+    let unanswered = 0;
     try {
       while (!signal.aborted) {
         await clock.sleep(jitter(failing ? this.pledgeMs / 4 : everyMs, random), either);
         // A silent store must not hold up the asking.
-        if (failing) void this.askPledges(term);
+        if (failing) void this.askVotes(term);
         // The leader gives up by itself when the store contradicts its records.
         if (either.aborted) break;
         const sentAt = clock.now();
         try {
           await this.store.renew(lease, everyMs, signal);
           failing = false;
+          unanswered = 0;
           term.extend(this.bound(sentAt));
         } catch (error) {
           if (error instanceof LeaseGone) {
@@ -248,7 +286,12 @@
             return;
           }
           log.debug({ error: String(error) }, 'renewal failed');
-          if (!failing) void this.askPledges(term);
+          unanswered = error instanceof NoAnswer ? unanswered + 1 : 0;
+          if (unanswered > 1 && this.longLapsed(term)) {
+            log.warn({ token: term.token }, 'leadership given up, the store does not answer');
+            break;
+          }
+          if (!failing) void this.askVotes(term);
           failing = true;
         }
       }
@@ -261,7 +304,8 @@
 }
 
 const PLEDGE_SHARE = 0.45;
-
+/** How long a leader without answers waits for the term to go on, as a share of its lease. */
+const LAPSED_SHARE = 0.5;
 /** For how many leader leases a controller that resigned does not contest. */
 const RESIGNED_LEASES = 3;
 
