The probe of the store sleeps until it can fall due, in place of looking four times as often

Cause: since a controller asks the store when nothing else had an answer for a report interval, it woke up every quarter of one to see whether that was so.

Change: it sleeps until the last answer is a report interval and a fifth old; a probe that failed is repeated after a quarter of an interval as before. A controller that did nothing else asked each 1.25 intervals and now asks each 1.2.

--- a/src/state/probe.ts
+++ b/src/state/probe.ts
@@ -2,22 +2,28 @@
 import { KEYS } from './keys.js';
 import type { Store } from './store.js';
 
-/** How often it is looked whether the store has answered lately, within the time it may be silent. */
-const CHECKS_PER_WAIT = 4;
+/** How soon a probe that failed is repeated, as a share of the time for which the store may be silent. */
+const RETRY_SHARE = 0.25;
+
+/** How much later than it falls due a probe may come: most often another request is answered first. */
+const SLACK_SHARE = 0.2;
 
 /**
  * Asks the store something whenever nothing else had an answer from it for `everyMs`, so that this
  * controller knows whether it reaches the store: for health checks, for what it tells its peers, and
- * to learn at once when a store that was out of reach is back.
+ * to learn at once when a store that was out of reach is back. It sleeps until a probe can fall due: a
+ * controller has little processor time, and looking every now and then costs some of it for nothing.
  */
 export async function probeStore(
-  store: Store,
+  store: Pick<Store, 'answeredAt' | 'get'>,
   clock: Clock,
   everyMs: number,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    await clock.sleep(everyMs / CHECKS_PER_WAIT, signal);
+    const silentMs = clock.now() - store.answeredAt;
+    const dueMs = everyMs * (1 + SLACK_SHARE) - silentMs;
+    await clock.sleep(Math.max(everyMs * RETRY_SHARE, dueMs), signal);
     if (signal.aborted || clock.now() - store.answeredAt < everyMs) continue;
     await store.get(KEYS.leader, 1, signal).catch(() => undefined);
   }
--- a/test/store-reachability.test.ts
+++ b/test/store-reachability.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Clock } from '../src/runtime/clock.js';
+import { probeStore } from '../src/state/probe.js';
+import { FakeClock } from './fakes/clock.js';
 import { World } from './fakes/world.js';
 
 const TWO = [{ yard: 'a' }, { yard: 'b' }];
@@ -67,3 +70,41 @@
     await w.close();
   });
 }
+
+test('the probe of the store wakes up no more often than a probe can fall due', async () => {
+  const clock = new FakeClock();
+  let wakes = 0;
+  const counting: Clock = {
+    now: () => clock.now(),
+    wall: () => clock.wall(),
+    sleep: (ms, signal) => {
+      wakes++;
+      return clock.sleep(ms, signal);
+    },
+  };
+  const asked: number[] = [];
+  const store = {
+    answeredAt: 0,
+    get: () => {
+      asked.push(clock.now());
+      store.answeredAt = clock.now();
+      return Promise.resolve(null);
+    },
+  };
+  const stop = new AbortController();
+  const probing = probeStore(store, counting, 1000, stop.signal);
+  await clock.advance(60_000);
+  assert.ok(asked.length >= 45 && asked.length <= 60, `${asked.length} probes in a minute`);
+  assert.ok(wakes <= 62, `${wakes} times awake for an idle controller`);
+  const before = asked.length;
+  wakes = 0;
+  // Other requests are answered all the time, as a leader's are.
+  for (let i = 0; i < 600; i++) {
+    store.answeredAt = clock.now();
+    await clock.advance(100);
+  }
+  assert.equal(asked.length, before);
+  assert.ok(wakes <= 62, `${wakes} times awake for a busy controller`);
+  stop.abort();
+  await probing;
+});
