Log: work that waits for nothing but its team's limit says so

Ruled out: room (7 to 8 machines spare), the gate (open), failures (none of these jobs), the store (no write waits). Change: a round says by team how many tasks its limit holds back (heldBack in the round line), and an info line says when that begins, with use and limit, and when it is over. It decides nothing.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -76,7 +76,12 @@
     const settled =
       now - this.leader.term.startedAt > this.leader.parts.settings.workers.reportMs * 3;
     const snapshot = takeSnapshot(this.leader, now);
+    // Of these the round keeps its own count, which goes on while it decides.
+    const used = new Map(
+      [...snapshot.teams].map(([name, t]) => [name, { ...t, used: { ...t.used } }]),
+    );
     const result = plan(snapshot);
+    this.leader.teamLimits.observe(result.heldBack, used, now);
     this.carryOut(result, now, settled && this.leader.listedOnce);
     this.logRound(snapshot, result, this.leader.now - now);
   }
@@ -99,6 +104,7 @@
         spare: result.spare.length,
         gate: snapshot.gateShut,
         teams: Object.fromEntries([...snapshot.teams].map(([name, t]) => [name, t.used.gpus])),
+        heldBack: Object.fromEntries(result.heldBack),
         writesWaiting: this.leader.parts.store.writesWaiting,
         tookMs,
       },
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -29,6 +29,7 @@
 import { SilentMachines } from './silent-machines.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { TeamLimits } from './team-limits.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
@@ -66,6 +67,7 @@
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
   readonly silentMachines: SilentMachines;
+  readonly teamLimits: TeamLimits;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -108,6 +110,7 @@
     this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m) =>
       this.fleet.silentFrom(m),
     );
+    this.teamLimits = new TeamLimits(runtime.log, settings.workers.reportMs);
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
       rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -138,4 +138,9 @@
   rents: Rent[];
   /** Machines that no task in sight needs. */
   spare: string[];
+  /** Work that would start, or be given room, if its team's limit were higher. */
+  heldBack: HeldBack;
 }
+
+/** By team, how many waiting tasks its limit keeps from getting room; teams without any are left out. */
+export type HeldBack = ReadonlyMap<string, number>;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -45,7 +45,15 @@
 
 class Round {
   private readonly up: MachineView[];
-  private readonly result: Plan = { starts: [], admit: null, stops: [], rents: [], spare: [] };
+  private readonly heldBack = new Map<string, number>();
+  private readonly result: Plan = {
+    starts: [],
+    admit: null,
+    stops: [],
+    rents: [],
+    spare: [],
+    heldBack: this.heldBack,
+  };
   private readonly guaranteed: Set<string>;
   private readonly contended: ContendedTypes;
   private readonly finder: RoomFinder;
@@ -111,6 +119,7 @@
   /** Starts the tasks of an array or service that find room, and makes or rents it for the others. */
   private tasks(job: JobView, team: TeamView): void {
     const count = Math.min(job.waiting, limitRoom(team, job.spec));
+    this.holdBack(job.spec, job.waiting - count);
     if (count <= 0) return;
     const rules = new ZoneRules(job.spec, job.zones);
     let missing = count - this.startHot(job, count, rules, team);
@@ -150,6 +159,10 @@
     }
   }
 
+  private holdBack(spec: JobSpec, tasks: number): void {
+    if (tasks > 0) this.heldBack.set(spec.team, (this.heldBack.get(spec.team) ?? 0) + tasks);
+  }
+
   private charge(team: TeamView, spec: JobSpec, count: number): void {
     team.used.cpus += spec.need.cpus * count;
     team.used.gpus += spec.need.gpus * count;
@@ -206,7 +219,10 @@
 
   /** The gate: whole room that is free passes at once, other room is waited for by one at a time. */
   private gang(job: JobView, team: TeamView): void {
-    if (limitRoom(team, job.spec) < job.spec.tasks) return;
+    if (limitRoom(team, job.spec) < job.spec.tasks) {
+      this.holdBack(job.spec, job.spec.tasks);
+      return;
+    }
     if (this.passWhole(job, team)) return;
     if (job.patient) {
       const rules = new ZoneRules(job.spec, job.zones);
--- a/test/night-log.test.ts
+++ b/test/night-log.test.ts
@@ -61,3 +61,30 @@
   assert.equal(lines(w, 'ready for users').length, 4);
   await w.close();
 });
+
+// A fleet with idle machines and waiting work looks stalled: the log has to say that a limit is why.
+test("work that waits for nothing but its team's limit says so, and when it is over", async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const held = 'work waits for the limit of its team';
+  const over = 'no work waits for the limit of its team any more';
+  const full = await w.submit({ crew: 'vision', pieces: 16, gpus: 1, runMs: 20_000 });
+  await w.until(() => w.running(full) === 16, 10, 'all run');
+  await w.pass(5);
+  assert.deepEqual(lines(w, held), []);
+  await w.submit({ crew: 'vision', pieces: 32, gpus: 1, runMs: 20_000 });
+  await w.pass(6);
+  assert.deepEqual(
+    lines(w, held).map((l) => l.fields),
+    [{ team: 'vision', tasks: 16, gpus: 32, gpusLimit: 32 }],
+  );
+  assert.deepEqual(lines(w, over), []);
+  await w.pass(40);
+  assert.equal(lines(w, held).length, 1);
+  const fields = lines(w, over).map((l) => l.fields as { team: string });
+  assert.deepEqual(
+    fields.map((f) => f.team),
+    ['vision'],
+  );
+  await w.close();
+});
