--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -186,7 +186,6 @@
 
 function pipelineSteps(leader: Leader, now: number): PipelineStep[] {
   const aims = deadlineSteps(leader.parts.settings);
-  const finishTimes = finishTimesMs(leader.parts.settings);
   const steps: PipelineStep[] = [];
   for (const job of leader.jobs.values()) {
     if (job.phase !== 'open') continue;
@@ -198,7 +197,6 @@
       dependencies: job.dependencies,
       remainingMs: remainingMs(leader, job, now),
       deadlineSteps: aims.get(job.spec.jobClass) ?? [],
-      finishTimesMs: finishTimes.get(job.spec.jobClass) ?? [],
     });
   }
   return steps;
@@ -247,19 +245,6 @@
   return steps;
 }
 
-/** In what times from its submission a job of a class should be done, smallest first. */
-function finishTimesMs(settings: Settings): Map<string, number[]> {
-  const times = new Map<string, number[]>();
-  for (const o of settings.objectives) {
-    if (o.kind !== 'finished' || o.jobClass === null || o.withinMs === null) continue;
-    times.set(
-      o.jobClass,
-      [...(times.get(o.jobClass) ?? []), o.withinMs].sort((a, b) => a - b),
-    );
-  }
-  return times;
-}
-
 /** What may be on machines counts in full until it is proven gone. */
 function teamViews(leader: Leader): Map<string, TeamView> {
   const teams = new Map<string, TeamView>();
--- a/src/scheduler/pipelines.ts
+++ b/src/scheduler/pipelines.ts
@@ -14,8 +14,6 @@
   remainingMs: number;
   /** Multiples of its deadline that the aims name, smallest first. */
   deadlineSteps: readonly number[];
-  /** Without a deadline: in what times from its submission the aims want it done, smallest first. */
-  finishTimesMs: readonly number[];
 }
 
 /** How one step is to be treated for the sake of all that need it. */
@@ -46,8 +44,6 @@
   priority: Priority;
   /** Null: neither it nor anything that needs it has a deadline. */
   dueAt: number | null;
-  /** Without a deadline: what orders it among its like. */
-  aimAt: number;
 }
 
 /**
@@ -88,7 +84,6 @@
       pathMs: step.remainingMs,
       priority: step.spec.priority,
       dueAt: null,
-      aimAt: 0,
     });
   }
   for (const node of nodes.values()) {
@@ -127,16 +122,8 @@
 
 /** The multiple of its deadline that the whole of what remains before it can still meet. */
 function setOwnDeadline(node: Node, now: number): void {
-  const { spec, submittedAt, readyAt, deadlineSteps, finishTimesMs } = node.step;
-  if (spec.deadlineMs === null) {
-    const [first] = finishTimesMs;
-    // Without any aim the oldest goes first, and a job's age counts from when it could start.
-    node.aimAt = readyAt ?? submittedAt;
-    if (first === undefined || readyAt === null) return;
-    const steps = finishTimesMs.map((ms) => ms / first);
-    node.aimAt = dueAt(first, readyAt, steps, now, node.doneInMs * 2);
-    return;
-  }
+  const { spec, submittedAt, deadlineSteps } = node.step;
+  if (spec.deadlineMs === null) return;
   node.dueAt = dueAt(spec.deadlineMs, submittedAt, deadlineSteps, now, node.doneInMs);
 }
 
@@ -157,9 +144,11 @@
 }
 
 function toUrgency(node: Node, now: number): StepUrgency {
+  const { submittedAt, readyAt } = node.step;
   return {
     priority: node.priority,
-    dueAt: node.dueAt ?? node.aimAt,
+    // Without a deadline the oldest goes first, and a job's age counts from when it could start.
+    dueAt: node.dueAt ?? readyAt ?? submittedAt,
     pressed: isPressed(node, now),
     readyInMs: node.readyInMs,
   };
