--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -46,8 +46,6 @@
 class Round {
   private readonly up: MachineView[];
   private readonly heldBack = new Map<string, number>();
-  /** Jobs none of whose tasks can get room, whatever there is, since their team is at its limit. */
-  private readonly held = new Set<string>();
   private readonly result: Plan = {
     starts: [],
     admit: null,
@@ -96,9 +94,9 @@
       else this.tasks(job, team);
     }
     this.servePatient();
-    // Moves only while nothing waits for room: what is stopped has to start again at once.
+    // Moves only while nothing waits: what is stopped has to start again at once.
     this.result.stops =
-      waiting.every((job) => this.held.has(job.id))
+      waiting.length === 0
         ? consolidate(this.s.movable, this.up, this.s.jobs)
         : this.preemption.stops;
     this.result.rents = this.rentals.rents();
@@ -122,10 +120,7 @@
   private tasks(job: JobView, team: TeamView): void {
     const count = Math.min(job.waiting, limitRoom(team, job.spec));
     this.holdBack(job.spec, job.waiting - count);
-    if (count <= 0) {
-      this.held.add(job.id);
-      return;
-    }
+    if (count <= 0) return;
     const rules = new ZoneRules(job.spec, job.zones);
     let missing = count - this.startHot(job, count, rules, team);
     if (missing > 0) missing -= this.start(job, missing, rules, team, this.up, job.patient);
@@ -226,7 +221,6 @@
   private gang(job: JobView, team: TeamView): void {
     if (limitRoom(team, job.spec) < job.spec.tasks) {
       this.holdBack(job.spec, job.spec.tasks);
-      this.held.add(job.id);
       return;
     }
     if (this.passWhole(job, team)) return;
