Log: a machine that a zone delegate may have answered does not show as lost

The line came from the bound that the leader last knew, before the look at the delegates' keys that decides.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -107,8 +107,8 @@
       settings.workers.leaseMs,
       this.zoneDelegates,
     );
-    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m) =>
-      this.fleet.silentFrom(m),
+    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m, now) =>
+      this.fleet.leaseRanOut(m, now),
     );
     this.teamLimits = new TeamLimits(runtime.log, settings.workers.reportMs);
     const endsWaitMs = settings.workers.leaseMs;
--- a/src/control/silent-machines.ts
+++ b/src/control/silent-machines.ts
@@ -19,12 +19,12 @@
 
   /**
    * @param leaseMs the workers' lease
-   * @param silentFrom from when on a machine's silence proves that its lease has run out
+   * @param leaseRanOut whether a silent machine's lease has run out for certain
    */
   constructor(
     private readonly log: Logger,
     private readonly leaseMs: number,
-    private readonly silentFrom: (machine: Machine) => number,
+    private readonly leaseRanOut: (machine: Machine, now: number) => boolean,
   ) {}
 
   /** To be called before the starts on machines with expired leases are given up. */
@@ -53,7 +53,7 @@
     const reporting = machine.heardAt !== null && silentMs <= this.leaseMs * SILENT_LEASE_SHARE;
     if (reporting) return 'reporting';
     const occupied = machine.placements.size > 0;
-    if (before === 'expired' || (occupied && now > this.silentFrom(machine))) return 'expired';
+    if (before === 'expired' || (occupied && this.leaseRanOut(machine, now))) return 'expired';
     // Not heard in this term: it may still be on its way to this leader.
     return machine.heardAt === null ? before : 'silent';
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -269,9 +269,8 @@
   sweep(now: number): boolean {
     let unsure = false;
     for (const m of this.machines.values()) {
-      const from = this.silentFrom(m);
-      if (m.placements.size === 0 || now <= from) continue;
-      if (this.zoneDelegates.confirmedFrom < from) {
+      if (m.placements.size === 0 || now <= this.silentFrom(m)) continue;
+      if (!this.leaseRanOut(m, now)) {
         unsure = true;
         continue;
       }
@@ -279,4 +278,13 @@
     }
     return unsure;
   }
+
+  /**
+   * The lease of a silent machine has run out for certain: its time is over, and the zone delegates
+   * were looked up since, so that none of them can have answered it unknown to us.
+   */
+  leaseRanOut(m: Machine, now: number): boolean {
+    const from = this.silentFrom(m);
+    return now > from && this.zoneDelegates.confirmedFrom >= from;
+  }
 }
--- a/test/night-log.test.ts
+++ b/test/night-log.test.ts
@@ -88,3 +88,20 @@
   );
   await w.close();
 });
+
+// The line stands for lost work; a leader that only has to look whether a zone delegate answered has lost none.
+test('machines that a zone delegate keeps alive behind a cut do not show as lost', async () => {
+  const w = new World(FOUR);
+  await w.start();
+  const job = await w.submit({ shape: 'service', pieces: 4, gpus: 4, runMs: 0 });
+  await w.until(() => w.running(job) === 4, 10, 'replicas run');
+  w.split(true);
+  await w.pass(30);
+  assert.equal(w.running(job), 4);
+  assert.ok(lines(w, 'machines fell silent').length > 0);
+  assert.deepEqual(lines(w, 'leases of silent machines ran out'), []);
+  w.split(false);
+  await w.pass(10);
+  assert.ok(lines(w, 'machines report again').length > 0);
+  await w.close();
+});
