--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -12,11 +12,12 @@
   heartbeats,
   MOST_CANCELLATIONS,
   CANCELLATIONS_VERSION,
+  VOUCHES_VERSION,
   type Message,
 } from '../peer/frames.js';
 import { Membership } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
-import { duty, type Runtime } from '../runtime/duty.js';
+import { duty, untilAborted, type Runtime } from '../runtime/duty.js';
 import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
@@ -82,6 +83,7 @@
       runtime,
       settings.member,
       lifetimeMs,
+      (peer) => this.membership.readsFrames(peer, VOUCHES_VERSION),
     );
     this.membership = new Membership(
       this.store,
@@ -154,6 +156,7 @@
     else if (message.kind === 'heartbeat') {
       // Left over from an earlier leader, which stood still or whose messages were held up.
       if (message.token < this.currentToken) return;
+      this.endDeposedTerm(message.token);
       this.heartbeatAt = this.runtime.clock.now();
       // The leader is within reach again: the workers go back to it.
       this.partitioned.clear();
@@ -163,6 +166,17 @@
     }
   }
 
+  /**
+   * Another controller leads a later term. A leader whom the store refuses alone learns of it only in
+   * this way; while it held on to its own term it could promise the other nothing in an outage.
+   */
+  private endDeposedTerm(token: number): void {
+    const role = this.election.role.value;
+    if (role.kind !== 'leader' || role.term.token >= token) return;
+    this.runtime.log.warn({ token: role.term.token, later: token }, 'deposed by a later term');
+    role.term.end();
+  }
+
   /** The token of the newest term that this controller knows of. */
   private get currentToken(): number {
     const role = this.election.role.value;
@@ -246,11 +260,11 @@
         ),
         duty(this.runtime, 'catalogue', signal, restartMs, async (s) => {
           await this.catalogue.load(s);
-          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+          await untilAborted(s);
         }),
         duty(this.runtime, 'membership', signal, restartMs, async (s) => {
           await this.membership.run(s);
-          await new Promise<void>((resolve) => s.addEventListener('abort', () => resolve()));
+          await untilAborted(s);
         }),
         duty(this.runtime, 'election', signal, restartMs, (s) => this.election.run(s)),
       ]);
