--- a/test/fakes/trouble-search.ts
+++ b/test/fakes/trouble-search.ts
@@ -19,6 +19,10 @@
 const changes = ({ path, body }: StoreRequest): boolean =>
   path === '/txn' && (body as { then: unknown[] }).then.length > 0;
 
+/** Also questions after changes, and comparisons without any. */
+const reads = (r: StoreRequest): boolean =>
+  r.method === 'GET' || (r.path === '/txn' && !changes(r));
+
 /** Mostly the leader. */
 function aController(w: World, random: SeededRandom): number {
   const { leader } = w;
@@ -101,6 +105,10 @@
   'the store refuses the changes of one controller': storeFault((r) =>
     changes(r) ? 'refuse' : 'serve',
   ),
+  'the store refuses reads': storeFaultForAll((r) => (reads(r) ? 'refuse' : 'serve')),
+  'the store refuses the reads of one controller': storeFault((r) =>
+    reads(r) ? 'refuse' : 'serve',
+  ),
   'the store is slow': (w, random) => {
     w.store.slowMs = random.between(200, 900);
     return () => void (w.store.slowMs = 0);
