Let a controller lead whose workers find the next one in time

Ruled out: a slow takeover (each within 3.1 s), the long poll (without it two silences still take 11 s), refusals of the store.

Change: a controller whose workers would spend their leases on silent ones, if it fell silent, waits a fifth of the leader lease before it contests where another is better placed; a leader that has heard nobody waits as long as workers need to pass all silent controllers. A peer whose connection was closed is not silent: workers pass it in a second, and restarts in a row are unchanged.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,4 +1,5 @@
 import { Election } from '../election/election.js';
+import { Succession } from '../election/succession.js';
 import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
 import { Catalogue } from '../fleet/catalogue.js';
 import type { Callers } from '../fleet/stop-commands.js';
@@ -53,6 +54,7 @@
   readonly jobApi: JobApi;
   private readonly store: Store;
   private readonly election: Election;
+  private readonly succession: Succession;
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   readonly membership: Membership;
@@ -76,12 +78,18 @@
     const lifetimeMs = workers.leaseMs * operator.election.lifetime;
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
+    this.succession = new Succession(runtime.clock, links.peerTransport, {
+      self: settings.member,
+      reportMs: workers.reportMs,
+      leaseMs: workers.leaseMs,
+    });
     this.election = new Election(
       this.store,
       links.peerTransport,
       runtime,
       settings.member,
       lifetimeMs,
+      this.succession,
     );
     this.membership = new Membership(
       this.store,
@@ -216,6 +224,7 @@
           cloudTimeoutMs: this.cloudTimeoutMs,
           cancellationQuery: this.cancellationQuery,
           silentTerms: this.silentTerms,
+          succession: this.succession,
         },
         role.term,
         () => this.election.resign(role.term),
--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -120,7 +120,8 @@
     const { silence, fleet, types, listedOnce: listed, parts } = this.leader;
     if (parts.settings.size === 1) return false;
     const bootMs = Math.max(0, ...[...types.values()].map((t) => t.bootMs));
-    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed });
+    const { searchMs } = parts.succession;
+    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed, searchMs });
   }
 
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -1,4 +1,5 @@
 import { ZoneDelegateWatch, zoneDelegateRightMs } from '../election/zone-delegate.js';
+import type { Succession } from '../election/succession.js';
 import type { Term } from '../election/term.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
@@ -43,6 +44,7 @@
   cloudTimeoutMs: number;
   cancellationQuery: CancellationQuery;
   silentTerms: SilentTerms;
+  succession: Succession;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
--- a/src/control/worker-silence.ts
+++ b/src/control/worker-silence.ts
@@ -72,21 +72,24 @@
 
   /**
    * `bootMs`: how long the slowest machine takes to boot; `listed`: the cloud has listed its machines
-   * in this term.
+   * in this term; `searchMs`: how long workers may take to come here past silent controllers.
    */
   isTooLong(
     now: number,
     machines: Iterable<Machine>,
-    { bootMs, listed }: { bootMs: number; listed: boolean },
+    { bootMs, listed, searchMs }: { bootMs: number; listed: boolean; searchMs: number },
   ): boolean {
     const all = [...machines];
-    const silentFrom = now - this.patienceMs(all, bootMs);
+    const silentFrom = now - this.patienceMs(all, bootMs, searchMs);
     if (this.since > silentFrom) return false;
     return all.some((m) => this.mayReportElsewhere(m, silentFrom, listed));
   }
 
-  private patienceMs(machines: Machine[], bootMs: number): number {
-    if (!this.heardAny) return this.silentTerms.patienceMs(this.workers.leaseMs, bootMs);
+  private patienceMs(machines: Machine[], bootMs: number, searchMs: number): number {
+    // Who gave up while its workers wait on silent controllers would turn them away when they come.
+    if (!this.heardAny) {
+      return Math.max(searchMs, this.silentTerms.patienceMs(this.workers.leaseMs, bootMs));
+    }
     const heard = machines.reduce((n, m) => n + (m.heardAt === null ? 0 : 1), 0);
     return this.workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, heard));
   }
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -9,6 +9,7 @@
 import { jitter } from '../runtime/random.js';
 import { KEYS } from '../state/keys.js';
 import { HistoryLost, LeaseGone, type Entry, type Store } from '../state/store.js';
+import type { Succession } from './succession.js';
 import { Term } from './term.js';
 
 const leaderValue = z.object({ term: z.string(), member: z.string() });
@@ -31,6 +32,7 @@
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
+    private readonly succession: Succession,
   ) {
     this.extensionVote = new LeaseExtensionVote(peerTransport, runtime, {
       mayLead: () => this.role.value.kind === 'leader' || this.contesting,
@@ -47,7 +49,7 @@
         const entry = await this.store.get(KEYS.leader, 0, signal);
         if (entry) await this.follow(entry, signal);
         await this.untilFree(signal);
-        await this.letYoungerFirst(signal);
+        await this.letOthersFirst(signal);
         const term = await this.contest(signal);
         if (term) await this.hold(term.term, term.lease, signal);
       } catch (error) {
@@ -112,9 +114,10 @@
   /**
    * Controllers that are restarted one after the other would each end a term if chance chose the next
    * leader: one that has been restarted already is the last to be restarted again. So whoever knows
-   * of a younger process than its own waits a moment.
+   * of a younger process than its own waits a moment; and twice that whoever should not lead as its
+   * workers, if it fell silent, would spend their leases on silent controllers.
    */
-  private async letYoungerFirst(signal: AbortSignal): Promise<void> {
+  private async letOthersFirst(signal: AbortSignal): Promise<void> {
     const { clock, startedAt } = this.runtime;
     const role = this.role.value;
     const last = role.kind === 'follower' ? role.leader : null;
@@ -122,7 +125,8 @@
       (p) =>
         p !== last && (this.peerTransport.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
     );
-    if (younger) await clock.sleep(this.lifetimeMs / 10, signal);
+    const waits = Number(younger) + 2 * Number(this.succession.othersFirst(last));
+    if (waits > 0) await clock.sleep((waits * this.lifetimeMs) / 10, signal);
   }
 
   private async contest(signal: AbortSignal): Promise<{ term: Term; lease: number } | null> {
--- /dev/null
+++ b/src/election/succession.ts
@@ -0,0 +1,77 @@
+import type { PeerTransport } from '../peer/peer-transport.js';
+import type { Clock } from '../runtime/clock.js';
+
+/** What a worker spends on a controller that says nothing: the wait for an answer, and a pause. */
+const ANSWER_WAIT_MS = 4000;
+const PAUSE_MS = 1000;
+
+/** Reports come at their interval give or take a quarter. */
+const LATEST_REPORT = 1.25;
+
+/** A controller speaks to the others once a report interval; after so many it counts as silent. */
+const SILENT_REPORTS = 1.5;
+
+/** What is needed to tell which controllers a worker passes, and for how long it may. */
+export interface SuccessionFacts {
+  self: string;
+  reportMs: number;
+  leaseMs: number;
+}
+
+/**
+ * Which controllers a worker tries after another, and whether it finds one that speaks before its
+ * lease ends. A worker whose controller says nothing tries the next one of its list, and waits for
+ * each silent one in full: two in a row can take a whole lease. No controller can shorten that walk
+ * once it has begun, so it counts who leads before: one behind which a controller speaks.
+ *
+ * The order is taken to be that of the controllers' names. Nothing but a short wait rests on it.
+ */
+export class Succession {
+  private readonly order: string[];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly peerTransport: PeerTransport,
+    private readonly facts: SuccessionFacts,
+  ) {
+    this.order = [facts.self, ...peerTransport.peers].sort((a, b) =>
+      a.localeCompare(b, 'en', { numeric: true }),
+    );
+  }
+
+  /** A controller that has ended, so that connections to it are refused at once, is not silent. */
+  private isSilent(member: string): boolean {
+    if (member === this.facts.self) return false;
+    const heardAt = this.peerTransport.lastHeardAt(member);
+    return heardAt !== null && this.clock.now() - heardAt > this.facts.reportMs * SILENT_REPORTS;
+  }
+
+  /** How long a worker takes at most to pass so many silent controllers, from its last answered report. */
+  private passingMs(silent: number): number {
+    return this.facts.reportMs * LATEST_REPORT + silent * (ANSWER_WAIT_MS + PAUSE_MS);
+  }
+
+  /** How long workers may take to come here, past every controller that is silent now. */
+  get searchMs(): number {
+    return this.passingMs(this.order.filter((member) => this.isSilent(member)).length);
+  }
+
+  /** Whether the workers of this controller would find the next in time if it fell silent. */
+  private isCovered(member: string): boolean {
+    const at = this.order.indexOf(member);
+    const after = [...this.order.slice(at + 1), ...this.order.slice(0, at)];
+    const next = after.findIndex((m) => !this.isSilent(m));
+    return next >= 0 && this.passingMs(next + 1) < this.facts.leaseMs;
+  }
+
+  /**
+   * Whether another controller should lead rather than this one, since its workers would find the
+   * next one in time and ours would not. `except`: the last leader, which does not contest.
+   */
+  othersFirst(except: string | null): boolean {
+    if (this.isCovered(this.facts.self)) return false;
+    return this.order.some(
+      (m) => m !== this.facts.self && m !== except && !this.isSilent(m) && this.isCovered(m),
+    );
+  }
+}
--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -12,6 +12,11 @@
   readonly peers: string[];
   /** When a peer's process began, by our clock; null if it has not been heard. */
   startedAt(peer: string): number | null;
+  /**
+   * When a peer last said anything, in milliseconds of our clock; the start of our process if it
+   * never did. Null if its connection has been closed since: its process ended, or will be back.
+   */
+  lastHeardAt(peer: string): number | null;
 }
 
 /** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
@@ -26,6 +31,9 @@
   readonly peers: string[];
   private readonly out = new Map<string, Socket>();
   private readonly starts = new Map<string, number>();
+  private readonly lastHeard = new Map<string, number>();
+  /** The connection on which each peer speaks; null: it was closed. */
+  private readonly speakers = new Map<string, Socket | null>();
 
   constructor(
     private readonly settings: Settings,
@@ -60,6 +68,11 @@
     return this.starts.get(peer) ?? null;
   }
 
+  lastHeardAt(peer: string): number | null {
+    if (this.speakers.get(peer) === null) return null;
+    return this.lastHeard.get(peer) ?? this.runtime.startedAt;
+  }
+
   private accept(signal: AbortSignal): Promise<void> {
     const [host, port] = split(this.settings.peerAddress);
     const server = createServer((socket) => this.listenTo(socket, signal));
@@ -76,13 +89,19 @@
     let from: string | null = null;
     const end = (): void => void socket.destroy();
     signal.addEventListener('abort', end, { once: true });
-    socket.on('close', () => signal.removeEventListener('abort', end));
+    socket.on('close', () => {
+      signal.removeEventListener('abort', end);
+      if (from !== null && this.speakers.get(from) === socket) this.speakers.set(from, null);
+    });
     socket.on('error', end);
     socket.on('data', (chunk: Buffer) => {
+      if (from !== null) this.lastHeard.set(from, this.runtime.clock.now());
       try {
         for (const message of decoder.push(chunk)) {
           if (message.kind === 'hello') {
             from = message.member;
+            this.speakers.set(from, socket);
+            this.lastHeard.set(from, this.runtime.clock.now());
             this.starts.set(from, this.runtime.clock.now() - message.ageMs);
           } else if (from !== null && this.peers.includes(from)) this.heard.next({ from, message });
         }
--- a/test/fakes/peer-transport.ts
+++ b/test/fakes/peer-transport.ts
@@ -28,6 +28,8 @@
   /** Resolves when a controller that stands still goes on; what is sent to it waits until then. */
   thaw: (name: string) => Promise<void> = () => Promise.resolve();
   private readonly starts = new Map<string, number>();
+  /** When each controller last heard each other one; null: the connection has been closed. */
+  private readonly lastHeard = new Map<string, number | null>();
   /** Controllers of the version before, which close a connection that brings a later frame. */
   readonly previousVersion = new Set<string>();
   readonly unreadable: Message[] = [];
@@ -44,6 +46,10 @@
     this.starts.set(name, this.clock.now());
     return {
       startedAt: (peer) => this.starts.get(peer) ?? null,
+      lastHeardAt: (peer) => {
+        const at = this.lastHeard.get(`${peer} ${name}`);
+        return at === undefined ? this.starts.get(name)! : at;
+      },
       heard: end.heard,
       peers: all.filter((n) => n !== name),
       send: (to, message) => {
@@ -79,11 +85,16 @@
       end.closedUntil.set(from, now + RECONNECT_MS);
       return;
     }
+    if (this.ends.has(from)) this.lastHeard.set(`${from} ${to}`, now);
     for (const m of messages) end.heard.next({ from, message: m });
   }
 
   detach(name: string): void {
     this.ends.delete(name);
+    for (const to of this.ends.keys()) {
+      this.lastHeard.set(`${name} ${to}`, null);
+      this.lastHeard.delete(`${to} ${name}`);
+    }
   }
 }
 
--- /dev/null
+++ b/test/succession.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { machines } from './fakes/meeting.js';
+import { World } from './fakes/world.js';
+
+const SILENT_MS = 90_000;
+const LEASE_S = 10;
+
+/** A world in which a service runs, and how many of its workers have lost their leases. */
+async function withService(seed: number): Promise<{ w: World; lost(): number }> {
+  const w = new World(machines('aabb'), 3, seed);
+  await w.start();
+  const service = await w.accept({ shape: 'service', pieces: 4, runMs: 0, crew: 'speech' });
+  await w.until(() => w.running(service) === 4, 20, 'all run');
+  return { w, lost: () => [...w.workers.values()].filter((worker) => worker.shift > 1).length };
+}
+
+async function replaced(w: World, old: number): Promise<number> {
+  await w.until(() => w.leader !== old && w.leader >= 0, LEASE_S, 'another leads');
+  return w.leader;
+}
+
+// A worker gives each silent controller 5 s: two in a row on its way cost it its lease. Who follows a
+// silent leader has to be one behind which a controller speaks.
+for (const first of [0, 1]) {
+  test(`controller ${first} and the leader after it fall silent, and no worker loses its lease`, async () => {
+    const { w, lost } = await withService(first);
+    if (w.leader !== first) {
+      w.freeze(w.leader, LEASE_S * 500);
+      await replaced(w, w.leader);
+      await w.pass(LEASE_S);
+    }
+    assert.equal(w.leader, first);
+    w.freeze(first, SILENT_MS);
+    const second = await replaced(w, first);
+    await w.pass(LEASE_S);
+    w.freeze(second, SILENT_MS);
+    await replaced(w, second);
+    await w.pass(2 * LEASE_S);
+    assert.equal(lost(), 0);
+    await w.close();
+  });
+}
+
+// The leader that is left once had given up before its workers could be there, and turned them away.
+test('a leader waits for workers that have to pass two silent controllers', async () => {
+  const { w } = await withService(1);
+  const first = w.leader;
+  const [next, third] = [(first + 1) % 3, (first + 2) % 3];
+  w.freeze(next, SILENT_MS);
+  await w.pass(LEASE_S);
+  w.freeze(first, SILENT_MS);
+  await w.until(() => w.leader === third, LEASE_S, 'the third leads');
+  const { stamp } = w.store.keys.get('leader')!;
+  await w.pass(2 * LEASE_S);
+  assert.equal(w.store.keys.get('leader')?.stamp, stamp);
+  await w.close();
+});
