A leader that cannot read its records hands over, and a stalled watch is read around

Cause: a leader whose lease the store renews, but which cannot read or follow the job records, stayed in office for as long as that lasted: before its first reading it turned all workers away, later it learned of no new job. Found with it: what the other controllers told of cancellations counted as news of the records, so that records behind a stalled watch were never read again.

Change: it resigns after one leader lease without its first reading, after two once it has read, if the store serves another controller by that one's own heartbeat. A slow reading, or a refusal for the rate alone, is no reason. Where only watching fails the records are read again after a leader lease, by when they were last read.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -29,6 +29,7 @@
 import { MOST_HOLD_MS } from './report-handler.js';
 import { SelfWatch } from './self-watch.js';
 import { PartitionedWorkers } from './partitioned-workers.js';
+import { UnreadTerms } from './unread-records.js';
 import { SilentTerms } from './worker-silence.js';
 
 export interface Links {
@@ -60,6 +61,7 @@
   readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly silentTerms = new SilentTerms();
+  private readonly unreadTerms = new UnreadTerms();
   private readonly partitioned: PartitionedWorkers;
   private readonly cancellationLog: CancellationLog;
   private readonly selfWatch: SelfWatch;
@@ -225,6 +227,8 @@
           cancellationQuery: this.cancellationQuery,
           silentTerms: this.silentTerms,
           succession: this.succession,
+          unreadTerms: this.unreadTerms,
+          othersServed: () => this.storeReachability.servesOthers,
         },
         role.term,
         () => this.election.resign(role.term),
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -36,13 +36,13 @@
   }
 
   async recover(signal: AbortSignal): Promise<void> {
-    const { store, runtime } = this.leader.parts;
+    const { runtime } = this.leader.parts;
     for (;;) {
       try {
         const sentAt = this.leader.now;
-        const jobs = await store.range(KEYS.jobs, signal);
-        const runs = await store.range(KEYS.runs, signal);
-        const rentals = await store.range(KEYS.rentals, signal);
+        const jobs = await this.range(KEYS.jobs, signal);
+        const runs = await this.range(KEYS.runs, signal);
+        const rentals = await this.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.refresh(signal);
         await this.leader.parts.membership.refresh(signal);
         this.leader.jobs.clear();
@@ -57,6 +57,7 @@
         this.revision = jobs.revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.leader.unreadRecords.recovered(this.leader.now);
         this.over.clear();
         this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
@@ -64,12 +65,22 @@
         return;
       } catch (error) {
         signal.throwIfAborted();
+        this.leader.unreadRecords.failed(error);
         runtime.log.debug({ error: String(error) }, 'recovery repeated');
         await runtime.clock.sleep(this.leader.retryMs, signal);
       }
     }
   }
 
+  private async range(
+    prefix: string,
+    signal: AbortSignal,
+  ): Promise<{ items: Entry[]; revision: number }> {
+    const read = await this.leader.parts.store.range(prefix, signal);
+    this.leader.unreadRecords.progressed();
+    return read;
+  }
+
   private restoreRuns(entries: Entry[]): void {
     const { runtime, store } = this.leader.parts;
     const perRange = tasksPerRange(store.limits.smallest().valueBytes);
@@ -105,7 +116,7 @@
    */
   async follow(signal: AbortSignal): Promise<void> {
     const { store, runtime } = this.leader.parts;
-    const { view, lifetimeMs } = this.leader;
+    const { view, unreadRecords, lifetimeMs } = this.leader;
     while (!signal.aborted) {
       const sentAt = this.leader.now;
       try {
@@ -113,10 +124,12 @@
         for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
         this.revision = news.revision;
         view.completeAt(sentAt);
+        unreadRecords.succeeded(this.leader.now);
       } catch (error) {
         if (signal.aborted) return;
+        unreadRecords.failed(error);
         // Where only watching fails, the records can still be read as a whole.
-        const stalled = view.ageMs(this.leader.now) > lifetimeMs;
+        const stalled = unreadRecords.ageMs(this.leader.now) > lifetimeMs;
         if (!(error instanceof HistoryLost || stalled) || !(await this.reread(signal))) {
           await runtime.clock.sleep(this.leader.retryMs, signal);
         }
@@ -132,6 +145,7 @@
       for (const e of all.items) this.onJobEntry(e);
       this.revision = all.revision;
       this.leader.view.completeAt(sentAt);
+      this.leader.unreadRecords.succeeded(this.leader.now);
       return true;
     } catch {
       return false;
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -30,6 +30,7 @@
 import { SilentMachines } from './silent-machines.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { UnreadRecords, type UnreadTerms } from './unread-records.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
@@ -45,6 +46,9 @@
   cancellationQuery: CancellationQuery;
   silentTerms: SilentTerms;
   succession: Succession;
+  unreadTerms: UnreadTerms;
+  /** Whether the store serves another controller. */
+  othersServed(): boolean;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
@@ -67,6 +71,7 @@
   readonly lifetimeMs: number;
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
+  readonly unreadRecords: UnreadRecords;
   readonly silentMachines: SilentMachines;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
@@ -91,6 +96,7 @@
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
     this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
     this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
+    this.unreadRecords = new UnreadRecords(term.startedAt, this.lifetimeMs, parts.unreadTerms);
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
@@ -204,9 +210,11 @@
     const { runtime } = this.parts;
     const { signal } = this.term;
     const restartMs = this.parts.settings.workers.reportMs;
+    const reading = duty(runtime, 'record reading', signal, restartMs, (s) => this.watchReading(s));
     await this.records.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
+      reading,
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
       duty(runtime, 'cancellation query', signal, restartMs, (s) => this.queryCancellations(s)),
@@ -271,6 +279,20 @@
     this.view.completeAt(known.asOf);
   }
 
+  /** Gives office up if another controller can read the records and this one cannot. */
+  private async watchReading(signal: AbortSignal): Promise<void> {
+    const { runtime, othersServed, unreadTerms } = this.parts;
+    while (!signal.aborted) {
+      const unread = this.term.leased(this.now) && this.unreadRecords.isTooLong(this.now);
+      if (unread && othersServed()) {
+        runtime.log.warn({}, 'the records cannot be read, resigning');
+        unreadTerms.resigned();
+        this.resign();
+      }
+      await runtime.clock.sleep(this.lifetimeMs / 10, signal);
+    }
+  }
+
   private async listMachines(signal: AbortSignal): Promise<void> {
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
--- a/src/peer/store-reachability.ts
+++ b/src/peer/store-reachability.ts
@@ -21,13 +21,23 @@
     this.said.set(peer, { serves, at: this.clock.now() });
   }
 
+  /** Whether any other controller has said lately that the store serves it. */
+  get servesOthers(): boolean {
+    return this.fresh.some((s) => s.serves);
+  }
+
+  private get fresh(): { serves: boolean; at: number }[] {
+    const now = this.clock.now();
+    return [...this.said.values()].filter((s) => now - s.at < this.reportMs * FRESH);
+  }
+
   /** `failingSince`: since when no request to the store has been served; null while they are. */
   aloneCutOff(failingSince: number | null): boolean {
     const now = this.clock.now();
     if (failingSince === null || now - failingSince < this.reportMs) return false;
     if (this.said.size === 0) return false;
     // Who no longer hears any of those that it heard is cut off from them as well.
-    const fresh = [...this.said.values()].filter((s) => now - s.at < this.reportMs * FRESH);
+    const { fresh } = this;
     // In an outage a peer may need a while to notice: only what it says later counts.
     const later = failingSince + this.reportMs;
     return fresh.length === 0 || fresh.some((s) => s.serves && s.at > later);
