A leader before silent controllers hands office over, naming its successor

Cause: a follower falls silent, and later the leader, whose workers try that follower first: their leases end.

Change: a leader whose workers would not find the next controller in time, with those behind it silent for half of the workers' lease, resigns for one that speaks, says that the store serves it and whose workers would. Its term has lasted for two leases, so office goes over for this reason once in that time at most. It names its successor in its 421 answers until a leader is known. A controller that knows of no leader keeps a report for up to a second, the worker's own pause, instead of sending it on at once.

Found by the changed phase of reports (gap.test.ts, "the leader stands still for a while"): a leader that stood still during a rest between two rounds counted the unread second as silence of its workers and resigned. It now reads first, then judges.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { Election } from '../election/election.js';
 import { Succession } from '../election/succession.js';
 import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
@@ -45,7 +46,8 @@
 /** For how many times `cancel_s` it is remembered which jobs users were told to be cancelled. */
 const LOGGED_CANCELS = 3;
 
-const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
+/** How long a report waits here for a leader to be known; no longer than a worker would pause. */
+const UNKNOWN_LEADER_MS = 1000;
 
 /** How many report intervals pass between two checks of who has been upgraded. */
 const REPORTS_PER_LOOK = 2;
@@ -68,6 +70,10 @@
   private readonly cancellationQuery: CancellationQuery;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
+  /** To whom this controller has handed office over, until a leader is known. */
+  private successor: string | null = null;
+  /** Ends the waits of reports that came while no leader was known. */
+  private waitingForLeader = new AbortController();
   private readonly counts = new Map<string, Counts>();
 
   constructor(
@@ -210,7 +216,10 @@
     const subscription = this.election.role.subscribe((role) => {
       if (role.kind !== 'leader') {
         // A new leader has time to be heard before its workers count as partitioned.
-        if (role.leader !== null) this.heartbeatAt = this.runtime.clock.now();
+        if (role.leader !== null) {
+          this.heartbeatAt = this.runtime.clock.now();
+          this.leaderKnown();
+        }
         return;
       }
       const leader = new Leader(
@@ -229,11 +238,17 @@
           succession: this.succession,
           unreadTerms: this.unreadTerms,
           othersServed: () => this.storeReachability.servesOthers,
+          betterLeader: () =>
+            this.succession.handOverTo((peer) => this.storeReachability.serves(peer)),
         },
         role.term,
-        () => this.election.resign(role.term),
+        (successor) => {
+          this.successor = successor ?? null;
+          this.election.resign(role.term);
+        },
       );
       this.leader = leader;
+      this.leaderKnown();
       void leader
         .run()
         .catch((error: unknown) => {
@@ -274,7 +289,8 @@
     }
   }
 
-  report(report: Report): ReportOutcome | Promise<ReportOutcome> {
+  /** `mayWait`: the worker has not waited yet for a leader to be known. */
+  report(report: Report, mayWait = true): ReportOutcome | Promise<ReportOutcome> {
     const role = this.election.role.value;
     const now = this.runtime.clock.now();
     if (role.kind === 'follower') {
@@ -282,23 +298,46 @@
       if (this.isStray(report, role.token, now)) {
         return this.partitioned.report(report, role.token, leader);
       }
-      return { kind: 'elsewhere', leader: this.leaderIsMute(now) ? null : leader };
+      if (leader !== null && !this.leaderIsMute(now)) return { kind: 'elsewhere', leader };
+      const unknown = leader === null && this.successor === null;
+      return unknown && mayWait ? this.whenLeaderKnown(report) : this.turnedAway();
     }
     const { term } = role;
     // A worker that has seen a higher token would drop our answer, and wait for another in vain.
     if (!this.leader || !term.active(now) || report.token > term.token) {
-      return NOT_ENTITLED;
+      return this.turnedAway();
     }
     const orders = this.leader.report(report);
     if (orders instanceof Promise) return this.whenHeld(this.leader, orders);
-    return orders ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
+    return orders ? { kind: 'orders', token: term.token, orders } : this.turnedAway();
+  }
+
+  /**
+   * A worker that is sent away without a name tries the next controller after a second, which may be
+   * silent: it waits that second here, in case office is just being handed over.
+   */
+  private async whenLeaderKnown(report: Report): Promise<ReportOutcome> {
+    await this.runtime.clock.sleep(UNKNOWN_LEADER_MS, this.waitingForLeader.signal);
+    return this.report(report, false);
+  }
+
+  private leaderKnown(): void {
+    this.successor = null;
+    this.waitingForLeader.abort();
+    this.waitingForLeader = new AbortController();
+    setMaxListeners(0, this.waitingForLeader.signal);
+  }
+
+  private turnedAway(): ReportOutcome {
+    return { kind: 'elsewhere', leader: this.successor };
   }
 
   /** The right to answer is looked at again when the answer is given. */
   private async whenHeld(leader: Leader, later: Promise<Order[] | null>): Promise<ReportOutcome> {
     const orders = await later;
     const entitled = leader.mayAnswer(this.runtime.clock.now());
-    return orders && entitled ? { kind: 'orders', token: leader.term.token, orders } : NOT_ENTITLED;
+    if (!orders || !entitled) return this.turnedAway();
+    return { kind: 'orders', token: leader.term.token, orders };
   }
 
   /**
--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -9,6 +9,8 @@
 export class DecisionRounds {
   private dirty = true;
   private wakeUp: (() => void) | null = null;
+  /** When the round before this one began. */
+  private lookedAt = -Infinity;
 
   constructor(private readonly leader: Leader) {}
 
@@ -54,10 +56,14 @@
   private round(): void {
     const now = this.leader.now;
     this.dirty = false;
+    const rested = now - this.lookedAt > this.leader.parts.settings.workers.reportMs / 2;
+    this.lookedAt = now;
     this.leader.silentMachines.observe(this.leader.fleet.machines, now);
     if (this.leader.fleet.sweep(now)) void this.refreshZoneDelegates();
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
+      // Who rested may have stood still for a part of it, unnoticed: what came meanwhile is read first.
+      if (rested) return this.touch();
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
       this.leader.parts.silentTerms.resigned();
       this.leader.resign();
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -49,11 +49,16 @@
   unreadTerms: UnreadTerms;
   /** Whether the store serves another controller. */
   othersServed(): boolean;
+  /** Whom workers should report to rather than to this leader; null: nobody. */
+  betterLeader(): string | null;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
 const SILENT_STORE_SHARE = 0.5;
 
+/** How many workers' leases a term lasts at least before office is handed over only to be safer. */
+const SETTLED_LEASES = 2;
+
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
@@ -90,7 +95,8 @@
   constructor(
     readonly parts: LeaderParts,
     readonly term: Term,
-    readonly resign: () => void,
+    /** `successor`: whom the workers are sent to until the next leader is known. */
+    readonly resign: (successor?: string) => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
@@ -210,11 +216,11 @@
     const { runtime } = this.parts;
     const { signal } = this.term;
     const restartMs = this.parts.settings.workers.reportMs;
-    const reading = duty(runtime, 'record reading', signal, restartMs, (s) => this.watchReading(s));
+    const office = duty(runtime, 'office', signal, restartMs, (s) => this.watchOffice(s));
     await this.records.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
-      reading,
+      office,
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
       duty(runtime, 'cancellation query', signal, restartMs, (s) => this.queryCancellations(s)),
@@ -279,8 +285,8 @@
     this.view.completeAt(known.asOf);
   }
 
-  /** Gives office up if another controller can read the records and this one cannot. */
-  private async watchReading(signal: AbortSignal): Promise<void> {
+  /** Gives office up if another controller can do what this one cannot, or is better placed. */
+  private async watchOffice(signal: AbortSignal): Promise<void> {
     const { runtime, othersServed, unreadTerms } = this.parts;
     while (!signal.aborted) {
       const unread = this.term.leased(this.now) && this.unreadRecords.isTooLong(this.now);
@@ -289,10 +295,22 @@
         unreadTerms.resigned();
         this.resign();
       }
+      this.handOver();
       await runtime.clock.sleep(this.lifetimeMs / 10, signal);
     }
   }
 
+  /** Hands office over where silent controllers would cost the workers their leases if this one fell silent. */
+  private handOver(): void {
+    const { settings, runtime } = this.parts;
+    const settled = this.now - this.term.startedAt > settings.workers.leaseMs * SETTLED_LEASES;
+    if (!settled || !this.records.ready || !this.term.leased(this.now)) return;
+    const successor = this.parts.betterLeader();
+    if (successor === null) return;
+    runtime.log.info({ successor }, 'handing over, the next controllers are silent');
+    this.resign(successor);
+  }
+
   private async listMachines(signal: AbortSignal): Promise<void> {
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
--- a/src/election/succession.ts
+++ b/src/election/succession.ts
@@ -11,6 +11,9 @@
 /** A controller speaks to the others once a report interval; after so many it counts as silent. */
 const SILENT_REPORTS = 1.5;
 
+/** For what share of the workers' lease the controllers behind the leader are silent before it hands over. */
+const HAND_OVER_SHARE = 0.5;
+
 /** What is needed to tell which controllers a worker passes, and for how long it may. */
 export interface SuccessionFacts {
   self: string;
@@ -40,10 +43,15 @@
   }
 
   /** A controller that has ended, so that connections to it are refused at once, is not silent. */
-  private isSilent(member: string): boolean {
+  private isSilent(member: string, forMs = this.facts.reportMs * SILENT_REPORTS): boolean {
     if (member === this.facts.self) return false;
     const heardAt = this.peerTransport.lastHeardAt(member);
-    return heardAt !== null && this.clock.now() - heardAt > this.facts.reportMs * SILENT_REPORTS;
+    return heardAt !== null && this.clock.now() - heardAt > forMs;
+  }
+
+  /** Whether it is heard now; one whose connection was closed neither speaks nor is silent. */
+  private speaks(member: string): boolean {
+    return this.peerTransport.lastHeardAt(member) !== null && !this.isSilent(member);
   }
 
   /** How long a worker takes at most to pass so many silent controllers, from its last answered report. */
@@ -57,13 +65,26 @@
   }
 
   /** Whether the workers of this controller would find the next in time if it fell silent. */
-  private isCovered(member: string): boolean {
+  private isCovered(member: string, silentForMs?: number): boolean {
     const at = this.order.indexOf(member);
     const after = [...this.order.slice(at + 1), ...this.order.slice(0, at)];
-    const next = after.findIndex((m) => !this.isSilent(m));
+    const next = after.findIndex((m) => !this.isSilent(m, silentForMs));
     return next >= 0 && this.passingMs(next + 1) < this.facts.leaseMs;
   }
 
+  /**
+   * To whom the leader should hand over, since its workers would not find the next controller in time
+   * if it fell silent and that one's would; null: it should not. `serves`: whether the state service
+   * serves a controller.
+   */
+  handOverTo(serves: (member: string) => boolean): string | null {
+    const { self, leaseMs } = this.facts;
+    if (this.isCovered(self, leaseMs * HAND_OVER_SHARE)) return null;
+    const better = (m: string): boolean =>
+      m !== self && this.speaks(m) && serves(m) && this.isCovered(m);
+    return this.order.find(better) ?? null;
+  }
+
   /**
    * Whether another controller should lead rather than this one, since its workers would find the
    * next one in time and ours would not. `except`: the last leader, which does not contest.
--- a/src/peer/store-reachability.ts
+++ b/src/peer/store-reachability.ts
@@ -26,9 +26,18 @@
     return this.fresh.some((s) => s.serves);
   }
 
+  /** Whether this controller has said lately that the store serves it. */
+  serves(peer: string): boolean {
+    const said = this.said.get(peer);
+    return said !== undefined && said.serves && this.isFresh(said);
+  }
+
+  private isFresh({ at }: { at: number }): boolean {
+    return this.clock.now() - at < this.reportMs * FRESH;
+  }
+
   private get fresh(): { serves: boolean; at: number }[] {
-    const now = this.clock.now();
-    return [...this.said.values()].filter((s) => now - s.at < this.reportMs * FRESH);
+    return [...this.said.values()].filter((s) => this.isFresh(s));
   }
 
   /** `failingSince`: since when no request to the store has been served; null while they are. */
