--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -9,6 +9,8 @@
 export class DecisionRounds {
   private dirty = true;
   private wakeUp: (() => void) | null = null;
+  /** When the round before this one began. */
+  private lookedAt = -Infinity;
 
   constructor(private readonly leader: Leader) {}
 
@@ -54,12 +56,16 @@
   private round(): void {
     const now = this.leader.now;
     this.dirty = false;
+    const rested = now - this.lookedAt > this.leader.parts.settings.workers.reportMs / 2;
+    this.lookedAt = now;
     this.leader.silentMachines.observe(this.leader.fleet.machines, now);
     if (this.leader.fleet.sweep(now)) void this.refreshZoneDelegates();
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
+      // Who rested may have stood still for a part of it, unnoticed: what came meanwhile is read first.
+      if (rested) return this.touch();
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
-      this.leader.parts.silentTerms.resigned(!this.leader.parts.successorHeard());
+      this.leader.parts.silentTerms.resigned(!this.leader.parts.othersServed());
       this.leader.resign();
       return;
     }
@@ -126,8 +132,9 @@
     const { silence, fleet, types, listedOnce: listed, parts } = this.leader;
     if (parts.settings.size === 1) return false;
     const bootMs = Math.max(0, ...[...types.values()].map((t) => t.bootMs));
-    const alone = !parts.successorHeard();
-    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed, alone });
+    const alone = !parts.othersServed();
+    const { searchMs } = parts.succession;
+    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed, alone, searchMs });
   }
 
   /** Work leaves a machine that the cloud takes back or that has proven faulty. */
--- a/src/control/worker-silence.ts
+++ b/src/control/worker-silence.ts
@@ -59,6 +59,18 @@
   }
 }
 
+/** What a leader's patience with silent workers depends on. */
+interface SilenceFacts {
+  /** How long the slowest machine takes to boot, in milliseconds. */
+  bootMs: number;
+  /** The cloud has listed its machines in this term. */
+  listed: boolean;
+  /** No other controller that could lead is heard. */
+  alone: boolean;
+  /** How long workers may take to come here past silent controllers, in milliseconds. */
+  searchMs: number;
+}
+
 /** Tells when a leader should resign since workers may reach other controllers, but do not reach it. */
 export class WorkerSilence {
   private heardAny = false;
@@ -85,23 +97,31 @@
     this.since = now;
   }
 
-  /**
-   * `bootMs`: how long the slowest machine takes to boot; `listed`: the cloud has listed its machines
-   * in this term; `alone`: no other controller that could lead is heard.
-   */
+  /** Whether its workers have been silent for longer than it should wait for them. */
   isTooLong(
     now: number,
     machines: Iterable<Machine>,
-    { bootMs, listed, alone }: { bootMs: number; listed: boolean; alone: boolean },
+    { bootMs, listed, alone, searchMs }: SilenceFacts,
   ): boolean {
     const all = [...machines];
-    const silentFrom = now - this.patienceMs(all, bootMs, alone);
+    const firstMs = this.firstPatienceMs(bootMs, alone, searchMs);
+    const silentFrom = now - (this.heardAny ? this.laterPatienceMs(all) : firstMs);
     if (this.since > silentFrom) return false;
     return all.some((m) => this.mayReportElsewhere(m, silentFrom, listed));
   }
 
-  private patienceMs(machines: Machine[], bootMs: number, alone: boolean): number {
-    if (!this.heardAny) return this.silentTerms.patienceMs(this.workers.leaseMs, bootMs, alone);
+  /**
+   * While it has heard nobody in its term. Who gave up while its workers wait on silent controllers
+   * would turn them away when they come; but if it hears no controller either, it may be cut off from
+   * all, or the only one left, and then it is back in office before they come.
+   */
+  private firstPatienceMs(bootMs: number, alone: boolean, searchMs: number): number {
+    const patienceMs = this.silentTerms.patienceMs(this.workers.leaseMs, bootMs, alone);
+    return alone ? patienceMs : Math.max(searchMs, patienceMs);
+  }
+
+  /** Once it has heard some. */
+  private laterPatienceMs(machines: Machine[]): number {
     const heard = machines.reduce((n, m) => n + (m.heardAt === null ? 0 : 1), 0);
     return this.workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, heard));
   }
--- a/src/peer/store-reachability.ts
+++ b/src/peer/store-reachability.ts
@@ -21,9 +21,23 @@
     this.said.set(peer, { serves, at: this.clock.now() });
   }
 
-  /** Whether another controller has said lately that the store serves it: it could lead. */
-  peerServed(): boolean {
-    return this.lately().some((s) => s.serves);
+  /** Whether any other controller has said lately that the store serves it: it could lead. */
+  get servesOthers(): boolean {
+    return this.fresh.some((s) => s.serves);
+  }
+
+  /** Whether this controller has said lately that the store serves it. */
+  serves(peer: string): boolean {
+    const said = this.said.get(peer);
+    return said !== undefined && said.serves && this.isFresh(said);
+  }
+
+  private isFresh({ at }: { at: number }): boolean {
+    return this.clock.now() - at < this.reportMs * FRESH;
+  }
+
+  private get fresh(): { serves: boolean; at: number }[] {
+    return [...this.said.values()].filter((s) => this.isFresh(s));
   }
 
   /** `failingSince`: since when no request to the store has been served; null while they are. */
@@ -32,14 +46,9 @@
     if (failingSince === null || now - failingSince < this.reportMs) return false;
     if (this.said.size === 0) return false;
     // Who no longer hears any of those that it heard is cut off from them as well.
-    const fresh = this.lately();
+    const { fresh } = this;
     // In an outage a peer may need a while to notice: only what it says later counts.
     const later = failingSince + this.reportMs;
     return fresh.length === 0 || fresh.some((s) => s.serves && s.at > later);
   }
-
-  private lately(): { serves: boolean; at: number }[] {
-    const now = this.clock.now();
-    return [...this.said.values()].filter((s) => now - s.at < this.reportMs * FRESH);
-  }
 }
