A round of decisions takes in as many waiting jobs as a slow controller has time for

Change: a round looks at the first of the waiting jobs in the scheduler's order, at most 50 in the first round of a term; twice as many after a short one, half as many after one of more than an eighth of the leader lease, never less than 25. The others count for their teams' guarantees as before; no machine goes back while some are left out. Tests: round-size.test.ts.

--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -3,6 +3,7 @@
 import { plan } from '../scheduler/plan.js';
 import { checkTimeout, gateBootMs } from './gang-gate.js';
 import type { Leader } from './leader.js';
+import { RoundSize } from './round-size.js';
 import { takeSnapshot } from './snapshot.js';
 
 /** Rounds of decisions: what starts, what makes way, what is rented and given back. */
@@ -10,6 +11,8 @@
   private dirty = true;
   private wakeUp: (() => void) | null = null;
 
+  private readonly size = new RoundSize(() => this.leader.lifetimeMs);
+
   constructor(private readonly leader: Leader) {}
 
   /** Something changed that the next round of decisions should see. */
@@ -75,9 +78,14 @@
     // Before the first reports and the list are in, free machines look missing.
     const settled =
       now - this.leader.term.startedAt > this.leader.parts.settings.workers.reportMs * 3;
-    const snapshot = takeSnapshot(this.leader, now);
+    const whole = takeSnapshot(this.leader, now);
+    const snapshot = this.size.limit(whole);
+    const plannedAt = this.leader.now;
     const result = plan(snapshot);
+    // What was left out may need them.
+    if (snapshot !== whole) result.spare = [];
     this.carryOut(result, now, settled && this.leader.listedOnce);
+    this.size.took(this.leader.now - plannedAt);
     this.logRound(snapshot, result, this.leader.now - now);
   }
 
--- /dev/null
+++ b/test/round-size.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RoundSize } from '../src/control/round-size.js';
+import type { JobView, Snapshot } from '../src/scheduler/model.js';
+import { withinGuarantee } from '../src/scheduler/order.js';
+import { SPEC, TYPE } from './fakes/samples.js';
+
+const LEASE_MS = 3000;
+
+/** So many jobs of one team; the later ones are the more urgent. */
+function waitingJobs(count: number, view: Partial<JobView> = {}): Snapshot {
+  const jobs = Array.from({ length: count }, (_, i): JobView => {
+    const name = { id: `req-${i}`, spec: SPEC, priority: SPEC.priority, readyAt: i };
+    const due = { dueAt: count - i, waiting: 1, unfinished: 1, patient: false };
+    const none = { zones: new Map(), avoid: new Set<string>(), gang: null };
+    return { ...name, ...due, ...none, admissible: true, onTrial: false, ...view };
+  });
+  const guarantee = { cpus: 0, gpus: count * 10 };
+  const limit = { cpus: Infinity, gpus: Infinity };
+  const teams = new Map([[SPEC.team, { guarantee, limit, used: { cpus: 0, gpus: 0 } }]]);
+  const nothing = { machines: [], upcoming: [], offers: [], victims: [], movable: [] };
+  return { ...nothing, jobs, teams, types: [TYPE], leavingCpus: 0, gateShut: false };
+}
+
+const taken = (size: RoundSize, snapshot: Snapshot): JobView[] =>
+  size.limit(snapshot).jobs.filter((job) => job.waiting > 0);
+
+test('a new leader begins with the first jobs in order, and the others keep their claims', () => {
+  const snapshot = waitingJobs(400);
+  const size = new RoundSize(() => LEASE_MS);
+  const first = taken(size, snapshot);
+  assert.equal(first.length, 50);
+  assert.ok(first.every((job) => job.dueAt <= 50));
+  const { jobs, teams } = size.limit(snapshot);
+  assert.equal(jobs.length, 400);
+  assert.deepEqual(withinGuarantee(jobs, teams), withinGuarantee(snapshot.jobs, teams));
+});
+
+test('rounds take in more jobs while they are short, and fewer after one that was long', () => {
+  const snapshot = waitingJobs(400);
+  const size = new RoundSize(() => LEASE_MS);
+  for (const expected of [100, 200, 400]) {
+    size.took(20);
+    assert.equal(taken(size, snapshot).length, expected);
+  }
+  assert.equal(size.limit(snapshot), snapshot);
+  size.took(LEASE_MS / 2);
+  assert.equal(taken(size, snapshot).length, 200);
+  for (let i = 0; i < 9; i++) size.took(LEASE_MS / 2);
+  assert.equal(taken(size, snapshot).length, 25);
+  // Neither long nor short: jobs further behind get their turn all the same.
+  size.took(LEASE_MS / 10);
+  assert.equal(taken(size, snapshot).length, 50);
+});
+
+test('jobs that may not be placed now take nobody a place in the round', () => {
+  const blocked = waitingJobs(60, { admissible: false, priority: 0 });
+  const snapshot = waitingJobs(50);
+  const size = new RoundSize(() => LEASE_MS);
+  const both = { ...snapshot, jobs: [...blocked.jobs, ...snapshot.jobs] };
+  assert.equal(taken(size, both).filter((job) => job.admissible).length, 50);
+});
