--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -3,6 +3,7 @@
 import { plan } from '../scheduler/plan.js';
 import { checkTimeout, gateBootMs } from './gang-gate.js';
 import type { Leader } from './leader.js';
+import { RoundSize } from './round-size.js';
 import { takeSnapshot } from './snapshot.js';
 
 /** Rounds of decisions: what starts, what makes way, what is rented and given back. */
@@ -12,6 +13,8 @@
   /** When the round before this one began. */
   private lookedAt = -Infinity;
 
+  private readonly size = new RoundSize(() => this.leader.lifetimeMs);
+
   constructor(private readonly leader: Leader) {}
 
   /** Something changed that the next round of decisions should see. */
@@ -81,14 +84,22 @@
     // Before the first reports and the list are in, free machines look missing.
     const settled =
       now - this.leader.term.startedAt > this.leader.parts.settings.workers.reportMs * 3;
-    const snapshot = takeSnapshot(this.leader, now);
+    const whole = takeSnapshot(this.leader, now);
+    const snapshot = this.size.limit(whole);
     // Of these the round keeps its own count, which goes on while it decides.
     const used = new Map(
       [...snapshot.teams].map(([name, t]) => [name, { ...t, used: { ...t.used } }]),
     );
+    const plannedAt = this.leader.now;
     const result = plan(snapshot);
     this.leader.teamLimits.observe(result.heldBack, used, now);
+    // What was left out may need them.
+    if (snapshot !== whole) {
+      result.spare = [];
+      result.clearable = [];
+    }
     this.carryOut(result, now, settled && this.leader.listedOnce);
+    this.size.took(this.leader.now - plannedAt);
     this.logRound(snapshot, result, this.leader.now - now);
   }
 
