Job records are read page by page at a takeover, in bounded memory

Cause: a new leader read all job records into one list before it took any in, and remembered every job that was over until all were read. Final states are kept for ever, so what a takeover needs grew with all jobs there ever were. Run records are read first now: nobody but us writes them while our leader key is there, whatever the order. So of the jobs that are over only those with run records are remembered, and the rest is trimmed while it is read; what is dropped is read again when a job needs it, as before. The view of cancellations still counts from when the first page was asked for.

--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -68,7 +68,6 @@
     const jobs = this.recovering ?? [];
     this.recovering = null;
     for (const [job, needs] of jobs) this.begin(job, needs);
-    this.trim();
   }
 
   /** A job whose record names dependencies: it waits until they are known to be done. */
@@ -85,8 +84,9 @@
     if (phase === 'open') return;
     this.over.delete(id);
     this.over.set(id, { phase, doneAt });
-    if (this.recovering) return;
+    // Also while the records are read: what is dropped is read again where a job needs it.
     this.trim();
+    if (this.recovering) return;
     const own = this.leader.jobs.get(id);
     if (own) this.forget(own);
     this.removePieces(id);
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -3,7 +3,8 @@
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { readRuns } from '../jobs/run-reader.js';
 import { RECORD_FORMATS } from '../membership/membership.js';
-import { jobOfKey, KEYS } from '../state/keys.js';
+import { MOST_CANCELLATIONS } from '../peer/frames.js';
+import { jobOfKey, jobOfRunKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
@@ -17,7 +18,9 @@
   private revision = 0;
   /** Jobs announced as cancelled before the records were read. */
   private readonly announced = new Set<string>();
-  /** Jobs of which the store held only the final state when the records were read. */
+  /** Jobs with run records when those were read. */
+  private withRuns: ReadonlySet<string> = new Set();
+  /** Those of them of which the store held only the final state. */
   private readonly over = new Set<string>();
 
   constructor(private readonly leader: Leader) {
@@ -39,25 +42,26 @@
     const { store, runtime } = this.leader.parts;
     for (;;) {
       try {
-        const sentAt = this.leader.now;
-        const jobs = await store.range(KEYS.jobs, signal);
+        // Nobody but us writes run records while our leader key is there, so they may be read before the
+        // jobs; of the many jobs that are over only those with run records have to be remembered then.
         const runs = await store.range(KEYS.runs, signal);
+        const sentAt = this.leader.now;
+        const revision = await this.readJobs(runs.items, signal);
         const rentals = await store.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.refresh(signal);
         await this.leader.parts.membership.refresh(signal);
-        this.leader.jobs.clear();
-        this.leader.dependencies.clear();
-        for (const e of jobs.items) this.onJobEntry(e);
         this.restoreRuns(runs.items);
         for (const e of rentals.items) {
           this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
         }
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         for (const id of this.announced) this.announceCancelled(id);
-        this.revision = jobs.revision;
+        this.revision = revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.withRuns = new Set();
         this.over.clear();
+        this.announced.clear();
         this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
         runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
@@ -70,6 +74,19 @@
     }
   }
 
+  /** Takes in all job records, page by page; answers the revision from which to follow them. */
+  private async readJobs(runs: Entry[], signal: AbortSignal): Promise<number> {
+    this.leader.jobs.clear();
+    this.leader.dependencies.clear();
+    this.over.clear();
+    this.withRuns = new Set(runs.map((e) => jobOfRunKey(e.key)));
+    return this.leader.parts.store.eachPage(
+      KEYS.jobs,
+      (page) => page.forEach((e) => this.onJobEntry(e)),
+      signal,
+    );
+  }
+
   private restoreRuns(entries: Entry[]): void {
     const { runtime, store } = this.leader.parts;
     const perRange = tasksPerRange(store.limits.smallest().valueBytes);
@@ -128,9 +145,11 @@
   private async reread(signal: AbortSignal): Promise<boolean> {
     const sentAt = this.leader.now;
     try {
-      const all = await this.leader.parts.store.range(KEYS.jobs, signal);
-      for (const e of all.items) this.onJobEntry(e);
-      this.revision = all.revision;
+      this.revision = await this.leader.parts.store.eachPage(
+        KEYS.jobs,
+        (page) => page.forEach((e) => this.onJobEntry(e)),
+        signal,
+      );
       this.leader.view.completeAt(sentAt);
       return true;
     } catch {
@@ -140,7 +159,8 @@
 
   /** A user was told that the job is cancelled; the store's own news of it may take longer. */
   announceCancelled(id: string): void {
-    if (!this.ready) this.announced.add(id);
+    // Every one of them is in the store: what is dropped here is read there.
+    if (!this.ready && this.announced.size < MOST_CANCELLATIONS) this.announced.add(id);
     const job = this.leader.jobs.get(id);
     if (job?.phase !== 'open') return;
     job.cancelAnnounced = true;
@@ -160,7 +180,7 @@
     const known = this.leader.jobs.get(id);
     if (!known) {
       if (!record.spec || record.at === undefined) {
-        if (!this.ready && record.phase !== 'open') this.over.add(id);
+        if (record.phase !== 'open' && this.withRuns.has(id)) this.over.add(id);
         this.leader.dependencies.ended(id, record.phase, record.doneAt ?? null);
         return;
       }
--- a/src/jobs/run-reader.ts
+++ b/src/jobs/run-reader.ts
@@ -1,4 +1,4 @@
-import { parseRunKey } from '../state/keys.js';
+import { jobOfRunKey, parseRunKey } from '../state/keys.js';
 import type { Entry } from '../state/store.js';
 import type { Job, StoredRuns } from './tracked-job.js';
 import { parseRangedRun, parseRun } from './records.js';
@@ -14,7 +14,7 @@
   const runs = new Map<Job, StoredRuns>();
   const unreadable: ReadRuns['unreadable'] = [];
   for (const entry of entries) {
-    const id = entry.key.split('/')[1] ?? '';
+    const id = jobOfRunKey(entry.key);
     const job = jobOf(id);
     const stored = job && (runs.get(job) ?? { indexed: [], ranged: [] });
     if (!job || !stored || !take(entry, job, stored)) {
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -37,4 +37,7 @@
   return { job: match[1]!, kind: match[2] ? 'ranged' : 'indexed', number: Number(match[3]) };
 }
 
+/** The job that a run record belongs to, whether or not the rest of its key can be read. */
+export const jobOfRunKey = (key: string): string => key.split('/')[1] ?? '';
+
 export const jobOfKey = (key: string): string => key.slice(KEYS.jobs.length);
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -169,14 +169,27 @@
     signal?: AbortSignal,
   ): Promise<{ items: wire.Entry[]; revision: number }> {
     const items: wire.Entry[] = [];
+    const revision = await this.eachPage(prefix, (page) => void items.push(...page), signal);
+    return { items, revision };
+  }
+
+  /**
+   * Hands over the entries below `prefix` page by page, so that no more than one page is in memory;
+   * answers the revision from which to follow them.
+   */
+  async eachPage(
+    prefix: string,
+    take: (items: wire.Entry[]) => void,
+    signal?: AbortSignal,
+  ): Promise<number> {
     let after: string | null = null;
     // Changes made while later pages are read are seen again by following from the first page on.
     let revision: number | null = null;
     for (;;) {
       const page: wire.RangePage = await this.page(prefix, after, wire.RANGE_PAGE, signal);
       revision ??= page.revision;
-      items.push(...page.items);
-      if (!page.more || page.items.length === 0) return { items, revision };
+      take(page.items);
+      if (!page.more || page.items.length === 0) return revision;
       after = page.items[page.items.length - 1]!.key;
     }
   }
