One adaptive size in the store's limits for submissions, comparisons and deletes of pieces

Acceptance halved limits by its own count, comparisons and the deletes of pieces each for themselves. StoreLimits holds an AdaptiveSize for each thing that is sized: keys compared, changes of pieces, bytes of submissions. What a refused delete teaches now holds for the pieces of submissions as well, and the other way round; all else behaves as before.

--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -254,9 +254,9 @@
     const { term } = this.leader;
     const when = [{ key: KEYS.leader, version: term.token }];
     const keys = Array.from({ length: pieces }, (_, i) => KEYS.need(id, mark, i));
-    let most = store.limits.smallest().txnOps;
+    const { pieceChanges } = store.limits;
     while (keys.length > 0) {
-      const then = keys.slice(0, most).map((key) => ({ delete: key }));
+      const then = keys.slice(0, pieceChanges.current).map((key) => ({ delete: key }));
       try {
         const outcome = await store.commit(when, then, 2, term.signal);
         if (!outcome.ok) return;
@@ -264,7 +264,7 @@
       } catch (error) {
         // The store takes fewer changes than any limit that was announced.
         if (!isRefusedSize(error) || then.length === 1) throw error;
-        most = then.length >> 1;
+        pieceChanges.refused(then.length);
       }
     }
   }
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -8,12 +8,6 @@
 import type { JobRecord } from './records.js';
 import { commitForUser, hedged, type RequestWaits } from './user-requests.js';
 
-/**
- * How many times the limits that are laid out for are halved after refusals, where the store takes
- * less than what is announced, before a job is called too large.
- */
-const MOST_HALVINGS = 3;
-
 /** What became of a submission that was not in the store when it came. */
 export type Accepted =
   | { kind: 'added' }
@@ -30,9 +24,6 @@
  * accept the same job at once end in one.
  */
 export class Acceptance {
-  /** How many times the limits have been halved so far; it holds for later submissions too. */
-  private halvings = 0;
-
   constructor(
     private readonly store: Store,
     private readonly states: JobStates,
@@ -47,25 +38,25 @@
     const unknown = await this.unknownDependency(id, dependencies, signal);
     if (unknown !== null) return { kind: 'unknown dependency', id: unknown };
     for (;;) {
-      const { halvings } = this;
+      const limits = this.writeLimits;
       try {
-        return await this.write({ id, spec, dependencies }, signal);
+        return await this.write({ id, spec, dependencies }, limits, signal);
       } catch (error) {
         // Sent away with a 503, the user would come back with the same for ever.
         if (!isRefusedSize(error)) throw error;
-        if (halvings >= MOST_HALVINGS) return { kind: 'too large' };
-        this.halvings = Math.max(this.halvings, halvings + 1);
-        this.runtime.log.warn({ job: id, halvings: this.halvings }, 'store refused a submission');
+        const { valueBytes, txnOps } = limits;
+        if (!this.store.limits.submissionRefused(valueBytes, txnOps)) return { kind: 'too large' };
+        this.runtime.log.warn({ job: id, valueBytes }, 'store refused a submission');
       }
     }
   }
 
   private async write(
     { id, spec, dependencies }: Submission,
+    limits: WriteLimits,
     signal: AbortSignal,
   ): Promise<Accepted> {
     const { clock, random } = this.runtime;
-    const limits = this.writeLimits;
     const { needs, pieces } = layOutDependencies(id, dependencies, limits);
     const record: JobRecord = {
       w: random.unique(),
@@ -131,8 +122,7 @@
 
   /** Pieces are never written anew: they are laid out for the smallest limits there will be. */
   private get writeLimits(): WriteLimits {
-    const { valueBytes, txnOps } = this.store.limits.smallest();
-    const share = 1 / 2 ** this.halvings;
-    return { valueBytes: valueBytes * share, txnOps: Math.max(1, Math.floor(txnOps * share)) };
+    const { submittedBytes, pieceChanges } = this.store.limits;
+    return { valueBytes: submittedBytes.current, txnOps: pieceChanges.current };
   }
 }
--- a/src/jobs/state-comparisons.ts
+++ b/src/jobs/state-comparisons.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '../runtime/clock.js';
 import { KEYS } from '../state/keys.js';
-import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
 import { isRefusedSize, type Condition, type RequestClass, type Store } from '../state/store.js';
 import type { JobState } from './job-states.js';
 import { HEDGE_SHARE, hedged, Overloaded } from './user-requests.js';
@@ -45,8 +44,6 @@
 export class StateComparisons {
   private asking = new Map<string, Waiter[]>();
   private comparing = false;
-  /** The store refused comparisons of more jobs than this, though the known limits allow them. */
-  private mostCompared = Infinity;
 
   constructor(
     private readonly store: Store,
@@ -80,8 +77,7 @@
   /** How many jobs one comparison takes. */
   get mostConditions(): number {
     // Looked up each time: a refusal of the last comparison may have lowered it.
-    const known = this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
-    return Math.min(known, this.mostCompared);
+    return this.store.limits.comparedKeys.current;
   }
 
   /** How long one more question would wait for its comparison to be sent, in milliseconds. */
@@ -143,7 +139,7 @@
    * announcement; refused for good, the jobs that are asked for together would look forgotten.
    */
   private compareInSmaller(batch: Question[]): void {
-    if (batch.length <= this.mostConditions) this.mostCompared = batch.length >> 1;
+    this.store.limits.comparedKeys.refused(batch.length);
     for (const [id, waiters] of batch) this.ask(id, waiters);
   }
 
--- a/src/state/limits.ts
+++ b/src/state/limits.ts
@@ -15,6 +15,33 @@
 /** How many conditions a transaction may have for each put or delete that it may have. */
 export const CONDITIONS_PER_OPERATION = 4;
 
+/**
+ * A size up to which the store takes something. It begins with what is announced, and is halved with
+ * every refusal: where the store takes less than anybody said, nothing else tells how much. What it
+ * was halved to holds for all that is made after it.
+ */
+export class AdaptiveSize {
+  private learned = Infinity;
+
+  /** @param announced the announced size, which may fall at any time */
+  constructor(private readonly announced: () => number) {}
+
+  get current(): number {
+    return Math.min(this.announced(), this.learned);
+  }
+
+  /** Something of this size was refused for good; one that no longer counts changes nothing. */
+  refused(size: number): void {
+    if (size <= this.current) this.learned = Math.max(1, Math.floor(size / 2));
+  }
+}
+
+/**
+ * How many times values and changes of submissions are made half as large as announced before a job
+ * is called too large.
+ */
+const MOST_HALVINGS = 3;
+
 /**
  * The limits of the store as this controller knows them. The settings may announce smaller ones
  * that the store will have from some unknown moment on (`state.next`). The announced limits are
@@ -26,6 +53,14 @@
   readonly changed = new Subject<void>();
   private readonly announced: Limits;
   private lowered = false;
+  /** How many keys one comparison takes. */
+  readonly comparedKeys = new AdaptiveSize(
+    () => this.effective().txnOps * CONDITIONS_PER_OPERATION,
+  );
+  /** How many changes a transaction of pieces takes; they are laid out for the limits to come. */
+  readonly pieceChanges = new AdaptiveSize(() => this.smallest().txnOps);
+  /** How many bytes of a value submissions are laid out for. */
+  readonly submittedBytes = new AdaptiveSize(() => this.smallest().valueBytes);
 
   constructor(
     private readonly current: Limits,
@@ -51,6 +86,17 @@
     return this.announced;
   }
 
+  /**
+   * A submission laid out for these sizes was refused for good, whichever of them it was for; false if
+   * nothing smaller is worth a try.
+   */
+  submissionRefused(valueBytes: number, changes: number): boolean {
+    if (valueBytes * 2 ** MOST_HALVINGS <= this.smallest().valueBytes) return false;
+    this.submittedBytes.refused(valueBytes);
+    this.pieceChanges.refused(changes);
+    return true;
+  }
+
   /** True if values or transactions will have to be smaller than now. */
   get recordsMustShrink(): boolean {
     return (
