Connections of probes give way again: they filled the sockets kept free

Supposed, not traced: each probe may come on a connection of its own, which stayed for 75 s and took a socket of the reserve.

--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -37,11 +37,6 @@
     return this.open.size > this.most;
   }
 
-  /** It is not a user's, and never gives way: the load balancer's probes come on it. */
-  keeps(socket: Socket): void {
-    this.idle.delete(socket);
-  }
-
   /** A user asks something on it; false if it has been closed for asking too much at once. */
   busy(socket: Socket): boolean {
     this.idle.delete(socket);
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -140,13 +140,10 @@
   const app = createApp(service, log, () => connections.crowded);
   const http = createServer((req: IncomingMessage, res: ServerResponse) => {
     const { socket } = req;
-    if (req.url === READY_PATH) {
-      connections.keeps(socket);
-      return app(req, res);
-    }
     if (!connections.busy(socket)) return;
     res.once('close', () => connections.rests(socket));
-    if (connections.crowded) res.setHeader('connection', 'close');
+    // A probe of the load balancer tells nothing about the connections of users.
+    if (connections.crowded && req.url !== READY_PATH) res.setHeader('connection', 'close');
     app(req, res);
   });
   http.keepAliveTimeout = KEEP_ALIVE_MS;
