--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -51,9 +51,7 @@
         await this.leader.zoneDelegates.refresh(signal);
         await this.leader.parts.membership.refresh(signal);
         this.restoreRuns(runs.items);
-        for (const e of rentals.items) {
-          this.leader.rentals.restore(e.key.slice(KEYS.rentals.length), e.value);
-        }
+        for (const e of rentals.items) this.leader.rentals.restore(e);
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         for (const id of this.announced) this.announceCancelled(id);
         this.revision = revision;
