--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -68,7 +68,6 @@
     const jobs = this.recovering ?? [];
     this.recovering = null;
     for (const [job, needs] of jobs) this.begin(job, needs);
-    this.trim();
   }
 
   /** A job whose record names dependencies: it waits until they are known to be done. */
@@ -85,8 +84,9 @@
     if (phase === 'open') return;
     this.over.delete(id);
     this.over.set(id, { phase, doneAt });
-    if (this.recovering) return;
+    // Also while the records are read: what is dropped is read again where a job needs it.
     this.trim();
+    if (this.recovering) return;
     const own = this.leader.jobs.get(id);
     if (own) this.forget(own);
     this.removePieces(id);
@@ -254,9 +254,9 @@
     const { term } = this.leader;
     const when = [{ key: KEYS.leader, version: term.token }];
     const keys = Array.from({ length: pieces }, (_, i) => KEYS.need(id, mark, i));
-    let most = store.limits.smallest().txnOps;
+    const { pieceChanges } = store.limits;
     while (keys.length > 0) {
-      const then = keys.slice(0, most).map((key) => ({ delete: key }));
+      const then = keys.slice(0, pieceChanges.current).map((key) => ({ delete: key }));
       try {
         const outcome = await store.commit(when, then, 2, term.signal);
         if (!outcome.ok) return;
@@ -264,7 +264,7 @@
       } catch (error) {
         // The store takes fewer changes than any limit that was announced.
         if (!isRefusedSize(error) || then.length === 1) throw error;
-        most = then.length >> 1;
+        pieceChanges.refused(then.length);
       }
     }
   }
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -27,6 +27,9 @@
   readonly sent: Sent[] = [];
   /** What happens to a request of a node on its way. */
   fate: (sent: Sent) => Fate = () => 'serve';
+  /** What the leader says of open jobs, and by how much timers are late. */
+  openJobs = 0;
+  lagMs = 0;
   private readonly apis: JobApi[] = [];
   private lives = 0;
 
@@ -61,8 +64,12 @@
       { types } as unknown as Catalogue,
       changed,
       runtime,
-      () => null,
-      () => undefined,
+      {
+        counts: () => null,
+        openJobs: () => this.openJobs,
+        lagMs: () => this.lagMs,
+        cancelled: () => undefined,
+      },
       { submitMs: SUBMIT_MS, pollMs: POLL_MS },
     );
   }
