--- a/src/control/decision-rounds.ts
+++ b/src/control/decision-rounds.ts
@@ -3,12 +3,17 @@
 import { plan } from '../scheduler/plan.js';
 import { checkTimeout, gateBootMs } from './gang-gate.js';
 import type { Leader } from './leader.js';
+import { RoundSize } from './round-size.js';
 import { takeSnapshot } from './snapshot.js';
 
 /** Rounds of decisions: what starts, what makes way, what is rented and given back. */
 export class DecisionRounds {
   private dirty = true;
   private wakeUp: (() => void) | null = null;
+  /** When the round before this one began. */
+  private lookedAt = -Infinity;
+
+  private readonly size = new RoundSize(() => this.leader.lifetimeMs);
 
   constructor(private readonly leader: Leader) {}
 
@@ -54,12 +59,16 @@
   private round(): void {
     const now = this.leader.now;
     this.dirty = false;
+    const rested = now - this.lookedAt > this.leader.parts.settings.workers.reportMs / 2;
+    this.lookedAt = now;
     this.leader.silentMachines.observe(this.leader.fleet.machines, now);
     if (this.leader.fleet.sweep(now)) void this.refreshZoneDelegates();
     if (!this.leader.term.leased(now)) return;
     if (this.deserted(now)) {
+      // Who rested may have stood still for a part of it, unnoticed: what came meanwhile is read first.
+      if (rested) return this.touch();
       this.leader.parts.runtime.log.warn({}, 'no worker reports any more, resigning');
-      this.leader.parts.silentTerms.resigned();
+      this.leader.parts.silentTerms.resigned(!this.leader.parts.othersServed());
       this.leader.resign();
       return;
     }
@@ -75,9 +84,22 @@
     // Before the first reports and the list are in, free machines look missing.
     const settled =
       now - this.leader.term.startedAt > this.leader.parts.settings.workers.reportMs * 3;
-    const snapshot = takeSnapshot(this.leader, now);
+    const whole = takeSnapshot(this.leader, now);
+    const snapshot = this.size.limit(whole);
+    // Of these the round keeps its own count, which goes on while it decides.
+    const used = new Map(
+      [...snapshot.teams].map(([name, t]) => [name, { ...t, used: { ...t.used } }]),
+    );
+    const plannedAt = this.leader.now;
     const result = plan(snapshot);
+    this.leader.teamLimits.observe(result.heldBack, used, now);
+    // What was left out may need them.
+    if (snapshot !== whole) {
+      result.spare = [];
+      result.clearable = [];
+    }
     this.carryOut(result, now, settled && this.leader.listedOnce);
+    this.size.took(this.leader.now - plannedAt);
     this.logRound(snapshot, result, this.leader.now - now);
   }
 
@@ -99,6 +121,7 @@
         spare: result.spare.length,
         gate: snapshot.gateShut,
         teams: Object.fromEntries([...snapshot.teams].map(([name, t]) => [name, t.used.gpus])),
+        heldBack: Object.fromEntries(result.heldBack),
         writesWaiting: this.leader.parts.store.writesWaiting,
         tookMs,
       },
@@ -120,7 +143,9 @@
     const { silence, fleet, types, listedOnce: listed, parts } = this.leader;
     if (parts.settings.size === 1) return false;
     const bootMs = Math.max(0, ...[...types.values()].map((t) => t.bootMs));
-    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed });
+    const alone = !parts.othersServed();
+    const { searchMs } = parts.succession;
+    return silence.isTooLong(now, fleet.machines.values(), { bootMs, listed, alone, searchMs });
   }
 
   /** Work leaves a machine that the cloud takes back, has proven faulty or is to go back. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -1,4 +1,5 @@
 import { ZoneDelegateWatch, zoneDelegateRightMs } from '../election/zone-delegate.js';
+import type { Succession } from '../election/succession.js';
 import type { Term } from '../election/term.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
@@ -29,6 +30,8 @@
 import { SilentMachines } from './silent-machines.js';
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
+import { TeamLimits } from './team-limits.js';
+import { UnreadRecords, type UnreadTerms } from './unread-records.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
 export interface LeaderParts {
@@ -43,11 +46,20 @@
   cloudTimeoutMs: number;
   cancellationQuery: CancellationQuery;
   silentTerms: SilentTerms;
+  succession: Succession;
+  unreadTerms: UnreadTerms;
+  /** Whether the store serves another controller, which could lead. */
+  othersServed(): boolean;
+  /** Whom workers should report to rather than to this leader; null: nobody. */
+  betterLeader(): string | null;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
 const SILENT_STORE_SHARE = 0.5;
 
+/** How many workers' leases a term lasts at least before office is handed over only to be safer. */
+const SETTLED_LEASES = 2;
+
 /** Prices move by up to a third and slowly; a call each half minute does not weigh on any cloud. */
 const PRICES_MS = 30_000;
 
@@ -65,7 +77,9 @@
   readonly lifetimeMs: number;
   readonly view: CancellationView;
   readonly silence: WorkerSilence;
+  readonly unreadRecords: UnreadRecords;
   readonly silentMachines: SilentMachines;
+  readonly teamLimits: TeamLimits;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -83,12 +97,14 @@
   constructor(
     readonly parts: LeaderParts,
     readonly term: Term,
-    readonly resign: () => void,
+    /** `successor`: whom the workers are sent to until the next leader is known. */
+    readonly resign: (successor?: string) => void,
   ) {
     const { settings, runtime, store, cloud } = parts;
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
     this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
     this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
+    this.unreadRecords = new UnreadRecords(term.startedAt, this.lifetimeMs, parts.unreadTerms);
     this.zoneDelegates = new ZoneDelegateWatch(
       store,
       runtime,
@@ -105,9 +121,10 @@
       settings.workers.leaseMs,
       this.zoneDelegates,
     );
-    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m) =>
-      this.fleet.silentFrom(m),
+    this.silentMachines = new SilentMachines(runtime.log, settings.workers.leaseMs, (m, now) =>
+      this.fleet.leaseRanOut(m, now),
     );
+    this.teamLimits = new TeamLimits(runtime.log, settings.workers.reportMs);
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
       rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
@@ -160,6 +177,7 @@
       runtime,
       term,
       settings.workers.reportMs,
+      settings.machine.sockets,
       (r) => {
         this.fleet.direct(r);
       },
@@ -202,9 +220,11 @@
     const { runtime } = this.parts;
     const { signal } = this.term;
     const restartMs = this.parts.settings.workers.reportMs;
+    const office = duty(runtime, 'office', signal, restartMs, (s) => this.watchOffice(s));
     await this.records.recover(signal);
     if (signal.aborted) return;
     await Promise.all([
+      office,
       duty(runtime, 'held reports', signal, restartMs, (s) => this.longPoll.run(s)),
       duty(runtime, 'follow jobs', signal, restartMs, (s) => this.records.follow(s)),
       duty(runtime, 'cancellation query', signal, restartMs, (s) => this.queryCancellations(s)),
@@ -269,6 +289,32 @@
     this.view.completeAt(known.asOf);
   }
 
+  /** Gives office up if another controller can do what this one cannot, or is better placed. */
+  private async watchOffice(signal: AbortSignal): Promise<void> {
+    const { runtime, othersServed, unreadTerms } = this.parts;
+    while (!signal.aborted) {
+      const unread = this.term.leased(this.now) && this.unreadRecords.isTooLong(this.now);
+      if (unread && othersServed()) {
+        runtime.log.warn({}, 'the records cannot be read, resigning');
+        unreadTerms.resigned();
+        this.resign();
+      }
+      this.handOver();
+      await runtime.clock.sleep(this.lifetimeMs / 10, signal);
+    }
+  }
+
+  /** Hands office over where silent controllers would cost the workers their leases if this one fell silent. */
+  private handOver(): void {
+    const { settings, runtime } = this.parts;
+    const settled = this.now - this.term.startedAt > settings.workers.leaseMs * SETTLED_LEASES;
+    if (!settled || !this.records.ready || !this.term.leased(this.now)) return;
+    const successor = this.parts.betterLeader();
+    if (successor === null) return;
+    runtime.log.info({ successor }, 'handing over, the next controllers are silent');
+    this.resign(successor);
+  }
+
   private async listMachines(signal: AbortSignal): Promise<void> {
     const { settings, runtime } = this.parts;
     while (!signal.aborted) {
--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -12,11 +12,19 @@
   readonly peers: string[];
   /** When a peer's process began, by our clock; null if it has not been heard. */
   startedAt(peer: string): number | null;
+  /**
+   * When a peer last said anything, in milliseconds of our clock; the start of our process if it
+   * never did. Null if its connection has been closed since: its process ended, or will be back.
+   */
+  lastHeardAt(peer: string): number | null;
 }
 
 /** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
 const MOST_BUFFERED = 512 * 1024;
 
+/** A peer's connection, the one that replaces it, and a stranger's. */
+const CONNECTIONS_PER_PEER = 3;
+
 /**
  * One connection to each other controller, for what we say; what they say comes on theirs. All of
  * it is advice or is asked for again, so a lost connection costs a retry and nothing else.
@@ -25,7 +33,12 @@
   readonly heard = new Subject<{ from: string; message: Message }>();
   readonly peers: string[];
   private readonly out = new Map<string, Socket>();
+  /** The connection on which each peer speaks; null: the peer has closed it. */
+  private readonly incoming = new Map<string, Socket | null>();
+  /** What a message looks like on the wire: most go to every peer. */
+  private readonly encoded = new WeakMap<Message, Buffer>();
   private readonly starts = new Map<string, number>();
+  private readonly lastHeard = new Map<string, number>();
 
   constructor(
     private readonly settings: Settings,
@@ -53,16 +66,24 @@
       socket.destroy();
       return;
     }
-    socket.write(encode(message));
+    let bytes = this.encoded.get(message);
+    if (!bytes) this.encoded.set(message, (bytes = encode(message)));
+    socket.write(bytes);
   }
 
   startedAt(peer: string): number | null {
     return this.starts.get(peer) ?? null;
   }
 
+  lastHeardAt(peer: string): number | null {
+    if (this.incoming.get(peer) === null) return null;
+    return this.lastHeard.get(peer) ?? this.runtime.startedAt;
+  }
+
   private accept(signal: AbortSignal): Promise<void> {
     const [host, port] = split(this.settings.peerAddress);
     const server = createServer((socket) => this.listenTo(socket, signal));
+    server.maxConnections = this.peers.length * CONNECTIONS_PER_PEER;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.once('close', resolve);
@@ -74,17 +95,32 @@
   private listenTo(socket: Socket, signal: AbortSignal): void {
     const decoder = new Decoder();
     let from: string | null = null;
+    let silent = false;
     const end = (): void => void socket.destroy();
     signal.addEventListener('abort', end, { once: true });
-    socket.on('close', () => signal.removeEventListener('abort', end));
+    socket.on('close', () => {
+      signal.removeEventListener('abort', end);
+      // One that we closed for its silence has not said that it ends: it stays silent.
+      if (from !== null && this.incoming.get(from) === socket && !silent)
+        this.incoming.set(from, null);
+    });
     socket.on('error', end);
+    // Every controller says something in each report interval.
+    socket.setTimeout(this.settings.workers.leaseMs, () => {
+      silent = true;
+      end();
+    });
     socket.on('data', (chunk: Buffer) => {
+      if (from !== null) this.lastHeard.set(from, this.runtime.clock.now());
       try {
         for (const message of decoder.push(chunk)) {
           if (message.kind === 'hello') {
+            if (!this.peers.includes(message.member)) return end();
             from = message.member;
+            this.replaceIncoming(from, socket);
+            this.lastHeard.set(from, this.runtime.clock.now());
             this.starts.set(from, this.runtime.clock.now() - message.ageMs);
-          } else if (from !== null && this.peers.includes(from)) this.heard.next({ from, message });
+          } else if (from !== null) this.heard.next({ from, message });
         }
       } catch (error) {
         this.runtime.log.warn({ from, error: String(error) }, 'broken frame, connection closed');
@@ -93,6 +129,13 @@
     });
   }
 
+  /** Behind a cut the connection before may stay open on our side. */
+  private replaceIncoming(from: string, socket: Socket): void {
+    const before = this.incoming.get(from);
+    if (before !== socket) before?.destroy();
+    this.incoming.set(from, socket);
+  }
+
   private speakTo(member: string, address: string, signal: AbortSignal): Promise<void> {
     const [host, port] = split(address);
     return new Promise((resolve) => {
