--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -3,7 +3,8 @@
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../jobs/records.js';
 import { readRuns } from '../jobs/run-reader.js';
 import { RECORD_FORMATS } from '../membership/membership.js';
-import { jobOfKey, KEYS } from '../state/keys.js';
+import { MOST_CANCELLATIONS } from '../peer/frames.js';
+import { jobOfKey, jobOfRunKey, KEYS } from '../state/keys.js';
 import { HistoryLost, type Entry } from '../state/store.js';
 import type { Leader } from './leader.js';
 
@@ -17,7 +18,9 @@
   private revision = 0;
   /** Jobs announced as cancelled before the records were read. */
   private readonly announced = new Set<string>();
-  /** Jobs of which the store held only the final state when the records were read. */
+  /** Jobs with run records when those were read. */
+  private withRuns: ReadonlySet<string> = new Set();
+  /** Those of them of which the store held only the final state. */
   private readonly over = new Set<string>();
 
   constructor(private readonly leader: Leader) {
@@ -36,38 +39,63 @@
   }
 
   async recover(signal: AbortSignal): Promise<void> {
-    const { store, runtime } = this.leader.parts;
+    const { runtime } = this.leader.parts;
     for (;;) {
       try {
+        // Nobody but us writes run records while our leader key is there, so they may be read before the
+        // jobs; of the many jobs that are over only those with run records have to be remembered then.
+        const runs = await this.range(KEYS.runs, signal);
         const sentAt = this.leader.now;
-        const jobs = await store.range(KEYS.jobs, signal);
-        const runs = await store.range(KEYS.runs, signal);
-        const rentals = await store.range(KEYS.rentals, signal);
+        const revision = await this.readJobs(runs, signal);
+        const rentals = await this.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.refresh(signal);
         await this.leader.parts.membership.refresh(signal);
-        this.leader.jobs.clear();
-        this.leader.dependencies.clear();
-        for (const e of jobs.items) this.onJobEntry(e);
-        this.restoreRuns(runs.items);
-        for (const e of rentals.items) this.leader.rentals.restore(e);
+        this.restoreRuns(runs);
+        for (const e of rentals) this.leader.rentals.restore(e);
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         for (const id of this.announced) this.announceCancelled(id);
-        this.revision = jobs.revision;
+        this.revision = revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.leader.unreadRecords.recovered(this.leader.now);
+        this.withRuns = new Set();
         this.over.clear();
+        this.announced.clear();
         this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
-        runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
+        runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.length }, 'recovered');
         return;
       } catch (error) {
         signal.throwIfAborted();
+        this.leader.unreadRecords.failed(error);
         runtime.log.debug({ error: String(error) }, 'recovery repeated');
         await runtime.clock.sleep(this.leader.retryMs, signal);
       }
     }
   }
 
+  private async range(prefix: string, signal: AbortSignal): Promise<Entry[]> {
+    const { items } = await this.leader.parts.store.range(prefix, signal);
+    this.leader.unreadRecords.progressed();
+    return items;
+  }
+
+  /** Takes in all job records, page by page; answers the revision from which to follow them. */
+  private async readJobs(runs: Entry[], signal: AbortSignal): Promise<number> {
+    this.leader.jobs.clear();
+    this.leader.dependencies.clear();
+    this.over.clear();
+    this.withRuns = new Set(runs.map((e) => jobOfRunKey(e.key)));
+    return this.leader.parts.store.eachPage(
+      KEYS.jobs,
+      (page) => {
+        this.leader.unreadRecords.progressed();
+        page.forEach((e) => this.onJobEntry(e));
+      },
+      signal,
+    );
+  }
+
   private restoreRuns(entries: Entry[]): void {
     const { runtime, store } = this.leader.parts;
     const perRange = tasksPerRange(store.limits.smallest().valueBytes);
@@ -103,7 +131,7 @@
    */
   async follow(signal: AbortSignal): Promise<void> {
     const { store, runtime } = this.leader.parts;
-    const { view, lifetimeMs } = this.leader;
+    const { view, unreadRecords, lifetimeMs } = this.leader;
     while (!signal.aborted) {
       const sentAt = this.leader.now;
       try {
@@ -111,10 +139,12 @@
         for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
         this.revision = news.revision;
         view.completeAt(sentAt);
+        unreadRecords.succeeded(this.leader.now);
       } catch (error) {
         if (signal.aborted) return;
+        unreadRecords.failed(error);
         // Where only watching fails, the records can still be read as a whole.
-        const stalled = view.ageMs(this.leader.now) > lifetimeMs;
+        const stalled = unreadRecords.ageMs(this.leader.now) > lifetimeMs;
         if (!(error instanceof HistoryLost || stalled) || !(await this.reread(signal))) {
           await runtime.clock.sleep(this.leader.retryMs, signal);
         }
@@ -126,10 +156,13 @@
   private async reread(signal: AbortSignal): Promise<boolean> {
     const sentAt = this.leader.now;
     try {
-      const all = await this.leader.parts.store.range(KEYS.jobs, signal);
-      for (const e of all.items) this.onJobEntry(e);
-      this.revision = all.revision;
+      this.revision = await this.leader.parts.store.eachPage(
+        KEYS.jobs,
+        (page) => page.forEach((e) => this.onJobEntry(e)),
+        signal,
+      );
       this.leader.view.completeAt(sentAt);
+      this.leader.unreadRecords.succeeded(this.leader.now);
       return true;
     } catch {
       return false;
@@ -138,7 +171,8 @@
 
   /** A user was told that the job is cancelled; the store's own news of it may take longer. */
   announceCancelled(id: string): void {
-    if (!this.ready) this.announced.add(id);
+    // Every one of them is in the store: what is dropped here is read there.
+    if (!this.ready && this.announced.size < MOST_CANCELLATIONS) this.announced.add(id);
     const job = this.leader.jobs.get(id);
     if (job?.phase !== 'open') return;
     job.cancelAnnounced = true;
@@ -158,7 +192,7 @@
     const known = this.leader.jobs.get(id);
     if (!known) {
       if (!record.spec || record.at === undefined) {
-        if (!this.ready && record.phase !== 'open') this.over.add(id);
+        if (record.phase !== 'open' && this.withRuns.has(id)) this.over.add(id);
         this.leader.dependencies.ended(id, record.phase, record.doneAt ?? null);
         return;
       }
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -12,6 +12,7 @@
 } from '../scheduler/model.js';
 import { pipelineUrgency, type StepUrgency } from '../scheduler/pipelines.js';
 import type { Leader } from './leader.js';
+import { tasksAtOnce } from './opportunistic-work.js';
 import { openJobs, pipelineSteps } from './pipeline-steps.js';
 
 /**
@@ -20,6 +21,9 @@
  */
 const PATIENCE_BOOTS = 0.25;
 
+/** What runs for longer than estimated is expected to go on for this share of its estimate. */
+const LEAST_REMAINING = 0.25;
+
 /** What all parts of one snapshot share, worked out once. */
 interface SnapshotContext {
   leader: Leader;
@@ -30,6 +34,8 @@
   types: readonly MachineType[];
   /** The shortest boot where all machines have GPUs; null where some have none. */
   gpuBootMs: number | null;
+  /** The longest boot of any type. */
+  longestBootMs: number;
 }
 
 /** What the leader believes at one moment, for a round of decisions. */
@@ -37,7 +43,12 @@
   const wall = leader.parts.runtime.clock.wall();
   const urgencies = pipelineUrgency(pipelineSteps(leader, now), wall);
   const types = [...leader.types.values()];
-  const context = { leader, now, wall, urgencies, types, gpuBootMs: gpuBootMs(types) };
+  const bootMs = types.map((type) => type.bootMs);
+  const context = {
+    ...{ leader, now, wall, urgencies, types },
+    gpuBootMs: gpuBootMs(types),
+    longestBootMs: Math.max(0, ...bootMs),
+  };
   return {
     machines: machineViews(leader, now),
     jobs: jobViews(context),
@@ -62,7 +73,7 @@
   const { workers } = leader.parts.settings;
   const views: MachineView[] = [];
   for (const m of leader.fleet.machines.values()) {
-    if (!m.type || m.returning || m.noticeAt !== null || m.faulty) continue;
+    if (!m.type || m.returning || m.noticeAt !== null || m.faulty || m.draining) continue;
     const up = m.usable(now, workers.leaseMs / 3);
     const booting = m.coming(now, workers.leaseMs, leader.fleet.boots);
     if (!up && !booting) continue;
@@ -145,7 +156,7 @@
 }
 
 function jobView(context: SnapshotContext, job: Job, readyAt: number): JobView {
-  const { now, wall, gpuBootMs } = context;
+  const { leader, now, wall, gpuBootMs, longestBootMs } = context;
   const { spec, gang } = job;
   const zones = new Map<string, number>();
   for (const p of job.placements.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
@@ -165,6 +176,7 @@
       gpuBootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < gpuBootMs * PATIENCE_BOOTS,
+    opportunistic: tasksAtOnce(leader.parts.settings, job, waitedMs, longestBootMs),
     waiting: job.startable,
     // What waits of a job that fails everywhere takes nothing of its team's guarantee from the rest.
     unfinished: job.failures.suspected ? job.placements.size : spec.tasks - job.doneCount,
@@ -212,7 +224,7 @@
     const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
     for (const p of job.placements.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
-      const { checkpointMs } = job.spec;
+      const { checkpointMs, estimateMs } = job.spec;
       list.push({
         job: job.id,
         task: p.task,
@@ -220,6 +232,8 @@
         spec: job.spec,
         priority,
         lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
+        unsavedStops: job.unsavedStops.get(p.task) ?? 0,
+        remainingMs: Math.max(estimateMs - ran, estimateMs * LEAST_REMAINING),
         wholeGang: job.gang !== null,
         // A trial of what fails everywhere is over soon: nothing is rented instead of its room.
         stopping: p.stop !== null || job.phase !== 'open' || job.failures.suspected,
--- a/src/control/worker-silence.ts
+++ b/src/control/worker-silence.ts
@@ -8,6 +8,12 @@
  */
 const NEVER_HEARD_SHARE = 0.5;
 
+/**
+ * The same for one that hears no other controller either. If it is cut off from all, each second counts.
+ * If it is the only one left, it is back in office before workers that tried two others come.
+ */
+const NEVER_HEARD_ALONE_SHARE = 0.3;
+
 /**
  * How many leases beyond a boot it waits the next time, doubled with every time after that. One lease
  * of silence proves that nothing runs any more; then others are rented, and have a lease to report.
@@ -27,9 +33,13 @@
  */
 export class SilentTerms {
   private count = 0;
+  /** The last time it heard no other controller that could have led instead. */
+  private wasAlone = false;
 
-  resigned(): void {
+  /** `alone`: no other controller that could lead was heard. */
+  resigned(alone: boolean): void {
     this.count++;
+    this.wasAlone = alone;
   }
 
   /** Workers have reported to this controller or to another leader since. */
@@ -37,13 +47,30 @@
     this.count = 0;
   }
 
-  /** How long a leader that has heard nobody in its term waits before it resigns. */
-  patienceMs(leaseMs: number, bootMs: number): number {
-    if (this.count === 0) return leaseMs * NEVER_HEARD_SHARE;
+  /**
+   * How long a leader that has heard nobody in its term waits before it resigns. `alone`: it hears no
+   * other controller that could lead.
+   */
+  patienceMs(leaseMs: number, bootMs: number, alone: boolean): number {
+    if (this.count === 0) return leaseMs * (alone ? NEVER_HEARD_ALONE_SHARE : NEVER_HEARD_SHARE);
+    // Giving up office was in vain, as nobody was there to take it; now somebody is.
+    if (this.wasAlone && !alone) return leaseMs * NEVER_HEARD_SHARE;
     return (leaseMs * NEXT_TIME_LEASES + bootMs) * 2 ** (this.count - 1);
   }
 }
 
+/** What a leader's patience with silent workers depends on. */
+interface SilenceFacts {
+  /** How long the slowest machine takes to boot, in milliseconds. */
+  bootMs: number;
+  /** The cloud has listed its machines in this term. */
+  listed: boolean;
+  /** No other controller that could lead is heard. */
+  alone: boolean;
+  /** How long workers may take to come here past silent controllers, in milliseconds. */
+  searchMs: number;
+}
+
 /** Tells when a leader should resign since workers may reach other controllers, but do not reach it. */
 export class WorkerSilence {
   private heardAny = false;
@@ -70,23 +97,31 @@
     this.since = now;
   }
 
-  /**
-   * `bootMs`: how long the slowest machine takes to boot; `listed`: the cloud has listed its machines
-   * in this term.
-   */
+  /** Whether its workers have been silent for longer than it should wait for them. */
   isTooLong(
     now: number,
     machines: Iterable<Machine>,
-    { bootMs, listed }: { bootMs: number; listed: boolean },
+    { bootMs, listed, alone, searchMs }: SilenceFacts,
   ): boolean {
     const all = [...machines];
-    const silentFrom = now - this.patienceMs(all, bootMs);
+    const firstMs = this.firstPatienceMs(bootMs, alone, searchMs);
+    const silentFrom = now - (this.heardAny ? this.laterPatienceMs(all) : firstMs);
     if (this.since > silentFrom) return false;
     return all.some((m) => this.mayReportElsewhere(m, silentFrom, listed));
   }
 
-  private patienceMs(machines: Machine[], bootMs: number): number {
-    if (!this.heardAny) return this.silentTerms.patienceMs(this.workers.leaseMs, bootMs);
+  /**
+   * While it has heard nobody in its term. Who gave up while its workers wait on silent controllers
+   * would turn them away when they come; but if it hears no controller either, it may be cut off from
+   * all, or the only one left, and then it is back in office before they come.
+   */
+  private firstPatienceMs(bootMs: number, alone: boolean, searchMs: number): number {
+    const patienceMs = this.silentTerms.patienceMs(this.workers.leaseMs, bootMs, alone);
+    return alone ? patienceMs : Math.max(searchMs, patienceMs);
+  }
+
+  /** Once it has heard some. */
+  private laterPatienceMs(machines: Machine[]): number {
     const heard = machines.reduce((n, m) => n + (m.heardAt === null ? 0 : 1), 0);
     return this.workers.reportMs * (SILENT_REPORTS + 2 / Math.max(1, heard));
   }
--- a/src/jobs/state-comparisons.ts
+++ b/src/jobs/state-comparisons.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '../runtime/clock.js';
 import { KEYS } from '../state/keys.js';
-import { CONDITIONS_PER_OPERATION } from '../state/limits.js';
 import { isRefusedSize, type Condition, type RequestClass, type Store } from '../state/store.js';
 import type { JobState } from './job-states.js';
 import { HEDGE_SHARE, hedged, Overloaded } from './user-requests.js';
@@ -34,6 +33,9 @@
 /** For how large a share of a poll's time a question may queue; beyond it its user is sent away. */
 const MOST_QUEUED_SHARE = 0.5;
 
+/** The same for a question about a job of which nothing was answered for long. */
+const MOST_OVERDUE_QUEUED_SHARE = 0.75;
+
 /**
  * Questions about jobs that wait to be compared with the store. One comparison serves all questions
  * that wait when it begins. Users' questions and what submissions, cancellations and workers wait
@@ -42,8 +44,6 @@
 export class StateComparisons {
   private asking = new Map<string, Waiter[]>();
   private comparing = false;
-  /** The store refused comparisons of more jobs than this, though the known limits allow them. */
-  private mostCompared = Infinity;
 
   constructor(
     private readonly store: Store,
@@ -59,10 +59,15 @@
   }
 
   /** The state as stored at some time after this call, whatever becomes of the jobs before it. */
-  async compared(id: string, signal: AbortSignal | null): Promise<JobState | null> {
+  async compared(
+    id: string,
+    signal: AbortSignal | null,
+    overdue = false,
+  ): Promise<JobState | null> {
     this.store.assertAnswers();
     const delayMs = this.from === 'question' && !this.asking.has(id) ? this.delayMs : 0;
-    if (delayMs > this.pollMs * MOST_QUEUED_SHARE) throw new Overloaded(delayMs);
+    const mostShare = overdue ? MOST_OVERDUE_QUEUED_SHARE : MOST_QUEUED_SHARE;
+    if (delayMs > this.pollMs * mostShare) throw new Overloaded(delayMs);
     return new Promise((resolve, reject) => {
       this.ask(id, [{ signal, resolve, reject }]);
       if (!this.comparing) void this.compareAll();
@@ -72,8 +77,7 @@
   /** How many jobs one comparison takes. */
   get mostConditions(): number {
     // Looked up each time: a refusal of the last comparison may have lowered it.
-    const known = this.store.limits.effective().txnOps * CONDITIONS_PER_OPERATION;
-    return Math.min(known, this.mostCompared);
+    return this.store.limits.comparedKeys.current;
   }
 
   /** How long one more question would wait for its comparison to be sent, in milliseconds. */
@@ -83,7 +87,10 @@
   }
 
   private ask(id: string, waiters: Waiter[]): void {
-    this.asking.set(id, [...waiters, ...(this.asking.get(id) ?? [])]);
+    const before = this.asking.get(id);
+    // Copied, a list that thousands wait in would cost more than all their answers.
+    if (before) for (const w of waiters) before.push(w);
+    else this.asking.set(id, waiters);
   }
 
   private async compareAll(): Promise<void> {
@@ -105,7 +112,9 @@
   /** What nobody waits for any more costs the store nothing. */
   private dropAbandoned(): void {
     for (const [id, waiters] of this.asking) {
-      if (waiters.every((w) => w.signal?.aborted)) this.asking.delete(id);
+      const waiting = waiters.filter((w) => !w.signal?.aborted);
+      if (waiting.length === 0) this.asking.delete(id);
+      else this.asking.set(id, waiting);
     }
   }
 
@@ -130,7 +139,7 @@
    * announcement; refused for good, the jobs that are asked for together would look forgotten.
    */
   private compareInSmaller(batch: Question[]): void {
-    if (batch.length <= this.mostConditions) this.mostCompared = batch.length >> 1;
+    this.store.limits.comparedKeys.refused(batch.length);
     for (const [id, waiters] of batch) this.ask(id, waiters);
   }
 
--- a/test/round-size.test.ts
+++ b/test/round-size.test.ts
@@ -12,7 +12,7 @@
   const jobs = Array.from({ length: count }, (_, i): JobView => {
     const name = { id: `req-${i}`, spec: SPEC, priority: SPEC.priority, readyAt: i };
     const due = { dueAt: count - i, waiting: 1, unfinished: 1, patient: false };
-    const none = { zones: new Map(), avoid: new Set<string>(), gang: null };
+    const none = { zones: new Map(), avoid: new Set<string>(), gang: null, opportunistic: null };
     return { ...name, ...due, ...none, admissible: true, onTrial: false, ...view };
   });
   const guarantee = { cpus: 0, gpus: count * 10 };
