Open jobs are bounded by memory alone again: with the bound by decision time the storm went wrong

Until it is known, a round over all open jobs that memory allows may take longer than the leader lease on the smallest controllers.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -6,7 +6,7 @@
 import type { Service } from '../http/server.js';
 import type { ReportOutcome } from '../http/workers.js';
 import { CancellationLog } from '../jobs/cancellation-log.js';
-import { JobApi, mostOpenJobs, type ControllerView } from '../jobs/job-api.js';
+import { JobApi, OPEN_JOBS_PER_MB, type ControllerView } from '../jobs/job-api.js';
 import { CancellationQuery } from '../peer/cancellation-query.js';
 import {
   heartbeats,
@@ -108,7 +108,7 @@
       },
       workers.reportMs * REPORTS_PER_LOOK,
     );
-    this.shown = new ShownCounts(mostOpenJobs(settings) * SHOWN_SHARE);
+    this.shown = new ShownCounts(settings.machine.memoryMb * OPEN_JOBS_PER_MB * SHOWN_SHARE);
     this.lag = new EventLoopLag(runtime.clock, POLL_MS * LAG_EVERY_SHARE);
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
     this.selfWatch = new SelfWatch(runtime.clock, runtime.log, workers.reportMs);
@@ -142,7 +142,7 @@
         refreshMs: workers.cancelMs / 8,
         viewMs: cancellationViewLimitMs(workers, lifetimeMs),
         waitMs: MOST_HOLD_MS,
-        mostJobs: mostOpenJobs(settings),
+        mostJobs: settings.machine.memoryMb * OPEN_JOBS_PER_MB,
       },
     );
   }
--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -37,21 +37,11 @@
   cancelled(id: string): void;
 }
 
-/** So many jobs may be open for each MB of memory: the leader keeps some 3 KB of each. */
-const OPEN_JOBS_PER_MB = 60;
-
-/** Processor time that a round of decisions takes for a waiting job of the dearest kind, as measured. */
-const DECISION_MS = 0.085;
-
-/** A round over all open jobs takes no more than this share of the workers' lease: office needs more. */
-const ROUND_LEASE_SHARE = 0.25;
-
-/** How many jobs may be open; beyond it users are sent away until some are over. */
-export function mostOpenJobs({ machine, workers }: Settings): number {
-  const inMemory = machine.memoryMb * OPEN_JOBS_PER_MB;
-  const inTime = (workers.leaseMs * ROUND_LEASE_SHARE * machine.coreShare) / DECISION_MS;
-  return Math.max(1, Math.floor(Math.min(inMemory, inTime)));
-}
+/**
+ * How many jobs may be open for each MB of memory: the leader keeps some 3 KB of each. Beyond it users
+ * are sent away until some are over.
+ */
+export const OPEN_JOBS_PER_MB = 60;
 
 /** For how large a share of a submission's time it may queue for the store's rate. */
 const MOST_QUEUED_SHARE = 0.25;
@@ -131,7 +121,7 @@
     const never = whyInfeasible(spec, this.settings, types);
     if (never !== null) return this.knownOr(id, signal, { status: 422, body: { error: never } });
     if (this.states.has(id)) return this.knownOr(id, signal, BUSY);
-    if (this.view.openJobs() >= mostOpenJobs(this.settings)) return this.knownOr(id, signal, FULL);
+    if (this.view.openJobs() >= this.mostOpen) return this.knownOr(id, signal, FULL);
     return this.add(parsed.value, signal);
   }
 
@@ -176,6 +166,10 @@
     return id !== null && job ? { status: 200, body: this.answer(id, job) } : otherwise;
   }
 
+  private get mostOpen(): number {
+    return this.settings.machine.memoryMb * OPEN_JOBS_PER_MB;
+  }
+
   private get machineTypes(): ReadonlySet<string> | null {
     const types = this.catalogue.types.value;
     return types && new Set(types.keys());
@@ -282,7 +276,7 @@
 }
 
 const BUSY: Answer = { status: 503, body: { error: 'cannot decide now' }, retryAfter: 1 };
-/** More jobs are open than a leader has memory and time for; some have to be over first. */
+/** More jobs are open than a leader has memory for; some have to be over first. */
 const FULL: Answer = { status: 503, body: { error: 'too many jobs are open' }, retryAfter: 4 };
 const TOO_LARGE: Answer = {
   status: 422,
