--- a/src/jobs/job-api.ts
+++ b/src/jobs/job-api.ts
@@ -95,7 +95,7 @@
       // One whose own time is over has been refused already.
       if (!signal.aborted) this.admission.answered(id);
       return job ? { status: 200, body: this.status(id, job) } : UNKNOWN;
-    }).finally(() => this.admission.ended());
+    });
   }
 
   abort(id: string): Promise<Answer> {
--- a/src/jobs/question-admission.ts
+++ b/src/jobs/question-admission.ts
@@ -24,9 +24,6 @@
 /** A job that has been without an answer for so many polls' times is overdue. */
 const OVERDUE_POLLS = 8;
 
-/** While connections are short, questions under way may hold this share of the machine's sockets. */
-const CROWDED_SOCKETS_SHARE = 1 / 10;
-
 /** So many jobs are remembered for each MB of memory, at some 100 bytes each. */
 const REMEMBERED_PER_MB = 50;
 
@@ -40,7 +37,6 @@
   /** Share of a processor's core that the controller has. */
   coreShare: number;
   memoryMb: number;
-  sockets: number;
 }
 
 /**
@@ -56,8 +52,6 @@
   /** How many questions may be taken now. */
   private left: number;
   private filledAt: number;
-  /** Questions taken that have no answer yet. */
-  private underWay = 0;
   private readonly mostRemembered: number;
 
   constructor(
@@ -72,27 +66,19 @@
   }
 
   /**
-   * Whether a question about this job is taken now, and `ended` is to be called for it; else its user is
-   * told to come back. `crowded`: there are more connections than the machine has room for, and one with
-   * a question under way cannot give way to others. Just after a controller has taken over the users of
-   * another no job has had an answer here, so then the number of those under way counts as well.
+   * Whether a question about this job is taken now; else its user is told to come back. `crowded`: there
+   * are more connections than the machine has room for, and one with a question under way cannot give
+   * way to others.
    */
   admits(id: string, crowded: boolean): boolean {
     const now = this.clock.now();
     this.fill(now);
-    if (crowded && this.underWay >= this.capacity.sockets * CROWDED_SOCKETS_SHARE) return false;
     const pauseMs = crowded ? Math.max(this.pauseMs, this.overdueMs) : this.pauseMs;
     if (this.left < 1 || this.unansweredMs(id, now) < pauseMs) return false;
     this.left--;
-    this.underWay++;
     return true;
   }
 
-  /** A question that was taken is over, with an answer or without. */
-  ended(): void {
-    this.underWay--;
-  }
-
   /** True if nobody was answered about this job here for long, as far as that is remembered. */
   isOverdue(id: string): boolean {
     return this.unansweredMs(id, this.clock.now()) >= this.overdueMs;
@@ -127,8 +113,7 @@
     const short = this.lagMs() > this.capacity.pollMs * LAG_SHARE;
     const perSecond = this.perSecond(short ? SHORT_PROCESSOR_SHARE : PROCESSOR_SHARE);
     const gained = ((now - this.filledAt) / 1000) * perSecond;
-    // What was saved up is not taken at once by questions either while timers are late.
-    this.left = Math.min(Math.max(1, perSecond * BURST_S), this.left + gained);
+    this.left = Math.min(this.burst, this.left + gained);
     this.filledAt = now;
   }
 
