--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,4 +1,6 @@
+import { setMaxListeners } from 'node:events';
 import { Election } from '../election/election.js';
+import { Succession } from '../election/succession.js';
 import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
 import { Catalogue } from '../fleet/catalogue.js';
 import type { Callers } from '../fleet/stop-commands.js';
@@ -31,6 +33,7 @@
 import { SelfWatch } from './self-watch.js';
 import { PartitionedWorkers } from './partitioned-workers.js';
 import { ShownCounts } from './shown-counts.js';
+import { UnreadTerms } from './unread-records.js';
 import { SilentTerms } from './worker-silence.js';
 
 export interface Links {
@@ -46,7 +49,8 @@
 /** For how many times `cancel_s` it is remembered which jobs users were told to be cancelled. */
 const LOGGED_CANCELS = 3;
 
-const NOT_ENTITLED: ReportOutcome = { kind: 'elsewhere', leader: null };
+/** How long a report waits here for a leader to be known; no longer than a worker would pause. */
+const UNKNOWN_LEADER_MS = 1000;
 
 /** Users wait 5 s for a submission and 2 s for a poll; what they are told has to reach them by then. */
 const SUBMIT_MS = 4000;
@@ -66,17 +70,23 @@
   readonly jobApi: JobApi;
   private readonly store: Store;
   private readonly election: Election;
+  private readonly succession: Succession;
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   readonly membership: Membership;
   private leader: Leader | null = null;
   private readonly silentTerms = new SilentTerms();
+  private readonly unreadTerms = new UnreadTerms();
   private readonly partitioned: PartitionedWorkers;
   private readonly cancellationLog: CancellationLog;
   private readonly selfWatch: SelfWatch;
   private readonly cancellationQuery: CancellationQuery;
   /** When the leader was last heard; a controller that has just started may find none alive. */
   private heartbeatAt = -Infinity;
+  /** To whom this controller has handed office over, until a leader is known. */
+  private successor: string | null = null;
+  /** Ends the waits of reports that came while no leader was known. */
+  private waitingForLeader = new AbortController();
   private readonly shown: ShownCounts;
   private readonly lag: EventLoopLag;
 
@@ -90,12 +100,18 @@
     const lifetimeMs = workers.leaseMs * operator.election.lifetime;
     this.store = new Store(links.store, runtime, settings, lifetimeMs / 4);
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
+    this.succession = new Succession(runtime.clock, links.peerTransport, {
+      self: settings.member,
+      reportMs: workers.reportMs,
+      leaseMs: workers.leaseMs,
+    });
     this.election = new Election(
       this.store,
       links.peerTransport,
       runtime,
       settings.member,
       lifetimeMs,
+      this.succession,
       (peer) => this.membership.readsFrames(peer, VOUCHES_VERSION),
     );
     this.membership = new Membership(
@@ -232,7 +248,10 @@
     const subscription = this.election.role.subscribe((role) => {
       if (role.kind !== 'leader') {
         // A new leader has time to be heard before its workers count as partitioned.
-        if (role.leader !== null) this.heartbeatAt = this.runtime.clock.now();
+        if (role.leader !== null) {
+          this.heartbeatAt = this.runtime.clock.now();
+          this.leaderKnown();
+        }
         return;
       }
       const leader = new Leader(
@@ -248,11 +267,20 @@
           cloudTimeoutMs: this.cloudTimeoutMs,
           cancellationQuery: this.cancellationQuery,
           silentTerms: this.silentTerms,
+          succession: this.succession,
+          unreadTerms: this.unreadTerms,
+          othersServed: () => this.storeReachability.servesOthers,
+          betterLeader: () =>
+            this.succession.handOverTo((peer) => this.storeReachability.serves(peer)),
         },
         role.term,
-        () => this.election.resign(role.term),
+        (successor) => {
+          this.successor = successor ?? null;
+          this.election.resign(role.term, this.storeReachability.servesOthers);
+        },
       );
       this.leader = leader;
+      this.leaderKnown();
       void leader
         .run()
         .catch((error: unknown) => {
@@ -294,7 +322,8 @@
     }
   }
 
-  report(report: Report): ReportOutcome | Promise<ReportOutcome> {
+  /** `mayWait`: the worker has not waited yet for a leader to be known. */
+  report(report: Report, mayWait = true): ReportOutcome | Promise<ReportOutcome> {
     const role = this.election.role.value;
     const now = this.runtime.clock.now();
     if (role.kind === 'follower') {
@@ -302,23 +331,46 @@
       if (this.isStray(report, role.token, now)) {
         return this.partitioned.report(report, role.token, leader);
       }
-      return { kind: 'elsewhere', leader: this.leaderIsMute(now) ? null : leader };
+      if (leader !== null && !this.leaderIsMute(now)) return { kind: 'elsewhere', leader };
+      const unknown = leader === null && this.successor === null;
+      return unknown && mayWait ? this.whenLeaderKnown(report) : this.turnedAway();
     }
     const { term } = role;
     // A worker that has seen a higher token would drop our answer, and wait for another in vain.
     if (!this.leader || !term.active(now) || report.token > term.token) {
-      return NOT_ENTITLED;
+      return this.turnedAway();
     }
     const orders = this.leader.report(report);
     if (orders instanceof Promise) return this.whenHeld(this.leader, orders);
-    return orders ? { kind: 'orders', token: term.token, orders } : NOT_ENTITLED;
+    return orders ? { kind: 'orders', token: term.token, orders } : this.turnedAway();
+  }
+
+  /**
+   * A worker that is sent away without a name tries the next controller after a second, which may be
+   * silent: it waits that second here, in case office is just being handed over.
+   */
+  private async whenLeaderKnown(report: Report): Promise<ReportOutcome> {
+    await this.runtime.clock.sleep(UNKNOWN_LEADER_MS, this.waitingForLeader.signal);
+    return this.report(report, false);
+  }
+
+  private leaderKnown(): void {
+    this.successor = null;
+    this.waitingForLeader.abort();
+    this.waitingForLeader = new AbortController();
+    setMaxListeners(0, this.waitingForLeader.signal);
+  }
+
+  private turnedAway(): ReportOutcome {
+    return { kind: 'elsewhere', leader: this.successor };
   }
 
   /** The right to answer is looked at again when the answer is given. */
   private async whenHeld(leader: Leader, later: Promise<Order[] | null>): Promise<ReportOutcome> {
     const orders = await later;
     const entitled = leader.mayAnswer(this.runtime.clock.now());
-    return orders && entitled ? { kind: 'orders', token: leader.term.token, orders } : NOT_ENTITLED;
+    if (!orders || !entitled) return this.turnedAway();
+    return { kind: 'orders', token: leader.term.token, orders };
   }
 
   /**
--- a/src/control/job-records.ts
+++ b/src/control/job-records.ts
@@ -39,39 +39,47 @@
   }
 
   async recover(signal: AbortSignal): Promise<void> {
-    const { store, runtime } = this.leader.parts;
+    const { runtime } = this.leader.parts;
     for (;;) {
       try {
         // Nobody but us writes run records while our leader key is there, so they may be read before the
         // jobs; of the many jobs that are over only those with run records have to be remembered then.
-        const runs = await store.range(KEYS.runs, signal);
+        const runs = await this.range(KEYS.runs, signal);
         const sentAt = this.leader.now;
-        const revision = await this.readJobs(runs.items, signal);
-        const rentals = await store.range(KEYS.rentals, signal);
+        const revision = await this.readJobs(runs, signal);
+        const rentals = await this.range(KEYS.rentals, signal);
         await this.leader.zoneDelegates.refresh(signal);
         await this.leader.parts.membership.refresh(signal);
-        this.restoreRuns(runs.items);
-        for (const e of rentals.items) this.leader.rentals.restore(e);
+        this.restoreRuns(runs);
+        for (const e of rentals) this.leader.rentals.restore(e);
         this.leader.reconciler.recovered(this.leader.jobs.size > 0);
         for (const id of this.announced) this.announceCancelled(id);
         this.revision = revision;
         this.leader.view.completeAt(sentAt);
         this.read.abort();
+        this.leader.unreadRecords.recovered(this.leader.now);
         this.withRuns = new Set();
         this.over.clear();
         this.announced.clear();
         this.leader.dependencies.recovered();
         for (const job of this.leader.jobs.values()) this.leader.ledger.flush(job);
-        runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.items.length }, 'recovered');
+        runtime.log.info({ jobs: this.leader.jobs.size, runs: runs.length }, 'recovered');
         return;
       } catch (error) {
         signal.throwIfAborted();
+        this.leader.unreadRecords.failed(error);
         runtime.log.debug({ error: String(error) }, 'recovery repeated');
         await runtime.clock.sleep(this.leader.retryMs, signal);
       }
     }
   }
 
+  private async range(prefix: string, signal: AbortSignal): Promise<Entry[]> {
+    const { items } = await this.leader.parts.store.range(prefix, signal);
+    this.leader.unreadRecords.progressed();
+    return items;
+  }
+
   /** Takes in all job records, page by page; answers the revision from which to follow them. */
   private async readJobs(runs: Entry[], signal: AbortSignal): Promise<number> {
     this.leader.jobs.clear();
@@ -80,7 +88,10 @@
     this.withRuns = new Set(runs.map((e) => jobOfRunKey(e.key)));
     return this.leader.parts.store.eachPage(
       KEYS.jobs,
-      (page) => page.forEach((e) => this.onJobEntry(e)),
+      (page) => {
+        this.leader.unreadRecords.progressed();
+        page.forEach((e) => this.onJobEntry(e));
+      },
       signal,
     );
   }
@@ -120,7 +131,7 @@
    */
   async follow(signal: AbortSignal): Promise<void> {
     const { store, runtime } = this.leader.parts;
-    const { view, lifetimeMs } = this.leader;
+    const { view, unreadRecords, lifetimeMs } = this.leader;
     while (!signal.aborted) {
       const sentAt = this.leader.now;
       try {
@@ -128,10 +139,12 @@
         for (const event of news.events) if (!('gone' in event)) this.onJobEntry(event);
         this.revision = news.revision;
         view.completeAt(sentAt);
+        unreadRecords.succeeded(this.leader.now);
       } catch (error) {
         if (signal.aborted) return;
+        unreadRecords.failed(error);
         // Where only watching fails, the records can still be read as a whole.
-        const stalled = view.ageMs(this.leader.now) > lifetimeMs;
+        const stalled = unreadRecords.ageMs(this.leader.now) > lifetimeMs;
         if (!(error instanceof HistoryLost || stalled) || !(await this.reread(signal))) {
           await runtime.clock.sleep(this.leader.retryMs, signal);
         }
@@ -149,6 +162,7 @@
         signal,
       );
       this.leader.view.completeAt(sentAt);
+      this.leader.unreadRecords.succeeded(this.leader.now);
       return true;
     } catch {
       return false;
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -9,6 +9,7 @@
 import { jitter } from '../runtime/random.js';
 import { KEYS } from '../state/keys.js';
 import { HistoryLost, LeaseGone, type Entry, type Store } from '../state/store.js';
+import type { Succession } from './succession.js';
 import { Term } from './term.js';
 
 const leaderValue = z.object({ term: z.string(), member: z.string() });
@@ -36,6 +37,7 @@
     private readonly runtime: Runtime,
     private readonly member: string,
     private readonly lifetimeMs: number,
+    private readonly succession: Succession,
     /** Whether a controller is known to read vouches. */
     readsVouches: (peer: string) => boolean,
   ) {
@@ -56,7 +58,7 @@
         const entry = await this.store.get(KEYS.leader, 0, signal);
         if (entry) await this.follow(entry, signal);
         await this.untilFree(signal);
-        await this.letYoungerFirst(signal);
+        await this.letOthersFirst(signal);
         const term = await this.contest(signal);
         if (term) await this.hold(term.term, term.lease, signal);
       } catch (error) {
@@ -122,9 +124,10 @@
   /**
    * Controllers that are restarted one after the other would each end a term if chance chose the next
    * leader: one that has been restarted already is the last to be restarted again. So whoever knows
-   * of a younger process than its own waits a moment.
+   * of a younger process than its own waits a moment; and twice that whoever should not lead as its
+   * workers, if it fell silent, would spend their leases on silent controllers.
    */
-  private async letYoungerFirst(signal: AbortSignal): Promise<void> {
+  private async letOthersFirst(signal: AbortSignal): Promise<void> {
     const { clock, startedAt } = this.runtime;
     const role = this.role.value;
     const last = role.kind === 'follower' ? role.leader : null;
@@ -132,7 +135,8 @@
       (p) =>
         p !== last && (this.peerTransport.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
     );
-    if (younger) await clock.sleep(this.lifetimeMs / 10, signal);
+    const waits = Number(younger) + 2 * Number(this.succession.othersFirst(last));
+    if (waits > 0) await clock.sleep((waits * this.lifetimeMs) / 10, signal);
   }
 
   private async contest(signal: AbortSignal): Promise<{ term: Term; lease: number } | null> {
@@ -194,9 +198,14 @@
     }
   }
 
-  /** Gives up office because others can serve better, and lets them go first. */
-  resign(term: Term): void {
-    this.contestFrom = this.runtime.clock.now() + this.lifetimeMs * 3;
+  /**
+   * Gives up office because others can serve better, and lets them go first. Who can take over does
+   * so at once; if no other controller is heard there may be none, and an office that stays vacant
+   * would turn away every worker that comes here.
+   */
+  resign(term: Term, successorHeard: boolean): void {
+    const leases = successorHeard ? RESIGNED_LEASES : ALONE_LEASES;
+    this.contestFrom = this.runtime.clock.now() + this.lifetimeMs * leases;
     term.end();
   }
 
@@ -301,5 +310,11 @@
 const PLEDGE_SHARE = 0.45;
 /** How long a leader without answers waits for the term to go on, as a share of its lease. */
 const LAPSED_SHARE = 0.5;
+/** For how many leader leases a controller that resigned does not contest. */
+const RESIGNED_LEASES = 3;
+
+/** The same where no other controller is heard: more than one that watches the key needs to take it. */
+const ALONE_LEASES = 0.25;
+
 /** Timers fire in steps of one or a few milliseconds. */
 const TICK_MS = 10;
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -57,6 +57,8 @@
   rewriting = false;
   private readonly done: DoneTasks;
   readonly failures: FailureHistory;
+  /** How often running tasks were stopped without being saved; what this leader knows of it. */
+  readonly unsavedStops = new Map<number, number>();
   /** Exited starts whose end is not in the store yet. */
   exited: Placement[] = [];
   writing = false;
--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -12,6 +12,11 @@
   readonly peers: string[];
   /** When a peer's process began, by our clock; null if it has not been heard. */
   startedAt(peer: string): number | null;
+  /**
+   * When a peer last said anything, in milliseconds of our clock; the start of our process if it
+   * never did. Null if its connection has been closed since: its process ended, or will be back.
+   */
+  lastHeardAt(peer: string): number | null;
 }
 
 /** A peer that takes this much less than it is sent is cut off: it would grow our memory. */
@@ -28,10 +33,12 @@
   readonly heard = new Subject<{ from: string; message: Message }>();
   readonly peers: string[];
   private readonly out = new Map<string, Socket>();
-  private readonly incoming = new Map<string, Socket>();
+  /** The connection on which each peer speaks; null: the peer has closed it. */
+  private readonly incoming = new Map<string, Socket | null>();
   /** What a message looks like on the wire: most go to every peer. */
   private readonly encoded = new WeakMap<Message, Buffer>();
   private readonly starts = new Map<string, number>();
+  private readonly lastHeard = new Map<string, number>();
 
   constructor(
     private readonly settings: Settings,
@@ -68,6 +75,11 @@
     return this.starts.get(peer) ?? null;
   }
 
+  lastHeardAt(peer: string): number | null {
+    if (this.incoming.get(peer) === null) return null;
+    return this.lastHeard.get(peer) ?? this.runtime.startedAt;
+  }
+
   private accept(signal: AbortSignal): Promise<void> {
     const [host, port] = split(this.settings.peerAddress);
     const server = createServer((socket) => this.listenTo(socket, signal));
@@ -83,22 +95,30 @@
   private listenTo(socket: Socket, signal: AbortSignal): void {
     const decoder = new Decoder();
     let from: string | null = null;
+    let silent = false;
     const end = (): void => void socket.destroy();
     signal.addEventListener('abort', end, { once: true });
     socket.on('close', () => {
       signal.removeEventListener('abort', end);
-      if (from !== null && this.incoming.get(from) === socket) this.incoming.delete(from);
+      // One that we closed for its silence has not said that it ends: it stays silent.
+      if (from !== null && this.incoming.get(from) === socket && !silent)
+        this.incoming.set(from, null);
     });
     socket.on('error', end);
     // Every controller says something in each report interval.
-    socket.setTimeout(this.settings.workers.leaseMs, end);
+    socket.setTimeout(this.settings.workers.leaseMs, () => {
+      silent = true;
+      end();
+    });
     socket.on('data', (chunk: Buffer) => {
+      if (from !== null) this.lastHeard.set(from, this.runtime.clock.now());
       try {
         for (const message of decoder.push(chunk)) {
           if (message.kind === 'hello') {
             if (!this.peers.includes(message.member)) return end();
             from = message.member;
             this.replaceIncoming(from, socket);
+            this.lastHeard.set(from, this.runtime.clock.now());
             this.starts.set(from, this.runtime.clock.now() - message.ageMs);
           } else if (from !== null) this.heard.next({ from, message });
         }
--- /dev/null
+++ b/test/succession.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { machines } from './fakes/meeting.js';
+import { World } from './fakes/world.js';
+
+const SILENT_MS = 90_000;
+const LEASE_S = 10;
+
+/** A world in which a service runs, and how many of its workers have lost their leases. */
+async function withService(seed: number): Promise<{
+  w: World;
+  service: string;
+  lost(): number;
+}> {
+  const w = new World(machines('aabb'), 3, seed);
+  await w.start();
+  const service = await w.accept({ shape: 'service', pieces: 4, runMs: 0, crew: 'speech' });
+  await w.until(() => w.running(service) === 4, 20, 'all run');
+  return {
+    w,
+    service,
+    lost: () => [...w.workers.values()].filter((worker) => worker.shift > 1).length,
+  };
+}
+
+/** Who is silent speaks again before the story ends. */
+async function end(w: World): Promise<void> {
+  await w.pass(SILENT_MS / 1000);
+  await w.close();
+}
+
+async function replaced(w: World, old: number): Promise<number> {
+  await w.until(() => w.leader !== old && w.leader >= 0, LEASE_S, 'another leads');
+  return w.leader;
+}
+
+// A worker gives each silent controller 5 s: two in a row on its way cost it its lease. Who follows a
+// silent leader has to be one behind which a controller speaks.
+for (const first of [0, 1]) {
+  test(`controller ${first} and the leader after it fall silent, and no worker loses its lease`, async () => {
+    const { w, lost } = await withService(first);
+    if (w.leader !== first) {
+      w.freeze(w.leader, LEASE_S * 500);
+      await replaced(w, w.leader);
+      await w.pass(LEASE_S);
+    }
+    assert.equal(w.leader, first);
+    w.freeze(first, SILENT_MS);
+    const second = await replaced(w, first);
+    await w.pass(LEASE_S);
+    w.freeze(second, SILENT_MS);
+    await replaced(w, second);
+    await w.pass(2 * LEASE_S);
+    assert.equal(lost(), 0);
+    await end(w);
+  });
+}
+
+// The leader that is left had given up before its workers could be there, and turned them away for a
+// second round. If it hears no other controller it may also be cut off from all: then it gives up
+// sooner, but is back in office when they come.
+test('workers that have to pass two silent controllers are answered by the third as they come', async () => {
+  const { w, service, lost } = await withService(1);
+  const first = w.leader;
+  const [next, third] = [(first + 1) % 3, (first + 2) % 3];
+  w.freeze(next, SILENT_MS);
+  await w.pass(LEASE_S);
+  w.freeze(first, SILENT_MS);
+  await w.until(() => w.leader === third, LEASE_S, 'the third leads');
+  // A lease and the report interval in which it began; one that is turned away comes 11 s later.
+  await w.pass(1.25 * LEASE_S);
+  assert.equal(w.leader, third);
+  assert.ok([...w.workers.values()].every((worker) => worker.shift <= 2));
+  await w.until(() => w.running(service) === 4, 3, 'replicas run again');
+  assert.equal(lost(), 4);
+  await end(w);
+});
+
+// While a follower was silent the leader stayed where its workers would have met two silent ones in a row.
+test('a leader before a silent controller hands over, and its end then costs no lease', async () => {
+  const { w, service, lost } = await withService(1);
+  const first = w.leader;
+  const [next, third] = [(first + 1) % 3, (first + 2) % 3];
+  // A term has to have lasted for a while.
+  await w.pass(2 * LEASE_S);
+  w.freeze(next, SILENT_MS);
+  await w.until(() => w.leader === third, LEASE_S, 'the third leads');
+  const { stamp } = w.store.keys.get('leader')!;
+  await w.pass(0.2);
+  const from = w.starts.length;
+  const job = await w.submit({ runMs: 1500, fetchMs: 500 }, third);
+  await w.until(() => w.starts.length > from, 2, 'work starts again');
+  await w.pass(LEASE_S);
+  assert.equal(await w.phase(job, third), 'done');
+  assert.equal(w.store.keys.get('leader')?.stamp, stamp);
+  w.freeze(third, SILENT_MS);
+  await w.until(() => w.leader === first, LEASE_S, 'the first leads again');
+  await w.pass(LEASE_S);
+  assert.equal(lost(), 0);
+  assert.equal(w.running(service), 4);
+  await end(w);
+});
