--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -102,6 +102,9 @@
     this.catalogue = new Catalogue(this.store, links.cloud, runtime, this.cloudTimeoutMs);
     this.succession = new Succession(runtime.clock, links.peerTransport, {
       self: settings.member,
+      zones: new Map(
+        [settings, ...settings.peers].map(({ member, zone }) => [member, zone] as const),
+      ),
       reportMs: workers.reportMs,
       leaseMs: workers.leaseMs,
     });
--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -124,8 +124,9 @@
   /**
    * Controllers that are restarted one after the other would each end a term if chance chose the next
    * leader: one that has been restarted already is the last to be restarted again. So whoever knows
-   * of a younger process than its own waits a moment; and twice that whoever should not lead as its
-   * workers, if it fell silent, would spend their leases on silent controllers.
+   * of a younger process than its own waits a moment; twice that whoever should not lead as its
+   * workers, if it fell silent, would spend their leases on silent controllers; and half of it whoever
+   * should not as those of another zone would if the zones were cut off from each other.
    */
   private async letOthersFirst(signal: AbortSignal): Promise<void> {
     const { clock, startedAt } = this.runtime;
@@ -135,7 +136,10 @@
       (p) =>
         p !== last && (this.peerTransport.startedAt(p) ?? -Infinity) > startedAt + this.lifetimeMs,
     );
-    const waits = Number(younger) + 2 * Number(this.succession.othersFirst(last));
+    const waits =
+      Number(younger) +
+      2 * Number(this.succession.othersFirst(last)) +
+      0.5 * Number(this.succession.othersFirstAcrossZones(last));
     if (waits > 0) await clock.sleep((waits * this.lifetimeMs) / 10, signal);
   }
 
--- a/src/election/succession.ts
+++ b/src/election/succession.ts
@@ -17,6 +17,8 @@
 /** What is needed to tell which controllers a worker passes, and for how long it may. */
 export interface SuccessionFacts {
   self: string;
+  /** The zone of each controller, this one included. */
+  zones: ReadonlyMap<string, string>;
   reportMs: number;
   leaseMs: number;
 }
@@ -69,12 +71,33 @@
     return this.passingMs(silent) + Math.max(0, others - silent) * PAUSE_MS;
   }
 
+  /** The other controllers in the order in which workers try them after this one. */
+  private after(member: string): string[] {
+    const at = this.order.indexOf(member);
+    return [...this.order.slice(at + 1), ...this.order.slice(0, at)];
+  }
+
+  /** Whether a worker comes in time to the controller at this place of its walk; -1: there is none. */
+  private isInTime(place: number): boolean {
+    return place >= 0 && this.passingMs(place + 1) < this.facts.leaseMs;
+  }
+
   /** Whether the workers of this controller would find the next in time if it fell silent. */
   private isCovered(member: string, silentForMs?: number): boolean {
-    const at = this.order.indexOf(member);
-    const after = [...this.order.slice(at + 1), ...this.order.slice(0, at)];
-    const next = after.findIndex((m) => !this.isSilent(m, silentForMs));
-    return next >= 0 && this.passingMs(next + 1) < this.facts.leaseMs;
+    return this.isInTime(this.after(member).findIndex((m) => !this.isSilent(m, silentForMs)));
+  }
+
+  /**
+   * Whether the workers of each other zone, if they could reach none but their own, would find a
+   * controller there in time. All others are silent to them then, those beside this one as well.
+   */
+  private isCoveredAcrossZones(member: string): boolean {
+    const { zones } = this.facts;
+    const after = this.after(member);
+    const others = new Set(after.map((m) => zones.get(m)).filter((z) => z !== zones.get(member)));
+    return [...others].every((zone) =>
+      this.isInTime(after.findIndex((m) => zones.get(m) === zone)),
+    );
   }
 
   /**
@@ -95,9 +118,17 @@
    * next one in time and ours would not. `except`: the last leader, which does not contest.
    */
   othersFirst(except: string | null): boolean {
-    if (this.isCovered(this.facts.self)) return false;
-    return this.order.some(
-      (m) => m !== this.facts.self && m !== except && !this.isSilent(m) && this.isCovered(m),
-    );
+    return this.othersFit((m) => this.isCovered(m), except);
+  }
+
+  /** The same for workers of other zones, if the zones were cut off from each other. */
+  othersFirstAcrossZones(except: string | null): boolean {
+    return this.othersFit((m) => this.isCoveredAcrossZones(m), except);
+  }
+
+  private othersFit(fits: (member: string) => boolean, except: string | null): boolean {
+    const { self } = this.facts;
+    if (fits(self)) return false;
+    return this.order.some((m) => m !== self && m !== except && !this.isSilent(m) && fits(m));
   }
 }
--- a/test/succession.test.ts
+++ b/test/succession.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Succession } from '../src/election/succession.js';
+import type { PeerTransport } from '../src/peer/peer-transport.js';
+import { FakeClock } from './fakes/clock.js';
 import { machines } from './fakes/meeting.js';
 import { World } from './fakes/world.js';
 
@@ -100,3 +103,26 @@
   assert.equal(w.running(service), 4);
   await end(w);
 });
+
+/** Whether one of five controllers, in zones a, b, a, b, a, lets others lead so that a cut costs no lease. */
+function standsBack(self: number, count: number, leaseMs: number): boolean {
+  const names = Array.from({ length: count }, (_, i) => `berth-${i}`);
+  const zones = new Map(names.map((name, i) => [name, i % 2 === 0 ? 'a' : 'b']));
+  const peers = names.filter((_, i) => i !== self);
+  const transport = { peers, lastHeardAt: () => 0 } as unknown as PeerTransport;
+  const facts = { self: names[self]!, zones, reportMs: 1000, leaseMs };
+  return new Succession(new FakeClock(), transport, facts).othersFirstAcrossZones(null);
+}
+
+// The workers of the far zone wait 5 s for the leader behind the cut and 5 s for another one there.
+test('a controller whose next one is in its own zone leaves office to others, as a cut between zones would cost leases', () => {
+  assert.deepEqual(
+    [0, 1, 2].map((self) => standsBack(self, 3, 10_000)),
+    [false, false, true],
+  );
+  assert.deepEqual(
+    [0, 1, 2, 3, 4].map((self) => standsBack(self, 5, 10_000)),
+    [false, false, false, false, true],
+  );
+  assert.equal(standsBack(4, 5, 15_250), false, 'a longer lease lasts');
+});
