--- a/src/election/election.ts
+++ b/src/election/election.ts
@@ -125,7 +125,7 @@
    * Controllers that are restarted one after the other would each end a term if chance chose the next
    * leader: one that has been restarted already is the last to be restarted again. So whoever knows
    * of a younger process than its own waits a moment; twice that whoever should not lead as its
-   * workers, if it fell silent, would spend their leases on silent controllers; and half of it whoever
+   * workers, if it fell silent, would spend their leases on silent controllers; and a part of it whoever
    * should not as those of another zone would if the zones were cut off from each other.
    */
   private async letOthersFirst(signal: AbortSignal): Promise<void> {
@@ -139,7 +139,7 @@
     const waits =
       Number(younger) +
       2 * Number(this.succession.othersFirst(last)) +
-      0.5 * Number(this.succession.othersFirstAcrossZones(last));
+      0.7 * Number(this.succession.othersFirstAcrossZones(last));
     if (waits > 0) await clock.sleep((waits * this.lifetimeMs) / 10, signal);
   }
 
--- a/src/election/succession.ts
+++ b/src/election/succession.ts
@@ -83,8 +83,26 @@
   }
 
   /** Whether the workers of this controller would find the next in time if it fell silent. */
-  private isCovered(member: string, silentForMs?: number): boolean {
-    return this.isInTime(this.after(member).findIndex((m) => !this.isSilent(m, silentForMs)));
+  private isCovered(member: string): boolean {
+    return this.isInTime(this.after(member).findIndex((m) => !this.isSilent(m)));
+  }
+
+  /**
+   * The same for this controller, with those alone for silent that have been so for long and are not
+   * behind a cut between zones: workers there are kept by a delegate of their zone, which would lose
+   * them with a change of leader.
+   */
+  private isCoveredForNow(): boolean {
+    const { self, leaseMs } = this.facts;
+    const forMs = leaseMs * HAND_OVER_SHARE;
+    const next = this.after(self).findIndex((m) => !this.isSilent(m, forMs) || this.isCutOff(m));
+    return this.isInTime(next);
+  }
+
+  /** Whether nobody in the zone of this controller is heard: another zone, perhaps behind a cut. */
+  private isCutOff(member: string): boolean {
+    const { zones } = this.facts;
+    return this.order.every((m) => zones.get(m) !== zones.get(member) || this.isSilent(m));
   }
 
   /**
@@ -106,8 +124,8 @@
    * serves a controller.
    */
   handOverTo(serves: (member: string) => boolean): string | null {
-    const { self, leaseMs } = this.facts;
-    if (this.isCovered(self, leaseMs * HAND_OVER_SHARE)) return null;
+    const { self } = this.facts;
+    if (this.isCoveredForNow()) return null;
     const better = (m: string): boolean =>
       m !== self && this.speaks(m) && serves(m) && this.isCovered(m);
     return this.order.find(better) ?? null;
