--- a/test/fakes/machines.ts
+++ b/test/fakes/machines.ts
@@ -92,7 +92,7 @@
 /** What really is on a machine. */
 export function seenOn(worker: FakeWorker): MachineSeen {
   const tasks: TaskSeen[] = [];
-  for (const { job, task, phase } of worker.expired() ? [] : worker.pieces) {
+  for (const { job, task, phase } of worker.expired ? [] : worker.pieces) {
     if (phase !== 'ended') tasks.push({ job, task, state: phase });
   }
   const { id, hull: type, yard: zone, driftwood: spot } = worker;
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -106,7 +106,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.dead) {
       // The lease of a hanging machine runs out like any other's: it never resumes past it.
-      if (this.expired()) this.nextSession();
+      if (this.expired) this.nextSession();
       const began = this.clock.now();
       const to = this.node;
       if (!this.hung) {
@@ -234,7 +234,7 @@
   }
 
   /** Its lease has run out: whatever was on it is killed at that moment, though it notices later. */
-  expired(): boolean {
+  get expired(): boolean {
     return this.clock.now() - this.leaseFrom > this.site.leaseMs;
   }
 
@@ -247,7 +247,7 @@
   /** Lets tasks go on as far as time allows. */
   private work(): void {
     const now = this.clock.now();
-    if (this.expired()) return this.nextSession();
+    if (this.expired) return this.nextSession();
     for (const p of this.pieces) {
       const facts = this.host.facts(p.job);
       if (p.phase === 'ended') continue;
