--- a/src/election/succession.ts
+++ b/src/election/succession.ts
@@ -147,6 +147,6 @@
   private othersFit(fits: (member: string) => boolean, except: string | null): boolean {
     const { self } = this.facts;
     if (fits(self)) return false;
-    return this.order.some((m) => m !== self && m !== except && !this.isSilent(m) && fits(m));
+    return this.order.some((m) => m !== self && m !== except && this.speaks(m) && fits(m));
   }
 }
