--- a/test/lapsed-right.test.ts
+++ b/test/lapsed-right.test.ts
@@ -29,6 +29,17 @@
 const others = (w: World, node: number): number[] =>
   w.nodes.map((_node, i) => i).filter((i) => i !== node);
 
+/** An outage so long, in which a follower cannot be asked for a while, so that the right lapses. */
+async function outageWithCut(w: World, seconds: number): Promise<void> {
+  const { name } = w.nodes[others(w, w.leader)[0]!]!;
+  w.store.down = true;
+  await w.pass(2);
+  w.wire.cut.add(name);
+  await w.pass(SILENCE_S);
+  w.wire.cut.delete(name);
+  await w.pass(seconds);
+}
+
 /** All work ran through the outage, or none of it did; afterwards it runs. */
 async function afterOutage({ w, job, starts }: Fleet, kept: boolean): Promise<void> {
   assert.equal(w.running(job), kept ? 4 : 0);
@@ -43,14 +54,7 @@
 
 test('in an outage a leader that could not ask the others for a while keeps the work all the same', async () => {
   const fleet = await runningFleet();
-  const { w } = fleet;
-  const name = w.nodes[others(w, w.leader)[0]!]!.name;
-  w.store.down = true;
-  await w.pass(2);
-  w.wire.cut.add(name);
-  await w.pass(SILENCE_S);
-  w.wire.cut.delete(name);
-  await w.pass(OUTAGE_S);
+  await outageWithCut(fleet.w, OUTAGE_S);
   await afterOutage(fleet, true);
 });
 
@@ -124,14 +128,8 @@
     path === '/txn' && JSON.stringify(body).includes('"write":"members/') ? 'refuse' : 'serve',
   );
   const { w } = fleet;
-  const old = w.nodes[others(w, w.leader)[0]!]!.name;
   for (const node of w.nodes) w.wire.previousVersion.add(node.name);
-  w.store.down = true;
-  await w.pass(2);
-  w.wire.cut.add(old);
-  await w.pass(SILENCE_S);
-  w.wire.cut.delete(old);
-  await w.pass(SHORT_OUTAGE_S);
+  await outageWithCut(w, SHORT_OUTAGE_S);
   await afterOutage(fleet, false);
 });
 
