One way to forget the oldest entries beyond a bound, in place of five

The loop stood in fleet, machine, question-admission and partitioned-workers, all added lately, and in dependency-tracker before them; runtime/drop-oldest.ts serves all. In Plan the description of `clearable` follows again the list of spare machines that it speaks of.

--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -6,6 +6,7 @@
 import { jitter } from '../runtime/random.js';
 import { KEYS } from '../state/keys.js';
 import { isRefusedSize } from '../state/store.js';
+import { dropOldest } from '../runtime/drop-oldest.js';
 import type { Leader } from './leader.js';
 
 type NeedsPieces = Extract<NeedsRecord, { mark: string }>;
@@ -100,10 +101,7 @@
 
   private trim(): void {
     const most = this.leader.parts.settings.machine.memoryMb * OVER_PER_MB;
-    for (const id of this.over.keys()) {
-      if (this.over.size <= most) return;
-      this.over.delete(id);
-    }
+    dropOldest(this.over, most);
   }
 
   private begin(job: Job, needs: NeedsRecord): void {
--- a/src/control/partitioned-workers.ts
+++ b/src/control/partitioned-workers.ts
@@ -3,6 +3,7 @@
 import type { JobPhase } from '../jobs/job.js';
 import type { Clock } from '../runtime/clock.js';
 import type { Order, Report } from '../wire/report.js';
+import { dropOldest } from '../runtime/drop-oldest.js';
 
 export interface PartitionedLimits {
   /** How often a job is asked about again. */
@@ -55,17 +56,6 @@
     return { kind: 'orders', token, orders };
   }
 
-  /** Nothing is answered on what is dropped: it is asked for again first. */
-  private dropOldest(): void {
-    const { mostJobs } = this.limits;
-    for (const jobs of [this.uncancelledAsOf, this.cancelled]) {
-      for (const job of jobs.keys()) {
-        if (jobs.size <= mostJobs) break;
-        jobs.delete(job);
-      }
-    }
-  }
-
   private knowsAll(jobs: Iterable<string>): boolean {
     const oldest = this.clock.now() - this.limits.viewMs;
     for (const job of jobs) {
@@ -87,7 +77,9 @@
         .then((phase) => {
           if (phase === 'cancelled') this.cancelled.add(job);
           else this.uncancelledAsOf.set(job, askedAt);
-          this.dropOldest();
+          // Nothing is answered on what is dropped: it is asked for again first.
+          dropOldest(this.uncancelledAsOf, this.limits.mostJobs);
+          dropOldest(this.cancelled, this.limits.mostJobs);
         })
         .catch(() => undefined)
         .finally(() => this.asking.delete(job));
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import type { Placement } from '../jobs/tracked-job.js';
 import { DRIFT } from '../runtime/clock.js';
 import type { ExitWhy, Order, Report, TaskReport } from '../wire/report.js';
+import { dropOldest } from '../runtime/drop-oldest.js';
 import { BootTimes } from './boot-times.js';
 import { Machine, startKey, taskKey } from './machine.js';
 import type { MachineType } from './types.js';
@@ -245,10 +246,7 @@
   returnConfirmed(id: string): void {
     this.returned.add(id);
     // What comes of one that is dropped is taken for a machine that is in no list, and soon given up.
-    for (const longestAgo of this.returned) {
-      if (this.returned.size <= MOST_RETURNED) break;
-      this.returned.delete(longestAgo);
-    }
+    dropOldest(this.returned, MOST_RETURNED);
     this.gone(id);
   }
 
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -1,5 +1,6 @@
 import type { Blame, FailureHistory } from '../jobs/failures.js';
 import type { Placement } from '../jobs/tracked-job.js';
+import { dropOldest } from '../runtime/drop-oldest.js';
 import type { BootTimes } from './boot-times.js';
 import type { MachineType, Need } from './types.js';
 import { take } from './types.js';
@@ -69,10 +70,7 @@
   failed(job: FailureHistory): void {
     this.failedJobs.delete(job);
     this.failedJobs.add(job);
-    for (const longestAgo of this.failedJobs) {
-      if (this.failedJobs.size <= MOST_FAILED_JOBS) break;
-      this.failedJobs.delete(longestAgo);
-    }
+    dropOldest(this.failedJobs, MOST_FAILED_JOBS);
   }
 
   /** It may get new work: it answers, is not on its way out and has not proven faulty. */
--- a/src/jobs/question-admission.ts
+++ b/src/jobs/question-admission.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../runtime/clock.js';
+import { dropOldest } from '../runtime/drop-oldest.js';
 
 /** What users' questions may take of a controller's share of a core. */
 const PROCESSOR_SHARE = 0.4;
@@ -88,11 +89,7 @@
   answered(id: string): void {
     this.answeredAt.delete(id);
     this.answeredAt.set(id, this.clock.now());
-    if (this.answeredAt.size <= this.mostRemembered) return;
-    for (const longestAgo of this.answeredAt.keys()) {
-      this.answeredAt.delete(longestAgo);
-      break;
-    }
+    dropOldest(this.answeredAt, this.mostRemembered);
   }
 
   private get overdueMs(): number {
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -148,10 +148,10 @@
   rents: Rent[];
   /** Machines that no task in sight needs, but opportunistic ones. */
   spare: string[];
-  /** Work that would start, or be given room, if its team's limit were higher. */
-  heldBack: HeldBack;
   /** Of these, what holds opportunistic work that finds room elsewhere; the emptiest first. */
   clearable: string[];
+  /** Work that would start, or be given room, if its team's limit were higher. */
+  heldBack: HeldBack;
 }
 
 /** By team, how many waiting tasks its limit keeps from getting room; teams without any are left out. */
