--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/', 'journal/', 'node_modules/', 'test/fixtures/controllers/'] },
+  {
+    ignores: [
+      'target/',
+      'packages/*/target/',
+      'journal/',
+      'node_modules/',
+      'test/fixtures/controllers/',
+    ],
+  },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/src/runtime/duty.ts
+++ b/packages/core/src/duty.ts
@@ -15,7 +15,7 @@
  * partner: it is logged and started again after a wait.
  */
 export async function duty(
-  runtime: Runtime,
+  runtime: Omit<Runtime, 'startedAt'>,
   name: string,
   signal: AbortSignal,
   restartMs: number,
--- /dev/null
+++ b/packages/shares/src/desk.ts
@@ -0,0 +1,217 @@
+/**
+ * What operators may ask of any controller, leading or not: everything rests on the state service. Only
+ * the leader changes the table; here requests are stored, and what the records say is shown.
+ */
+import type { Entry } from '@leverhatch/core/store';
+import { NOTHING, subtract } from './amounts.js';
+import { chooseToStop } from './drain.js';
+import { SHARE_KEYS } from './keys.js';
+import type { LeaderShares } from './leader-shares.js';
+import { isFinal, parseMove, type MoveRecord } from './move.js';
+import type { SchedulerPort, SharePorts } from './ports.js';
+import { ShareBook } from './records.js';
+import { BadRequest, isRepeat, newMove, parseRequest } from './request.js';
+import { excess, shareTable, whyRefused, type ShareTable, type TeamShare } from './table.js';
+
+/** So many moves may be under way or wait at once. */
+export const MOST_OPEN_MOVES = 1000;
+
+/** Two controllers may change one record at the same moment; each tries again this many times. */
+const MOST_TRIES = 5;
+
+/** Requests of operators go with users' other writes. */
+const URGENCY = 1;
+
+/** When to come back after a refusal, in seconds. */
+const RETRY_AFTER_S = 2;
+
+/** An answer to an operator. */
+export interface DeskAnswer {
+  status: 200 | 201 | 400 | 404 | 409 | 421 | 422 | 503;
+  body: object;
+  /** When to ask again, in seconds. */
+  retryAfter?: number;
+}
+
+/** A term in which this controller leads. */
+export interface LeadingTerm {
+  shares: LeaderShares;
+  scheduler: SchedulerPort;
+}
+
+const error = (status: DeskAnswer['status'], message: string): DeskAnswer => ({
+  status,
+  body: { error: message },
+  ...(status === 503 ? { retryAfter: RETRY_AFTER_S } : {}),
+});
+
+/** A limit that is none is shown as null: JSON has no infinity. */
+const shown = (amounts: { cpus: number; gpus: number }): object => ({
+  cpus: amounts.cpus === Infinity ? null : amounts.cpus,
+  gpus: amounts.gpus === Infinity ? null : amounts.gpus,
+});
+
+/** Answers operators. */
+export class ShareDesk {
+  private requests = 0;
+
+  constructor(
+    private readonly ports: SharePorts,
+    /** Names this process in its writes. */
+    private readonly processId: string,
+    /** What this controller knows while it leads; null: another one does. */
+    private readonly leading: () => LeadingTerm | null,
+  ) {}
+
+  private mark(): string {
+    return `${this.processId}/r${++this.requests}`;
+  }
+
+  /** Stores a request; the same one again gets the state of the first. */
+  submit(body: unknown): Promise<DeskAnswer> {
+    return this.answering(async () => {
+      const { base, clock, store } = this.ports;
+      const request = parseRequest(body, base, clock.wall());
+      const key = SHARE_KEYS.move(request.id);
+      const known = await store.get(key, URGENCY);
+      if (known) return this.repeated(known, request);
+      const book = await this.read();
+      if (book.openMoves >= MOST_OPEN_MOVES) return error(503, 'too many moves are under way');
+      const move = newMove(request, this.mark(), clock.wall());
+      const outcome = await store.txn([{ key, version: 0 }], [{ put: key, value: move }], URGENCY);
+      if (outcome.ok) {
+        this.ports.log.info({ move: move.id, from: move.from, to: move.to }, 'share move accepted');
+        return { status: 201, body: move };
+      }
+      const first = await store.get(key, URGENCY);
+      return first ? this.repeated(first, request) : error(503, 'changed at the same time');
+    });
+  }
+
+  private repeated(known: Entry, request: Parameters<typeof isRepeat>[0]): DeskAnswer {
+    const move = parseMove(known.value);
+    if (!move) return error(409, `id: the record of ${request.id} cannot be read`);
+    if (!isRepeat(request, move)) return error(409, `id: ${request.id} names another move`);
+    return { status: 200, body: move };
+  }
+
+  /** Asks the leader to take a move back; a move that is over stays as it is. */
+  cancel(id: string): Promise<DeskAnswer> {
+    return this.answering(async () => {
+      const { store } = this.ports;
+      const key = SHARE_KEYS.move(id);
+      for (let tries = 0; tries < MOST_TRIES; tries++) {
+        const entry = await store.get(key, URGENCY);
+        if (!entry) return error(404, `id: no move ${id}`);
+        const move = parseMove(entry.value);
+        if (!move) return error(409, `id: the record of ${id} cannot be read`);
+        if (move.cancelRequested) return { status: 200, body: move };
+        if (isFinal(move.phase)) return error(409, `id: move ${id} is over (${move.phase})`);
+        const next: MoveRecord = { ...move, cancelRequested: true, w: this.mark() };
+        const when = [{ key, version: entry.version }];
+        const outcome = await store.txn(when, [{ put: key, value: next }], URGENCY);
+        if (outcome.ok) return { status: 200, body: next };
+      }
+      return error(503, 'changed at the same time');
+    });
+  }
+
+  /** What every team has, and the moves that are not over. */
+  show(): Promise<DeskAnswer> {
+    return this.answering(async () => {
+      const book = await this.read();
+      const table = shareTable(this.ports.base, book.records);
+      const leading = this.leading();
+      const used = leading?.scheduler.used() ?? null;
+      const teams = [...table.teams].map(([name, position]) => ({
+        name,
+        guarantee: shown(position.guarantee),
+        limit: shown(position.limit),
+        ceiling: shown(position.ceiling),
+        used: used?.get(name) ?? null,
+      }));
+      const moves = book.records.moves
+        .filter((move) => !isFinal(move.phase))
+        .map((move) => ({ ...move, waitsFor: this.waitsFor(move, table) }));
+      const unreadable = [...book.unreadable.keys()];
+      const { suspended } = table;
+      return {
+        status: 200,
+        body: { revision: book.revision, teams, moves, suspended, unreadable },
+      };
+    });
+  }
+
+  /** What keeps a move from going on, as far as this controller can tell. */
+  private waitsFor(move: MoveRecord, table: ShareTable): string | null {
+    const suspended = table.suspended.find(({ what }) => what === move.id);
+    if (suspended) return `suspended: ${suspended.reason}`;
+    const used = this.leading()?.scheduler.used();
+    if (move.phase === 'requested') return 'the leader';
+    if (!used || move.phase === 'lent') return null;
+    const holder = move.phase === 'returning' ? move.to : move.from;
+    const position = table.teams.get(holder);
+    if (!position) return null;
+    const { cpus, gpus } = excess(used.get(holder) ?? NOTHING, position);
+    return `${gpus} GPUs and ${cpus} CPUs that team ${holder} still holds beyond its limit`;
+  }
+
+  /** Moves that are over, the newest first. */
+  history(): Promise<DeskAnswer> {
+    return this.answering(async () => {
+      const book = await this.read();
+      return { status: 200, body: { moves: book.history.reverse() } };
+    });
+  }
+
+  /** Says what a move would do, without doing anything. Only the leader knows what runs. */
+  plan(body: unknown): Promise<DeskAnswer> {
+    return this.answering(async () => {
+      const { base, clock } = this.ports;
+      const request = parseRequest(body, base, clock.wall());
+      const leading = this.leading();
+      if (!leading) return error(421, 'this controller does not lead');
+      const { table } = leading.shares.view;
+      const move = newMove(request, '', clock.wall());
+      const refused = whyRefused(table, move);
+      if (refused !== null) return error(422, refused);
+      return { status: 200, body: preview(move, table, leading.scheduler) };
+    });
+  }
+
+  private async read(): Promise<ShareBook> {
+    const { items } = await this.ports.store.range(SHARE_KEYS.all);
+    return ShareBook.of(items);
+  }
+
+  private async answering(answer: () => Promise<DeskAnswer>): Promise<DeskAnswer> {
+    try {
+      return await answer();
+    } catch (failure) {
+      if (failure instanceof BadRequest) return error(failure.status, failure.message);
+      // Whatever keeps the state service from answering: the repeat finds out what became of it.
+      this.ports.log.debug({ error: String(failure) }, 'share request not served');
+      return error(503, 'the state service does not serve');
+    }
+  }
+}
+
+/** What a move would leave, and what of the donor's work would have to go at the worst. */
+function preview(move: MoveRecord, table: ShareTable, scheduler: SchedulerPort): object {
+  const donor = table.teams.get(move.from)!;
+  const left: TeamShare = {
+    guarantee: subtract(donor.guarantee, move.guarantee),
+    limit: subtract(donor.limit, move.limit),
+  };
+  const used = scheduler.used().get(move.from) ?? NOTHING;
+  const toDrain = excess(used, left);
+  const stops = chooseToStop(toDrain, scheduler.candidates(move.from));
+  return {
+    donor: { team: move.from, used, guarantee: shown(left.guarantee), limit: shown(left.limit) },
+    toDrain,
+    wouldStopAtMost: stops.map(({ job, task, lossMs }) => ({
+      task: `${job}/${task}`,
+      lossSeconds: Math.round(lossMs / 1000),
+    })),
+  };
+}
--- /dev/null
+++ b/packages/shares/src/table.ts
@@ -0,0 +1,248 @@
+/**
+ * The share table: what each team may have now, as a pure function of the settings and of the records
+ * of moves. Settings give the base, moves are differences from it.
+ */
+import {
+  add,
+  exceeding,
+  larger,
+  NOTHING,
+  RESOURCES,
+  smaller,
+  subtract,
+  TOLERANCE,
+  type Amounts,
+} from './amounts.js';
+import type { MoveRecord, SettledRecord } from './move.js';
+
+/** What the settings say of a team. A limit is `Infinity` where there is none. */
+export interface TeamShare {
+  guarantee: Amounts;
+  limit: Amounts;
+}
+
+/** What a team has now. */
+export interface TeamPosition extends TeamShare {
+  /**
+   * What the team's recorded occupancy may still be: its limit, and while a share leaves the team also
+   * what has not been passed on yet. The ceilings of all teams never exceed the limits of the settings.
+   */
+  ceiling: Amounts;
+  /** Without what the team has borrowed or may still have to give back: what it may pass on. */
+  own: TeamShare;
+}
+
+/** A move, or the sum of the finished moves of a pair of teams, that the settings have no room for. */
+export interface Suspended {
+  /** The id of the move; for finished moves the pair of teams. */
+  what: string;
+  reason: string;
+}
+
+export interface ShareTable {
+  teams: ReadonlyMap<string, TeamPosition>;
+  suspended: readonly Suspended[];
+}
+
+/** What one move changes of both teams. */
+interface Effect {
+  what: string;
+  from: string;
+  to: string;
+  donor: Difference;
+  receiver: Difference;
+}
+
+interface Difference {
+  guarantee: Amounts;
+  limit: Amounts;
+  ceiling: Amounts;
+  own: TeamShare;
+}
+
+const NO_SHARE: TeamShare = { guarantee: NOTHING, limit: NOTHING };
+const UNCHANGED: Difference = {
+  guarantee: NOTHING,
+  limit: NOTHING,
+  ceiling: NOTHING,
+  own: NO_SHARE,
+};
+
+const minus = (a: Amounts): Amounts => subtract(NOTHING, a);
+
+/** What is passed on for good. */
+function finishedEffect(what: string, move: SettledRecord): Effect {
+  const { from, to, guarantee, limit } = move;
+  return {
+    what,
+    from,
+    to,
+    donor: {
+      guarantee: minus(guarantee),
+      limit: minus(limit),
+      ceiling: minus(limit),
+      own: { guarantee: minus(guarantee), limit: minus(limit) },
+    },
+    receiver: { guarantee, limit, ceiling: limit, own: { guarantee, limit } },
+  };
+}
+
+/**
+ * What a move changes while it is under way. On the way to the receiver the donor has lost all of it,
+ * on the way back the receiver has; the other side has as much as `passed` says.
+ */
+function openEffect(move: MoveRecord): Effect {
+  const { id, from, to, passed, guaranteePassed } = move;
+  const returning = move.phase === 'returning';
+  const guaranteeThere = guaranteePassed ? move.guarantee : NOTHING;
+  return {
+    what: id,
+    from,
+    to,
+    donor: {
+      guarantee: minus(returning ? guaranteeThere : move.guarantee),
+      limit: minus(returning ? passed : move.limit),
+      ceiling: minus(passed),
+      own: { guarantee: minus(move.guarantee), limit: minus(move.limit) },
+    },
+    receiver: {
+      ...UNCHANGED,
+      guarantee: returning ? NOTHING : guaranteeThere,
+      limit: returning ? NOTHING : passed,
+      ceiling: passed,
+    },
+  };
+}
+
+function effectOf(move: MoveRecord): Effect | null {
+  if (move.phase === 'done') return finishedEffect(move.id, move);
+  const open = move.phase === 'draining' || move.phase === 'lent' || move.phase === 'returning';
+  return open ? openEffect(move) : null;
+}
+
+const applyTo = (team: TeamPosition, difference: Difference): TeamPosition => ({
+  guarantee: add(team.guarantee, difference.guarantee),
+  limit: add(team.limit, difference.limit),
+  ceiling: add(team.ceiling, difference.ceiling),
+  own: {
+    guarantee: add(team.own.guarantee, difference.own.guarantee),
+    limit: add(team.own.limit, difference.own.limit),
+  },
+});
+
+/** Why a team cannot have this share; null if it can. */
+function whyNegative(name: string, { guarantee, limit }: TeamShare): string | null {
+  for (const resource of RESOURCES) {
+    if (guarantee[resource] < -TOLERANCE)
+      return `guarantee.${resource}: team ${name} has not so much`;
+    if (limit[resource] < -TOLERANCE) return `limit.${resource}: team ${name} has not so much`;
+  }
+  return null;
+}
+
+/** Why operators cannot give a team this share; null if they can. */
+function whyImpossible(name: string, share: TeamShare): string | null {
+  const negative = whyNegative(name, share);
+  if (negative !== null) return negative;
+  const [resource] = exceeding(share.guarantee, share.limit);
+  if (resource === undefined) return null;
+  return `limit.${resource}: team ${name} would have a limit below its guarantee`;
+}
+
+/** Why the effect does not fit; null if it does. What is judged is what the teams have for good. */
+function whyUnfit(teams: ReadonlyMap<string, TeamPosition>, effect: Effect): string | null {
+  const donor = teams.get(effect.from);
+  const receiver = teams.get(effect.to);
+  if (!donor) return `from: unknown team ${effect.from}`;
+  if (!receiver) return `to: unknown team ${effect.to}`;
+  return (
+    whyNegative(effect.from, applyTo(donor, effect.donor).own) ??
+    whyNegative(effect.to, applyTo(receiver, effect.receiver).own)
+  );
+}
+
+/** The records that a table follows from. */
+export interface ShareRecords {
+  settled: readonly SettledRecord[];
+  moves: readonly MoveRecord[];
+}
+
+/**
+ * The table as it follows from the settings and the records. Finished moves come first, then the others
+ * in the order in which they were admitted; what the settings have no room for is left out on both sides.
+ */
+export function shareTable(
+  base: ReadonlyMap<string, TeamShare>,
+  { settled, moves }: ShareRecords,
+): ShareTable {
+  const teams = new Map<string, TeamPosition>();
+  for (const [name, { guarantee, limit }] of base) {
+    teams.set(name, { guarantee, limit, ceiling: limit, own: { guarantee, limit } });
+  }
+  const suspended: Suspended[] = [];
+  const ordered = [...moves].sort((a, b) => a.order - b.order);
+  const effects = [
+    ...settled.map((s) => finishedEffect(`${s.from} to ${s.to}`, s)),
+    ...ordered.map(effectOf),
+  ];
+  for (const effect of effects) {
+    if (effect === null) continue;
+    const reason = whyUnfit(teams, effect);
+    if (reason !== null) {
+      suspended.push({ what: effect.what, reason });
+      continue;
+    }
+    teams.set(effect.from, applyTo(teams.get(effect.from)!, effect.donor));
+    teams.set(effect.to, applyTo(teams.get(effect.to)!, effect.receiver));
+  }
+  // A guarantee is passed on at once, a limit as the other team's work leaves; and of two moves that
+  // were both sound when they were asked for, one may finish when the other has taken its limit.
+  for (const team of teams.values()) team.guarantee = smaller(team.guarantee, team.limit);
+  return { teams, suspended };
+}
+
+/** The smaller share of each team: what holds while it is not known which table the store has. */
+export function smallerTable(a: ShareTable, b: ShareTable): Map<string, TeamShare> {
+  const teams = new Map<string, TeamShare>();
+  for (const [name, one] of a.teams) {
+    const other = b.teams.get(name) ?? one;
+    teams.set(name, {
+      guarantee: smaller(one.guarantee, other.guarantee),
+      limit: smaller(one.limit, other.limit),
+    });
+  }
+  return teams;
+}
+
+/** What of a team's recorded occupancy is above its limit. */
+export const excess = (used: Amounts, { limit }: TeamShare): Amounts =>
+  larger(NOTHING, subtract(used, limit));
+
+/**
+ * Why a move cannot begin now; null if it can. A team passes on only what is its own: what it has
+ * borrowed, or was promised by a move under way, may have to go back.
+ */
+export function whyRefused(table: ShareTable, move: MoveRecord): string | null {
+  const donor = table.teams.get(move.from);
+  const receiver = table.teams.get(move.to);
+  if (!donor) return `from: unknown team ${move.from}`;
+  if (!receiver) return `to: unknown team ${move.to}`;
+  for (const resource of RESOURCES) {
+    if (move.limit[resource] === 0) continue;
+    const unlimited = [move.from, move.to].find(
+      (name) => table.teams.get(name)!.limit[resource] === Infinity,
+    );
+    if (unlimited !== undefined) return `limit.${resource}: team ${unlimited} has no limit`;
+  }
+  const left: TeamShare = {
+    guarantee: subtract(donor.own.guarantee, move.guarantee),
+    limit: subtract(donor.own.limit, move.limit),
+  };
+  return (
+    whyImpossible(move.from, left) ??
+    whyImpossible(move.to, {
+      guarantee: add(receiver.own.guarantee, move.guarantee),
+      limit: add(receiver.own.limit, move.limit),
+    })
+  );
+}
--- /dev/null
+++ b/packages/shares/test/drain.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chooseToStop, type DrainCandidate } from '@leverhatch/shares/drain';
+
+const task = (job: string, n: number, facts: Partial<DrainCandidate> = {}): DrainCandidate => ({
+  job,
+  task: n,
+  priority: 2,
+  lossMs: 1000,
+  wholeGang: false,
+  need: { cpus: 4, gpus: 1 },
+  ...facts,
+});
+
+const names = (tasks: DrainCandidate[]): string[] => tasks.map((t) => `${t.job}/${t.task}`).sort();
+
+test('the least important work goes first, and no more of it than is needed', () => {
+  const work = [
+    task('urgent', 0, { priority: 1 }),
+    task('batch', 0),
+    task('batch', 1, { lossMs: 10 }),
+    task('batch', 2),
+  ];
+  assert.deepEqual(names(chooseToStop({ cpus: 0, gpus: 1 }, work)), ['batch/1']);
+  assert.equal(chooseToStop({ cpus: 0, gpus: 4 }, work).length, 4);
+  assert.deepEqual(chooseToStop({ cpus: 0, gpus: 0 }, work), []);
+});
+
+test('a gang is stopped whole, and small work that it makes up for is left running', () => {
+  const gang = [0, 1, 2, 3].map((n) => task('gang', n, { wholeGang: true, lossMs: 500 }));
+  const work = [task('small', 0, { lossMs: 100 }), ...gang];
+  assert.deepEqual(names(chooseToStop({ cpus: 0, gpus: 4 }, work)), names(gang));
+});
+
+test('work that uses nothing of what is wanted is left alone', () => {
+  const work = [task('cpu', 0, { need: { cpus: 4, gpus: 0 }, priority: 3 }), task('gpu', 0)];
+  assert.deepEqual(names(chooseToStop({ cpus: 0, gpus: 1 }, work)), ['gpu/0']);
+});
+
+test('where there is less than is wanted all of it goes', () => {
+  assert.equal(chooseToStop({ cpus: 0, gpus: 9 }, [task('a', 0), task('a', 1)]).length, 2);
+});
--- /dev/null
+++ b/packages/shares/test/request.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { AllowList, BadNetwork } from '@leverhatch/shares/networks';
+import { BadRequest, parseRequest } from '@leverhatch/shares/request';
+import type { TeamShare } from '@leverhatch/shares/table';
+
+const NOW = 1_000_000;
+const TEAM: TeamShare = { guarantee: { cpus: 8, gpus: 8 }, limit: { cpus: 8, gpus: 8 } };
+const BASE = new Map([
+  ['a', TEAM],
+  ['b', TEAM],
+]);
+const GOOD = { id: 'move-1', from: 'a', to: 'b', limit: { gpus: 4 } };
+
+function refusal(change: object): string {
+  try {
+    parseRequest({ ...GOOD, ...change }, BASE, NOW);
+  } catch (error) {
+    assert.ok(error instanceof BadRequest);
+    return `${error.status} ${error.message}`;
+  }
+  return 'taken';
+}
+
+test('each kind of bad input is refused with one line that names the field', () => {
+  const cases: [object, RegExp][] = [
+    [{ id: 'with space' }, /^400 id: /],
+    [{ id: 'x'.repeat(65) }, /^400 id: /],
+    [{ id: 7 }, /^400 id: /],
+    [{ from: 'nobody' }, /^422 from: unknown team nobody/],
+    [{ to: 'nobody' }, /^422 to: unknown team nobody/],
+    [{ to: 'a' }, /^400 to: /],
+    [{ limit: { gpus: -1 } }, /^400 limit\.gpus: must not be negative/],
+    [{ limit: { gpus: 0.0001 } }, /^400 limit\.gpus: must have three decimals/],
+    [{ limit: { disks: 1 } }, /^400 limit\.disks: /],
+    [{ limit: {} }, /^400 guarantee: nothing is moved/],
+    [{ until: NOW - 1 }, /^400 until: must not be in the past/],
+    [{ until: NOW + 1, forSeconds: 5 }, /^400 forSeconds: /],
+    [{ drainSeconds: 0 }, /^400 drainSeconds: must be positive/],
+    [{ colour: 'red' }, /^400 colour: /],
+  ];
+  for (const [change, expected] of cases) {
+    assert.match(refusal(change), expected);
+    assert.ok(!refusal(change).includes('\n'));
+  }
+  assert.equal(refusal({}), 'taken');
+});
+
+test('addresses are judged by their network, also IPv4 ones that come as IPv6', () => {
+  const list = new AllowList('10.1.0.0/16, ::1/128 ::ffff:10.2.0.0/112');
+  for (const yes of ['10.1.2.3', '::ffff:10.1.2.3', '::1', '10.2.0.9']) assert.ok(list.allows(yes));
+  for (const no of ['10.3.0.1', '::2', 'fd00::1', 'nonsense', undefined]) {
+    assert.ok(!list.allows(no));
+  }
+  for (const bad of ['', '10.1.0.0', '10.1.0.0/33', 'localhost/8']) {
+    assert.throws(() => new AllowList(bad), BadNetwork);
+  }
+});
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,5 +10,7 @@
   target: 'node20',
   format: 'cjs',
   minify: true,
+  // Parts that are switched on by settings are loaded when they are, and cost nothing before.
+  external: ['@leverhatch/shares'],
   logLevel: 'warning',
 });
--- a/src/control/cancellation-view.ts
+++ b/src/control/cancellation-view.ts
@@ -1,4 +1,4 @@
-import { DRIFT } from '../runtime/clock.js';
+import { DRIFT } from '@leverhatch/core/clock';
 import type { Settings } from '../settings/deploy.js';
 
 /** Timers fire in steps of one or a few milliseconds. */
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import type { ShareDesk } from '@leverhatch/shares';
 import { Election } from '../election/election.js';
 import { Succession } from '../election/succession.js';
 import { ZoneDelegate, zoneDelegateRightMs } from '../election/zone-delegate.js';
@@ -17,9 +18,9 @@
   VOUCHES_VERSION,
   type Message,
 } from '../peer/frames.js';
-import { Membership } from '../membership/membership.js';
+import { Membership, OWN_FORMATS } from '../membership/membership.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
-import { duty, untilAborted, type Runtime } from '../runtime/duty.js';
+import { duty, untilAborted, type Runtime } from '@leverhatch/core/duty';
 import { EventLoopLag } from '../runtime/event-loop-lag.js';
 import { StoreReachability } from '../peer/store-reachability.js';
 import type { Settings } from '../settings/deploy.js';
@@ -32,6 +33,7 @@
 import { MOST_HOLD_MS } from './report-handler.js';
 import { SelfWatch } from './self-watch.js';
 import { PartitionedWorkers } from './partitioned-workers.js';
+import type { SharesPackage, SharesParts } from './team-shares.js';
 import { ShownCounts } from './shown-counts.js';
 import { UnreadTerms } from './unread-records.js';
 import { SilentTerms } from './worker-silence.js';
@@ -41,11 +43,16 @@
   store: Transport;
   cloud: Transport;
   workers: Callers;
+  /** The package that moves shares; without it they are as the settings say. */
+  shares?: SharesPackage;
 }
 
 /** The leader speaks once a report interval; after so many of them without a word it is mute. */
 const HEARTBEATS_MISSED = 1.2;
 
+/** What a controller says of itself that knows the share table. */
+const SHARES_FEATURE = 'shares';
+
 /** For how many times `cancel_s` it is remembered which jobs users were told to be cancelled. */
 const LOGGED_CANCELS = 3;
 
@@ -74,6 +81,9 @@
   private readonly storeReachability: StoreReachability;
   private readonly catalogue: Catalogue;
   readonly membership: Membership;
+  private readonly shares: SharesParts | null;
+  /** Answers operators who move shares; null where that is switched off. */
+  readonly shareDesk: ShareDesk | null;
   private leader: Leader | null = null;
   private readonly silentTerms = new SilentTerms();
   private readonly unreadTerms = new UnreadTerms();
@@ -126,7 +136,10 @@
         size: settings.size,
       },
       workers.reportMs * REPORTS_PER_LOOK,
+      links.shares ? { ...OWN_FORMATS, features: [SHARES_FEATURE] } : OWN_FORMATS,
     );
+    this.shares = links.shares ? this.sharesParts(links.shares) : null;
+    this.shareDesk = this.shares && this.createShareDesk(this.shares);
     this.shown = new ShownCounts(settings.machine.memoryMb * OPEN_JOBS_PER_MB * SHOWN_SHARE);
     this.lag = new EventLoopLag(runtime.clock, POLL_MS * LAG_EVERY_SHARE);
     this.storeReachability = new StoreReachability(runtime.clock, settings.workers.reportMs);
@@ -166,6 +179,29 @@
     );
   }
 
+  private sharesParts(shares: SharesPackage): SharesParts {
+    const { clock, random, log } = this.runtime;
+    const { teams, clockErrorMs, workers } = this.settings;
+    const { limits } = this.store;
+    return {
+      package: shares,
+      ports: {
+        store: this.store,
+        ...{ clock, random, log, base: teams, clockErrorMs },
+        stepMs: workers.reportMs / 2,
+        transactionChanges: () => limits.effective().txnOps,
+        allControllersKnowShares: (signal) => this.membership.allHave(SHARES_FEATURE, signal),
+      },
+    };
+  }
+
+  private createShareDesk({ package: shares, ports }: SharesParts): ShareDesk {
+    return new shares.ShareDesk(ports, this.runtime.random.unique(), () => {
+      const teamShares = this.leader?.records.ready ? this.leader.teamShares : null;
+      return teamShares && { shares: teamShares.moves, scheduler: teamShares };
+    });
+  }
+
   private viewForUsers(): ControllerView {
     return {
       counts: (id) => (this.leader ? this.leader.counts(id) : this.shown.of(id)),
@@ -272,6 +308,7 @@
           silentTerms: this.silentTerms,
           succession: this.succession,
           unreadTerms: this.unreadTerms,
+          shares: this.shares,
           othersServed: () => this.storeReachability.servesOthers,
           betterLeader: () =>
             this.succession.handOverTo((peer) => this.storeReachability.serves(peer)),
--- a/src/control/dependency-tracker.ts
+++ b/src/control/dependency-tracker.ts
@@ -3,7 +3,7 @@
 import { readJobEntries } from '../jobs/job-reader.js';
 import type { Job } from '../jobs/tracked-job.js';
 import type { NeedsRecord } from '../jobs/records.js';
-import { jitter } from '../runtime/random.js';
+import { jitter } from '@leverhatch/core/random';
 import { KEYS } from '../state/keys.js';
 import { isRefusedSize } from '../state/store.js';
 import { dropOldest } from '../runtime/drop-oldest.js';
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -13,8 +13,8 @@
 import type { LayoutPolicy } from '../jobs/run-layout.js';
 import { RunRewriter } from '../jobs/run-rewriter.js';
 import { RECORD_FORMATS, type Membership } from '../membership/membership.js';
-import { duty, type Runtime } from '../runtime/duty.js';
-import type { Settings } from '../settings/deploy.js';
+import { duty, type Runtime } from '@leverhatch/core/duty';
+import type { Settings, Team } from '../settings/deploy.js';
 import type { Operator } from '../settings/operator.js';
 import type { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
@@ -31,6 +31,7 @@
 import { TaskProgress } from './task-progress.js';
 import { TaskStops } from './task-stops.js';
 import { TeamLimits } from './team-limits.js';
+import { TeamShares, type SharesParts } from './team-shares.js';
 import { UnreadRecords, type UnreadTerms } from './unread-records.js';
 import { WorkerSilence, type SilentTerms } from './worker-silence.js';
 
@@ -52,6 +53,8 @@
   othersServed(): boolean;
   /** Whom workers should report to rather than to this leader; null: nobody. */
   betterLeader(): string | null;
+  /** Null where shares are not moved. */
+  shares: SharesParts | null;
 }
 
 /** After what share of the leader lease without news of the job records the others are asked. */
@@ -80,6 +83,8 @@
   readonly unreadRecords: UnreadRecords;
   readonly silentMachines: SilentMachines;
   readonly teamLimits: TeamLimits;
+  /** Null where shares are not moved. */
+  readonly teamShares: TeamShares | null;
   readonly ledger: Ledger;
   private readonly rewriter: RunRewriter;
   readonly zoneDelegates: ZoneDelegateWatch;
@@ -125,31 +130,41 @@
       this.fleet.leaseRanOut(m, now),
     );
     this.teamLimits = new TeamLimits(runtime.log, settings.workers.reportMs);
+    this.teamShares = parts.shares && new TeamShares(this, parts.shares);
     const endsWaitMs = settings.workers.leaseMs;
     const layouts: LayoutPolicy = {
       rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
       leftoversKnown: () => parts.membership.allRead(RECORD_FORMATS.leftoverRuns),
       rangesWanted: () => store.limits.recordsMustShrink,
     };
-    this.ledger = new Ledger(store, runtime, term, store.limits, layouts, endsWaitMs, {
-      jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
-      recorded: (placements) => {
-        for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
-        for (const p of placements) this.longPoll.release(p.machine);
-      },
-      forgotten: (placements) => {
-        for (const p of placements) this.fleet.recorded(p);
-      },
-      contradiction: (what) => {
-        runtime.log.error({ what }, 'giving up leadership');
-        term.end();
-      },
-      ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
-      settled: (job) => {
-        job.failures.ended();
-        this.jobs.delete(job.id);
+    this.ledger = new Ledger(
+      store,
+      runtime,
+      term,
+      store.limits,
+      layouts,
+      endsWaitMs,
+      {
+        jobChanged: (job, version, record) => this.records.onJobRecord(job.id, version, record),
+        recorded: (placements) => {
+          for (const p of placements) if (p.stage === 'recording') p.stage = 'recorded';
+          for (const p of placements) this.longPoll.release(p.machine);
+        },
+        forgotten: (placements) => {
+          for (const p of placements) this.fleet.recorded(p);
+        },
+        contradiction: (what) => {
+          runtime.log.error({ what }, 'giving up leadership');
+          term.end();
+        },
+        ended: (job, phase) => this.dependencies.ended(job.id, phase, job.doneAt),
+        settled: (job) => {
+          job.failures.ended();
+          this.jobs.delete(job.id);
+        },
       },
-    });
+      this.teamShares,
+    );
     this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
       rented: (ids, rent) => {
@@ -211,6 +226,11 @@
     return this.parts.catalogue.types.value ?? new Map();
   }
 
+  /** What each team may have now. */
+  teams(): ReadonlyMap<string, Pick<Team, 'guarantee' | 'limit'>> {
+    return this.teamShares?.teams() ?? this.parts.settings.teams;
+  }
+
   /** Something changed that the next round of decisions should see. */
   touch(): void {
     this.rounds.touch();
@@ -235,6 +255,7 @@
       ),
       duty(runtime, 'machine list', signal, restartMs, (s) => this.listMachines(s)),
       duty(runtime, 'prices', signal, restartMs, (s) => this.refreshPrices(s)),
+      this.teamShares?.moves.run(signal),
     ]);
   }
 
--- a/src/control/long-poll.ts
+++ b/src/control/long-poll.ts
@@ -1,4 +1,4 @@
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 
 /** How often it is checked which reports have waited long enough, within the time they may wait. */
 const CHECKS_PER_WAIT = 10;
--- a/src/control/opportunistic-work.ts
+++ b/src/control/opportunistic-work.ts
@@ -1,6 +1,6 @@
 import { Priority } from '../jobs/job.js';
 import type { Job } from '../jobs/tracked-job.js';
-import type { Settings } from '../settings/deploy.js';
+import type { Settings, Team } from '../settings/deploy.js';
 
 /** Owners' estimates are often wrong by half. */
 const ESTIMATE_MARGIN = 1.5;
@@ -21,15 +21,17 @@
  *
  * @param waitedMs since it could start
  * @param bootMs the longest boot of any machine type
+ * @param teams what the teams are guaranteed now
  */
 export function tasksAtOnce(
   settings: Settings,
   job: Job,
   waitedMs: number,
   bootMs: number,
+  teams: ReadonlyMap<string, Pick<Team, 'guarantee'>> = settings.teams,
 ): number | null {
   const { spec } = job;
-  const guarantee = settings.teams.get(spec.team)?.guarantee;
+  const guarantee = teams.get(spec.team)?.guarantee;
   if (!guarantee || guarantee.cpus > 0 || guarantee.gpus > 0) return null;
   if (spec.kind === 'service' || spec.priority !== Priority.Low) return null;
   const tasks = spec.tasks - job.doneCount;
--- a/src/control/partitioned-workers.ts
+++ b/src/control/partitioned-workers.ts
@@ -1,7 +1,7 @@
 import type { ZoneDelegate } from '../election/zone-delegate.js';
 import type { ReportOutcome } from '../http/workers.js';
 import type { JobPhase } from '../jobs/job.js';
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import type { Order, Report } from '../wire/report.js';
 import { dropOldest } from '../runtime/drop-oldest.js';
 
--- a/src/control/self-watch.ts
+++ b/src/control/self-watch.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../runtime/clock.js';
-import type { Logger } from '../runtime/log.js';
+import type { Clock } from '@leverhatch/core/clock';
+import type { Logger } from '@leverhatch/core/log';
 
 /** A look that is late by more than this many intervals is reported. */
 const LATE_INTERVALS = 1;
--- a/src/control/silent-machines.ts
+++ b/src/control/silent-machines.ts
@@ -1,5 +1,5 @@
 import type { Machine } from '../fleet/machine.js';
-import type { Logger } from '../runtime/log.js';
+import type { Logger } from '@leverhatch/core/log';
 
 /** A machine that has not reported for this share of the workers' lease counts as silent. */
 const SILENT_LEASE_SHARE = 1 / 3;
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -1,5 +1,5 @@
 import type { Machine } from '../fleet/machine.js';
-import type { Job } from '../jobs/tracked-job.js';
+import type { Job, Placement } from '../jobs/tracked-job.js';
 import type { MachineType } from '../fleet/types.js';
 import type {
   JobView,
@@ -14,6 +14,7 @@
 import type { Leader } from './leader.js';
 import { tasksAtOnce } from './opportunistic-work.js';
 import { openJobs, pipelineSteps } from './pipeline-steps.js';
+import { teamUse } from './team-use.js';
 
 /**
  * For what share of a boot work without GPUs waits for what its like leaves, unless it is pressed.
@@ -176,7 +177,7 @@
       gpuBootMs !== null &&
       !(urgency?.pressed ?? false) &&
       waitedMs < gpuBootMs * PATIENCE_BOOTS,
-    opportunistic: tasksAtOnce(leader.parts.settings, job, waitedMs, longestBootMs),
+    opportunistic: tasksAtOnce(leader.parts.settings, job, waitedMs, longestBootMs, leader.teams()),
     waiting: job.startable,
     // What waits of a job that fails everywhere takes nothing of its team's guarantee from the rest.
     unfinished: job.failures.suspected ? job.placements.size : spec.tasks - job.doneCount,
@@ -188,22 +189,22 @@
   };
 }
 
-/** What may be on machines counts in full until it is proven gone. */
 function teamViews(leader: Leader): Map<string, TeamView> {
+  const use = teamUse(leader.jobs.values());
   const teams = new Map<string, TeamView>();
-  for (const t of leader.parts.settings.teams.values()) {
-    teams.set(t.name, { guarantee: t.guarantee, limit: t.limit, used: { cpus: 0, gpus: 0 } });
-  }
-  for (const job of leader.jobs.values()) {
-    const team = teams.get(job.spec.team);
-    if (!team) continue;
-    const tasks = job.unreadable ? job.spec.tasks : job.placements.size;
-    team.used.cpus += job.spec.need.cpus * tasks;
-    team.used.gpus += job.spec.need.gpus * tasks;
+  for (const [name, { guarantee, limit }] of leader.teams()) {
+    teams.set(name, { guarantee, limit, used: use.get(name) ?? { cpus: 0, gpus: 0 } });
   }
   return teams;
 }
 
+/** How much work of a task would have to be done again if it were stopped now without being saved. */
+export function lossMs({ job, runningSince }: Placement, now: number): number {
+  const ran = runningSince === null ? 0 : now - runningSince;
+  const { checkpointMs } = job.spec;
+  return checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran;
+}
+
 function offers({ leader, types }: SnapshotContext): Offer[] {
   const list: Offer[] = [];
   for (const type of types) {
@@ -224,14 +225,14 @@
     const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
     for (const p of job.placements.values()) {
       const ran = p.runningSince === null ? 0 : now - p.runningSince;
-      const { checkpointMs, estimateMs } = job.spec;
+      const { estimateMs } = job.spec;
       list.push({
         job: job.id,
         task: p.task,
         machine: p.machine,
         spec: job.spec,
         priority,
-        lossMs: checkpointMs > 0 ? Math.min(ran, checkpointMs) : ran,
+        lossMs: lossMs(p, now),
         unsavedStops: job.unsavedStops.get(p.task) ?? 0,
         remainingMs: Math.max(estimateMs - ran, estimateMs * LEAST_REMAINING),
         wholeGang: job.gang !== null,
--- a/src/control/team-limits.ts
+++ b/src/control/team-limits.ts
@@ -1,5 +1,5 @@
 import type { HeldBack, TeamView } from '../scheduler/model.js';
-import type { Logger } from '../runtime/log.js';
+import type { Logger } from '@leverhatch/core/log';
 
 /** For how many report intervals work has to wait, or not to, before the log says so. */
 const SETTLED_REPORTS = 3;
--- a/src/election/succession.ts
+++ b/src/election/succession.ts
@@ -1,5 +1,5 @@
 import type { PeerTransport } from '../peer/peer-transport.js';
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 /** What a worker spends on a controller that says nothing: the wait for an answer, and a pause. */
 const ANSWER_WAIT_MS = 4000;
--- a/src/election/zone-delegate.ts
+++ b/src/election/zone-delegate.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod/mini';
-import { DRIFT } from '../runtime/clock.js';
-import type { Runtime } from '../runtime/duty.js';
+import { DRIFT } from '@leverhatch/core/clock';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import type { Store } from '../state/store.js';
 
--- a/src/fleet/catalogue.ts
+++ b/src/fleet/catalogue.ts
@@ -1,6 +1,6 @@
 import { BehaviorSubject } from 'rxjs';
 import type { Transport } from '../http/client.js';
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import type { Store } from '../state/store.js';
 import { parseTypes, PATHS } from '../wire/cloud.js';
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,5 +1,5 @@
 import type { Placement } from '../jobs/tracked-job.js';
-import { DRIFT } from '../runtime/clock.js';
+import { DRIFT } from '@leverhatch/core/clock';
 import type { ExitWhy, Order, Report, TaskReport } from '../wire/report.js';
 import { dropOldest } from '../runtime/drop-oldest.js';
 import { BootTimes } from './boot-times.js';
--- a/src/fleet/rentals.ts
+++ b/src/fleet/rentals.ts
@@ -1,6 +1,6 @@
 import { NoAnswer, type Reply, type Transport } from '../http/client.js';
-import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
+import type { Runtime } from '@leverhatch/core/duty';
+import { jitter } from '@leverhatch/core/random';
 import type { Settings } from '../settings/deploy.js';
 import { Budget } from '../state/budget.js';
 import type { Entry, Store } from '../state/store.js';
--- a/src/fleet/stop-commands.ts
+++ b/src/fleet/stop-commands.ts
@@ -1,6 +1,6 @@
 import { NoAnswer, type Transport } from '../http/client.js';
 import type { Term } from '../election/term.js';
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { DIRECT_PATH, directBody, parseReport, type Order, type Report } from '../wire/report.js';
 import type { Machine } from './machine.js';
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -7,7 +7,7 @@
 import { createServer as createNetServer, type Server } from 'node:net';
 import express, { type ErrorRequestHandler, type Express, type Response } from 'express';
 import type { Answer, JobApi } from '../jobs/job-api.js';
-import type { Logger } from '../runtime/log.js';
+import type { Logger } from '@leverhatch/core/log';
 import { parseReport, redirectAnswer, reportAnswer, type Report } from '../wire/report.js';
 import { Connections } from './connections.js';
 import { MAX_BODY, readReports, REPORT_PATH, type ReportOutcome } from './workers.js';
--- a/src/jobs/acceptance.ts
+++ b/src/jobs/acceptance.ts
@@ -1,4 +1,4 @@
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import { isRefusedSize, type Change, type Condition, type Store } from '../state/store.js';
 import type { Submission } from '../wire/submission.js';
--- a/src/jobs/cancellation-log.ts
+++ b/src/jobs/cancellation-log.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 /**
  * Which jobs this process has told any user to be cancelled. An entry is made before the answer
--- a/src/jobs/job-states.ts
+++ b/src/jobs/job-states.ts
@@ -1,4 +1,4 @@
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { Settings } from '../settings/deploy.js';
 import { jobOfKey, KEYS } from '../state/keys.js';
 import type { Entry, RequestClass, Store } from '../state/store.js';
--- a/src/jobs/job-transaction.ts
+++ b/src/jobs/job-transaction.ts
@@ -1,5 +1,5 @@
 import type { Term } from '../election/term.js';
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import { jsonBytes } from '../state/limits.js';
 import type { Change, Condition } from '../state/store.js';
@@ -34,6 +34,8 @@
   leftovers: StoredSection[];
   /** It changes nothing: records are moved to another layout. */
   background: boolean;
+  /** What its starts rest on beside the leader key; null: it has none, or they rest on nothing else. */
+  startCondition: Condition | null;
 }
 
 /** A job that is over and of which nothing can run any more keeps only its final state. */
@@ -66,6 +68,7 @@
       closes: false,
       leftovers: [],
       background: false,
+      startCondition: null,
     };
   }
 
--- a/src/jobs/ledger.ts
+++ b/src/jobs/ledger.ts
@@ -1,9 +1,10 @@
 import type { Term } from '../election/term.js';
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import { jsonBytes, type StoreLimits } from '../state/limits.js';
 import type { Change, Refused, Store } from '../state/store.js';
 import type { JobPhase } from './job.js';
+import type { StartFence } from './start-fence.js';
 import { canClose, TransactionBuilder, type JobTransaction } from './job-transaction.js';
 import type { Job, Placement } from './tracked-job.js';
 import { LeftoverRecords } from './leftover-records.js';
@@ -61,6 +62,7 @@
     private readonly layouts: LayoutPolicy,
     private readonly endsWaitMs: number,
     private readonly events: LedgerEvents,
+    private readonly startFence: StartFence | null = null,
   ) {
     this.refusals = new WriteRefusals(limits, endsWaitMs);
     this.leftovers = new LeftoverRecords(store, runtime, term);
@@ -74,6 +76,7 @@
     this.committer = new TransactionCommitter(store, term, {
       jobChanged: (job, version, record) => events.jobChanged(job, version, record),
       refused: (job, changes, error) => this.refused(job, changes, error),
+      startConditionFailed: async (condition) => startFence?.conditionFailed(condition),
     });
   }
 
@@ -169,6 +172,10 @@
     if (jobRecord !== null || starts.length > 0) {
       transaction.when.push({ key: KEYS.job(job.id), version: job.version });
     }
+    if (this.startFence && starts.length > 0) {
+      transaction.startCondition = this.startFence.condition();
+      transaction.when.push(transaction.startCondition);
+    }
     if (jobRecord !== null) transaction.then.push({ put: KEYS.job(job.id), value: jobRecord });
     return { transaction, phase: job.phase, starts, ends };
   }
--- a/src/jobs/leftover-records.ts
+++ b/src/jobs/leftover-records.ts
@@ -1,5 +1,5 @@
 import type { Term } from '../election/term.js';
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { KEYS } from '../state/keys.js';
 import { Refused, type Store } from '../state/store.js';
 
--- a/src/jobs/question-admission.ts
+++ b/src/jobs/question-admission.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import { dropOldest } from '../runtime/drop-oldest.js';
 
 /** What users' questions may take of a controller's share of a core. */
--- a/src/jobs/run-rewriter.ts
+++ b/src/jobs/run-rewriter.ts
@@ -1,4 +1,4 @@
-import type { Runtime } from '../runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { Store } from '../state/store.js';
 import type { Ledger } from './ledger.js';
 import type { Job } from './tracked-job.js';
--- a/src/jobs/state-comparisons.ts
+++ b/src/jobs/state-comparisons.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import { KEYS } from '../state/keys.js';
 import { isRefusedSize, type Condition, type RequestClass, type Store } from '../state/store.js';
 import type { JobState } from './job-states.js';
--- a/src/jobs/transaction-committer.ts
+++ b/src/jobs/transaction-committer.ts
@@ -1,6 +1,6 @@
 import type { Term } from '../election/term.js';
 import { KEYS } from '../state/keys.js';
-import { Refused, type Change, type Store, type Urgency } from '../state/store.js';
+import { Refused, type Change, type Condition, type Store, type Urgency } from '../state/store.js';
 import type { JobTransaction } from './job-transaction.js';
 import type { Job } from './tracked-job.js';
 import { parseJob, type JobRecord } from './records.js';
@@ -11,6 +11,8 @@
   jobChanged(job: Job, version: number, record: JobRecord): void;
   /** The store refuses this write for good. */
   refused(job: Job, changes: Change[], error: Refused): void;
+  /** What the starts rest on has changed; resolves once it is known to what. */
+  startConditionFailed(condition: Condition): Promise<void>;
 }
 
 /** Commits transactions of jobs, and finds out what became of those that failed. */
@@ -61,7 +63,13 @@
       this.events.jobChanged(job, entry.version, record);
       return;
     }
-    for (const key of failed) await this.reconcile(job, transaction, key);
+    const { startCondition } = transaction;
+    if (startCondition && failed.includes(startCondition.key)) {
+      await this.events.startConditionFailed(startCondition);
+    }
+    for (const key of failed) {
+      if (key !== startCondition?.key) await this.reconcile(job, transaction, key);
+    }
   }
 
   /**
--- a/src/jobs/user-requests.ts
+++ b/src/jobs/user-requests.ts
@@ -1,5 +1,5 @@
 import { NoAnswer } from '../http/client.js';
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import type { Change, Condition, Store } from '../state/store.js';
 
 /** After how large a share of a poll's time a request without an answer is sent again. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod/mini';
 import { FRAME_VERSIONS } from '../peer/frames.js';
-import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
+import type { Runtime } from '@leverhatch/core/duty';
+import { jitter } from '@leverhatch/core/random';
 import { KEYS } from '../state/keys.js';
 import type { Store } from '../state/store.js';
 import { VERSION } from '../version.js';
@@ -21,9 +21,11 @@
   recordFormat: number;
   /** Versions of the frames between controllers. */
   frameVersions: readonly number[];
+  /** Parts that are switched on and change what others have to know. */
+  features?: readonly string[];
 }
 
-const OWN_FORMATS: Formats = {
+export const OWN_FORMATS: Formats = {
   recordFormat: Math.max(...Object.values(RECORD_FORMATS)),
   frameVersions: FRAME_VERSIONS,
 };
@@ -36,6 +38,7 @@
   startedAt: z.number(),
   recordFormat: count,
   frameVersions: z.array(count),
+  features: z.optional(z.array(z.string())),
 });
 
 /** What a controller says of its program, in the store. It stays there when the process ends. */
@@ -111,6 +114,8 @@
       startedAt: Math.round(clock.wall() - (clock.now() - startedAt)),
       recordFormat: this.own.recordFormat,
       frameVersions: [...this.own.frameVersions],
+      // One that has none writes what earlier versions write.
+      ...(this.own.features ? { features: this.own.features } : {}),
     };
     const key = KEYS.member(record.name);
     // Conditioned on what it replaces: a copy without an answer may be carried out after a later
@@ -139,6 +144,21 @@
     }
   }
 
+  /**
+   * Whether every controller says now that it has a part switched on. Unlike formats a part can be
+   * switched off again, so this is read each time.
+   */
+  async allHave(feature: string, signal?: AbortSignal): Promise<boolean> {
+    const { items } = await this.store.range(KEYS.members, signal);
+    const having = new Set<string>();
+    for (const { value } of items) {
+      const result = z.safeParse(memberRecord, value);
+      if (result.success && result.data.features?.includes(feature)) having.add(result.data.name);
+    }
+    const { self, peers, size } = this.names;
+    return having.size >= size && [self, ...peers].every((name) => having.has(name));
+  }
+
   /** Reads the records of all controllers once; throws if the store does not serve. */
   async refresh(signal?: AbortSignal): Promise<void> {
     if (this.settled) return;
--- a/src/peer/cancellation-query.ts
+++ b/src/peer/cancellation-query.ts
@@ -1,7 +1,7 @@
 import { Subscription } from 'rxjs';
 import type { CancellationLog } from '../jobs/cancellation-log.js';
-import { DRIFT } from '../runtime/clock.js';
-import type { Runtime } from '../runtime/duty.js';
+import { DRIFT } from '@leverhatch/core/clock';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { Message } from './frames.js';
 import type { PeerTransport } from './peer-transport.js';
 
--- a/src/peer/lease-extension-vote.ts
+++ b/src/peer/lease-extension-vote.ts
@@ -1,6 +1,6 @@
 import { Subscription } from 'rxjs';
-import { DRIFT } from '../runtime/clock.js';
-import type { Runtime } from '../runtime/duty.js';
+import { DRIFT } from '@leverhatch/core/clock';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { Message } from './frames.js';
 import type { PeerTransport } from './peer-transport.js';
 
--- a/src/peer/peer-transport.ts
+++ b/src/peer/peer-transport.ts
@@ -1,6 +1,6 @@
 import { connect, createServer, type Socket } from 'node:net';
 import { Subject, type Observable } from 'rxjs';
-import { duty, type Runtime } from '../runtime/duty.js';
+import { duty, type Runtime } from '@leverhatch/core/duty';
 import type { Settings } from '../settings/deploy.js';
 import { Decoder, encode, type Message } from './frames.js';
 
--- a/src/peer/store-reachability.ts
+++ b/src/peer/store-reachability.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 /** For how many report intervals what a peer said of the store is believed. */
 const FRESH = 2.5;
--- a/src/runtime/event-loop-lag.ts
+++ b/src/runtime/event-loop-lag.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 /**
  * How late this process gets to what is due: short of processor time, or busy with something long, it
--- a/src/runtime/log.ts
+++ b/src/runtime/log.ts
@@ -1,12 +1,6 @@
+import type { Logger } from '@leverhatch/core/log';
 import { pino } from 'pino';
 
-export interface Logger {
-  error(fields: object, message: string): void;
-  warn(fields: object, message: string): void;
-  info(fields: object, message: string): void;
-  debug(fields: object, message: string): void;
-}
-
 const LEVELS = ['error', 'warn', 'info', 'debug', 'trace'];
 
 /** So many bytes of lines for each MB of memory wait while nobody takes them; later ones are dropped. */
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -3,21 +3,26 @@
 import { SettingsError } from './error.js';
 
 /**
- * What operators may set beyond the platform's file. Each value is a ratio to a figure from the
+ * What operators may set beyond the platform's file. Each number is a ratio to a figure from the
  * deploy file or from the machine types, so that one set of defaults fits different fleets.
  */
 export interface Operator {
   election: { lifetime: number };
   gate: { slackSeconds: number; returnSeconds: number };
   fleet: { idleBoots: number };
+  /** Moving shares; `listen` empty: it is off. */
+  shares: { listen: string; allow: string };
 }
 
 export const OPERATOR_DEFAULTS: Operator = {
   election: { lifetime: 0.3 },
   gate: { slackSeconds: 30, returnSeconds: 30 },
   fleet: { idleBoots: 1 },
+  shares: { listen: '', allow: '127.0.0.0/8 ::1/128' },
 };
 
+const ADDRESS = /^(\[[0-9a-fA-F:]+\]|[^:\s]+):\d{1,5}$/;
+
 export function parseOperator(text: string, file: string): Operator {
   const valid = XMLValidator.validate(text);
   if (valid !== true) throw new SettingsError(file, null, valid.err.msg);
@@ -37,6 +42,10 @@
   if (operator.election.lifetime > 0.8) {
     throw new SettingsError(file, 'leverhatch.election.lifetime', 'must be at most 0.8');
   }
+  const { listen } = operator.shares;
+  if (listen !== '' && !ADDRESS.test(listen)) {
+    throw new SettingsError(file, 'leverhatch.shares.listen', 'must be HOST:PORT');
+  }
   return operator;
 }
 
@@ -69,6 +78,9 @@
     if (current === undefined) throw new SettingsError(file, here, 'unknown element');
     if (typeof current === 'object') {
       fill(current as Record<string, unknown>, section(value, file, here), file, here);
+    } else if (typeof current === 'string') {
+      if (typeof value !== 'string') throw new SettingsError(file, here, 'must be text');
+      target[name] = value;
     } else if (typeof value !== 'number' || !Number.isFinite(value) || value <= 0) {
       throw new SettingsError(file, here, 'must be a positive number');
     } else {
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
+import type { Urgency } from '@leverhatch/core/store';
 
-/** 0 goes first; what has 3 is in no hurry at all, and nobody waits for it. */
-export type Urgency = 0 | 1 | 2 | 3;
+export type { Urgency } from '@leverhatch/core/store';
 
 /** Callers of this urgency are not counted as waiting. */
 const NO_HURRY: Urgency = 3;
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,5 +1,5 @@
 /**
- * The names under which the service keeps its state. They are a contract with the versions that run
+ * The names under which the service keeps its state; `shares/` is the shares package's. They are a contract with the versions that run
  * beside this one, so they stay also where the source calls the same thing otherwise: the key of a
  * zone delegate begins with `keeper/`.
  */
--- a/src/state/probe.ts
+++ b/src/state/probe.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import { KEYS } from './keys.js';
 import type { Store } from './store.js';
 
--- a/src/state/store-contact.ts
+++ b/src/state/store-contact.ts
@@ -1,5 +1,5 @@
 import { NoAnswer } from '../http/client.js';
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 /**
  * So many requests in a row without any answer, over this share of a request's time, are more than
--- a/src/state/store-rates.ts
+++ b/src/state/store-rates.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import { Budget, type Urgency } from './budget.js';
 import type { StoreLimits } from './limits.js';
 
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,6 +1,7 @@
+import { HistoryLost, type Outcome, type StorePort } from '@leverhatch/core/store';
 import { NoAnswer, type Reply, type Transport } from '../http/client.js';
-import type { Runtime } from '../runtime/duty.js';
-import { jitter } from '../runtime/random.js';
+import type { Runtime } from '@leverhatch/core/duty';
+import { jitter } from '@leverhatch/core/random';
 import type { Settings } from '../settings/deploy.js';
 import * as wire from '../wire/store.js';
 import type { Urgency } from './budget.js';
@@ -22,16 +23,10 @@
     super(`${what}: refused with ${status}`);
   }
 }
-export class HistoryLost extends Error {}
+export { HistoryLost } from '@leverhatch/core/store';
 export class LeaseGone extends Error {}
 
-/**
- * `doubtful`: an earlier copy of the same transaction got no answer. It may have been applied, or may
- * be applied later if its conditions hold again then.
- */
-export type Outcome = ({ ok: true; revision: number } | { ok: false; failed: string[] }) & {
-  doubtful: boolean;
-};
+export type { Outcome } from '@leverhatch/core/store';
 
 export type { Urgency } from './budget.js';
 
@@ -46,7 +41,7 @@
 const SUCCESS_OFFSETS = 0.2;
 
 /** The state service as one controller uses it: its requests, their rates and their repetitions. */
-export class Store {
+export class Store implements StorePort {
   private readonly rates: StoreRates;
   private readonly contact: StoreContact;
   /** Transactions refused for the rate lately, less a share of those that were applied. */
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -1,21 +1,7 @@
+import type { Change, Condition, Entry, StoreEvent } from '@leverhatch/core/store';
 import { z } from 'zod/mini';
 
-export interface Entry {
-  key: string;
-  value: unknown;
-  version: number;
-}
-
-export interface Condition {
-  key: string;
-  /** 0: the key must not exist. */
-  version: number;
-}
-
-export type Change = { put: string; value: object; lease?: number } | { delete: string };
-
-export type StoreEvent =
-  { key: string; value: unknown; version: number } | { key: string; gone: true };
+export type { Change, Condition, Entry, StoreEvent } from '@leverhatch/core/store';
 
 const count = z.int().check(z.nonnegative());
 const entry = z.object({ k: z.string(), value: z.unknown(), stamp: count });
--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../src/runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 
 interface Timer {
   at: number;
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import type { Controller } from '../../src/control/controller.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
-import type { Clock } from '../../src/runtime/clock.js';
-import type { Logger } from '../../src/runtime/log.js';
+import type { Clock } from '@leverhatch/core/clock';
+import type { Logger } from '@leverhatch/core/log';
 import type { Settings } from '../../src/settings/deploy.js';
 import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
--- a/test/fakes/program.ts
+++ b/test/fakes/program.ts
@@ -1,6 +1,6 @@
 import { Controller, type Links } from '../../src/control/controller.js';
 import { Decoder, encode, type Message } from '../../src/peer/frames.js';
-import type { Runtime } from '../../src/runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { Settings } from '../../src/settings/deploy.js';
 import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../../src/wire/report.js';
--- a/test/fakes/random.ts
+++ b/test/fakes/random.ts
@@ -1,4 +1,4 @@
-import type { Random } from '../../src/runtime/random.js';
+import type { Random } from '@leverhatch/core/random';
 
 /** A reproducible source of numbers in [0, 1): mulberry32. */
 export class SeededRandom {
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -6,7 +6,7 @@
 import { Connections } from '../src/http/connections.js';
 import { createApp, type Service } from '../src/http/server.js';
 import type { JobApi } from '../src/jobs/job-api.js';
-import type { Logger } from '../src/runtime/log.js';
+import type { Logger } from '@leverhatch/core/log';
 
 const silent: Logger = { error() {}, warn() {}, info() {}, debug() {} };
 
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -4,7 +4,7 @@
 import type { JobSpec } from '../src/jobs/job.js';
 import { Ledger } from '../src/jobs/ledger.js';
 import { Job } from '../src/jobs/tracked-job.js';
-import type { Runtime } from '../src/runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { StoreLimits } from '../src/state/limits.js';
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Membership, RECORD_FORMATS, type Formats } from '../src/membership/membership.js';
 import { FRAME_VERSIONS, CANCELLATIONS_VERSION } from '../src/peer/frames.js';
-import type { Runtime } from '../src/runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import { Refused, Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { releasedStores } from './fakes/released-samples.js';
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -6,7 +6,7 @@
 import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import { readRuns } from '../src/jobs/run-reader.js';
 import { tasksPerRange, tasksPerRecord } from '../src/jobs/records.js';
-import type { Runtime } from '../src/runtime/duty.js';
+import type { Runtime } from '@leverhatch/core/duty';
 import type { StoreLimits } from '../src/state/limits.js';
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
--- a/test/store-reachability.test.ts
+++ b/test/store-reachability.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Clock } from '../src/runtime/clock.js';
+import type { Clock } from '@leverhatch/core/clock';
 import { probeStore } from '../src/state/probe.js';
 import { FakeClock } from './fakes/clock.js';
 import { World } from './fakes/world.js';
