Shares: stories with several controllers, every step of a move against every failure

Need: the part has to hold when leaders end, stand still, are refused alone or lose answers at any step. It found that what was being stopped was not counted, so that twice as much was stopped as the receiver needed: mended.

--- a/packages/shares/src/leader-shares.ts
+++ b/packages/shares/src/leader-shares.ts
@@ -109,13 +109,15 @@
   ): DrainCandidate[] {
     const stops: DrainCandidate[] = [];
     for (const move of this.draining()) {
-      const donor = this.teams.get(move.from);
-      const receiver = this.teams.get(move.to);
+      const donor = this.table.teams.get(move.from);
+      const receiver = this.table.teams.get(move.to);
       if (!donor || !receiver) continue;
-      const claim = larger(NOTHING, subtract(receiver.guarantee, used.get(move.to) ?? NOTHING));
+      const claim = subtract(receiver.promised, used.get(move.to) ?? NOTHING);
       const asked = smaller(claim, demands.get(move.to)?.heldBack ?? NOTHING);
       const stays = subtract(used.get(move.from) ?? NOTHING, alreadyStopping(move.from));
-      const wanted = smaller(asked, excess(stays, donor));
+      // What the donor has no use for, or is being stopped of it, is passed on without more stops.
+      const coming = subtract(donor.ceiling, stays);
+      const wanted = smaller(larger(NOTHING, subtract(asked, coming)), excess(stays, donor));
       if (isNothing(wanted)) continue;
       stops.push(...chooseToStop(wanted, candidates(move.from)));
     }
--- a/packages/shares/src/table.ts
+++ b/packages/shares/src/table.ts
@@ -23,6 +23,8 @@
 
 /** What a team has now. */
 export interface TeamPosition extends TeamShare {
+  /** The guarantee as moves promise it, also where the limit that goes with it is not passed on yet. */
+  promised: Amounts;
   /**
    * What the team's recorded occupancy may still be: its limit, and while a share leaves the team also
    * what has not been passed on yet. The ceilings of all teams never exceed the limits of the settings.
@@ -124,6 +126,7 @@
   guarantee: add(team.guarantee, difference.guarantee),
   limit: add(team.limit, difference.limit),
   ceiling: add(team.ceiling, difference.ceiling),
+  promised: add(team.promised, difference.guarantee),
   own: {
     guarantee: add(team.own.guarantee, difference.own.guarantee),
     limit: add(team.own.limit, difference.own.limit),
@@ -177,7 +180,13 @@
 ): ShareTable {
   const teams = new Map<string, TeamPosition>();
   for (const [name, { guarantee, limit }] of base) {
-    teams.set(name, { guarantee, limit, ceiling: limit, own: { guarantee, limit } });
+    teams.set(name, {
+      guarantee,
+      limit,
+      ceiling: limit,
+      promised: guarantee,
+      own: { guarantee, limit },
+    });
   }
   const suspended: Suspended[] = [];
   const ordered = [...moves].sort((a, b) => a.order - b.order);
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -72,6 +72,13 @@
 /** How many report intervals pass between two checks of who has been upgraded. */
 const REPORTS_PER_LOOK = 2;
 
+/** For a signal that any number of reports wait for. */
+function awaitedByMany(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
+
 /** One controller: answers users at all times, and leads while it holds the leader key. */
 export class Controller implements Service {
   readonly jobApi: JobApi;
@@ -96,7 +103,7 @@
   /** To whom this controller has handed office over, until a leader is known. */
   private successor: string | null = null;
   /** Ends the waits of reports that came while no leader was known. */
-  private waitingForLeader = new AbortController();
+  private waitingForLeader = awaitedByMany();
   private readonly shown: ShownCounts;
   private readonly lag: EventLoopLag;
 
@@ -397,8 +404,7 @@
   private leaderKnown(): void {
     this.successor = null;
     this.waitingForLeader.abort();
-    this.waitingForLeader = new AbortController();
-    setMaxListeners(0, this.waitingForLeader.signal);
+    this.waitingForLeader = awaitedByMany();
   }
 
   private turnedAway(): ReportOutcome {
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import type { Controller } from '../../src/control/controller.js';
+import type { SharesPackage } from '../../src/control/team-shares.js';
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '@leverhatch/core/clock';
 import type { Logger } from '@leverhatch/core/log';
@@ -31,6 +32,8 @@
   open: boolean;
   /** False while users cannot reach it. */
   usersOpen: boolean;
+  /** The package that moves shares, where its next process has it switched on. */
+  shares?: SharesPackage;
   /** Until when it stands still while its clocks run on. */
   frozenUntil: number;
   /** For how long its answers to users and workers are held up on their way. */
@@ -113,6 +116,7 @@
         startedAt: this.world.clock.now(),
       },
       {
+        ...(node.shares ? { shares: node.shares } : {}),
         peerTransport: this.world.wire.attach(
           node.name,
           this.nodes.map((n) => n.name),
--- /dev/null
+++ b/test/fakes/share-checker.ts
@@ -0,0 +1,65 @@
+import * as shares from '@leverhatch/shares';
+import { settings } from './sample-settings.js';
+import type { World } from './world.js';
+
+interface Amounts {
+  cpus: number;
+  gpus: number;
+}
+
+/** Of a record of a move, what the checker reads. */
+interface SeenMove {
+  from: string;
+  to: string;
+  limit: Amounts;
+  passed: Amounts;
+  phase: string;
+}
+
+/** Phases in which what is passed on counts for the receiver. */
+const HELD = ['draining', 'lent', 'done', 'returning'];
+
+/**
+ * Judges shares by what the workers of a story run: no team may use more than the limit of the
+ * settings, less what the store says it has passed on, plus what was passed to it. It shares no code
+ * with the package, and sets the limits by which the rule `quota` is judged at every step.
+ */
+export class ShareChecker {
+  /** The changes of the table that the store has seen. */
+  changes = 0;
+
+  constructor(private readonly world: World) {
+    const before = world.store.onWrite;
+    world.store.onWrite = (key) => {
+      before(key);
+      if (!key.startsWith('shares/')) return;
+      if (key === 'shares/head') this.changes++;
+      this.observe();
+    };
+  }
+
+  private observe(): void {
+    const limits = new Map<string, Amounts>();
+    for (const [name, { limit }] of settings().teams) limits.set(name, { ...limit });
+    for (const [key, { value }] of this.world.store.keys) {
+      if (!key.startsWith('shares/moves/')) continue;
+      const move = value as SeenMove;
+      if (!HELD.includes(move.phase)) continue;
+      for (const resource of ['cpus', 'gpus'] as const) {
+        limits.get(move.from)![resource] -= move.passed[resource];
+        limits.get(move.to)![resource] += move.passed[resource];
+      }
+    }
+    for (const [name, limit] of limits) this.world.teamLimits.set(name, limit);
+  }
+}
+
+/** Switches moving shares on at all controllers that start from now on. */
+export function withShares(world: World): ShareChecker {
+  for (const node of world.nodes) node.shares = shares;
+  return new ShareChecker(world);
+}
+
+/** The phase that the record of a move says. */
+export const movePhase = (world: World, id: string): string | undefined =>
+  (world.store.get(`shares/moves/${id}`) as SeenMove | undefined)?.phase;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -51,6 +51,8 @@
   /** The submissions that users were told are accepted. */
   readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
+  /** What each team may use at most, as the checker judges it. */
+  readonly teamLimits = new Map<string, { cpus: number; gpus: number }>();
   readonly checker: RuleChecker;
   readonly users: Users;
   private readonly persistent: PersistentUsers;
@@ -76,8 +78,9 @@
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
     this.controllers = new Controllers(this, controllers, state);
     const { teams, workers } = settings();
+    for (const [name, { limit }] of teams) this.teamLimits.set(name, limit);
     this.checker = new RuleChecker({
-      fleet: { types: this.types(), teams: new Map([...teams].map(([n, t]) => [n, t.limit])) },
+      fleet: { types: this.types(), teams: this.teamLimits },
       cancelMs: workers.cancelMs,
       now: () => this.clock.now(),
       machines: () => this.machines.seen(),
