--- a/src/scheduler/consolidation.ts
+++ b/src/scheduler/consolidation.ts
@@ -1,4 +1,4 @@
-import { fits, take } from '../fleet/types.js';
+import { fits, take, type Need } from '../fleet/types.js';
 import type { JobView, MachineView, ReplicaView } from './model.js';
 import { allows, fetchSeconds, ZoneRules } from './placement.js';
 
@@ -30,9 +30,10 @@
     })
     .sort((a, b) => b.free.gpus / b.type.room.gpus - a.free.gpus / a.type.room.gpus);
   const byId = new Map(jobs.map((j) => [j.id, j]));
+  const hosts = withRoomForAny(movable, up);
   for (const from of clearable) {
     const moves = byMachine.get(from.id)!;
-    const fuller = up.filter((m) => m.replicas > 0 && isFuller(m, from));
+    const fuller = hosts.filter((m) => isFuller(m, from));
     if (fuller.length > 0 && allFit(moves, from, fuller, byId)) {
       return moves.map(({ job, task }) => ({ job, task }));
     }
@@ -40,6 +41,17 @@
   return [];
 }
 
+/**
+ * The machines that hold replicas and have room for one more of any size that could move. In a large
+ * fleet they are few, and for each machine that could be cleared all of them are looked at.
+ */
+function withRoomForAny(movable: ReplicaView[], up: MachineView[]): MachineView[] {
+  const needs = new Map<string, Need>();
+  for (const { job, spec } of movable) needs.set(job, spec.need);
+  const sizes = [...needs.values()];
+  return up.filter((m) => m.replicas > 0 && sizes.some((need) => fits(need, m.free)));
+}
+
 /** A strict order, or two machines would swap their replicas for ever. */
 const isFuller = (a: MachineView, b: MachineView): boolean =>
   a.free.gpus < b.free.gpus || (a.free.gpus === b.free.gpus && a.id < b.id);
@@ -50,7 +62,7 @@
   targets: MachineView[],
   jobs: ReadonlyMap<string, JobView>,
 ): boolean {
-  const free = new Map(targets.map((m) => [m, { ...m.free }]));
+  const left = new Map<MachineView, Need>();
   const holding = new Set<string>();
   return moves.every(({ job, spec }) => {
     const view = jobs.get(job);
@@ -60,7 +72,7 @@
     const rules = new ZoneRules(spec, zones);
     const target = targets.find(
       (m) =>
-        fits(spec.need, free.get(m)!) &&
+        fits(spec.need, left.get(m) ?? m.free) &&
         allows(spec, m.type.name, m.zone, m.spot) &&
         !view.avoid.has(m.id) &&
         // Its fellows are elsewhere, so that one loss takes little.
@@ -72,7 +84,9 @@
         (m.zone === from.zone || rules.room(m.zone) > 0),
     );
     if (!target) return false;
-    take(free.get(target)!, spec.need);
+    const room = left.get(target) ?? { ...target.free };
+    take(room, spec.need);
+    left.set(target, room);
     holding.add(`${job} ${target.id}`);
     return true;
   });
--- /dev/null
+++ b/test/shares-guards.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LeaderShares, type Amounts } from '@leverhatch/shares';
+import { Store } from '../src/state/store.js';
+import { FakeClock } from './fakes/clock.js';
+import { movePhase, withShares } from './fakes/share-checker.js';
+import { FakeStore } from './fakes/store.js';
+import { fakeRandom, settings, World } from './fakes/world.js';
+
+const EIGHT = [...Array(4).fill({ yard: 'a' }), ...Array(4).fill({ yard: 'b' })];
+
+/** It leaves the team speech with a limit of 40 GPUs of the 64 that there are. */
+const MOVE = { id: 'm1', from: 'speech', to: 'vision', limit: { gpus: 24 } };
+const LEFT = 40;
+
+async function begin(): Promise<World> {
+  const w = new World(EIGHT, 3);
+  w.cloud.capacity = EIGHT.length;
+  withShares(w);
+  await w.start();
+  return w;
+}
+
+const submit = (w: World): void => {
+  const answer = w.nodes[0]!.controller!.shareDesk!.submit(MOVE);
+  void answer.then(({ status }) => assert.equal(status, 201));
+};
+
+/** Lets time pass; answers the most tasks of a job that were on machines at once. */
+async function mostOn(w: World, job: string, seconds: number): Promise<number> {
+  let most = 0;
+  for (let i = 0; i < seconds * 4; i++) {
+    await w.pass(0.25);
+    most = Math.max(most, w.on(job).length);
+  }
+  return most;
+}
+
+/** Whether a transaction writes a key that begins like this. */
+const writes = (body: unknown, key: string): boolean =>
+  JSON.stringify(body ?? null).includes(`"write":"${key}`);
+
+test('starts that were decided on the former table are not recorded, however late they reach the store', async () => {
+  const w = await begin();
+  const until = w.clock.now() + 5000;
+  w.trouble.storeFaults.add(({ body }) =>
+    writes(body, 'runs/') && w.clock.now() < until ? { applyAfterMs: 4000 } : 'serve',
+  );
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 600_000 });
+  submit(w);
+  await w.until(() => movePhase(w, 'm1') === 'done', 10, 'the move is done');
+  assert.ok(w.clock.now() < until, 'the starts are still on their way');
+  await w.clock.advance(until - w.clock.now() - 200);
+  w.crash(w.leader);
+  assert.equal(await mostOn(w, work, 30), LEFT);
+  await w.close();
+});
+
+test('starts that wait to be written are taken back when the share falls, and planned anew', async () => {
+  const w = await begin();
+  const until = w.clock.now() + 3000;
+  w.trouble.storeFaults.add(({ body }) =>
+    writes(body, 'runs/') && w.clock.now() < until ? 'refuse' : 'serve',
+  );
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 600_000 });
+  submit(w);
+  await w.until(() => movePhase(w, 'm1') === 'done', 10, 'the move is done');
+  assert.equal(await mostOn(w, work, 20), LEFT);
+  await w.close();
+});
+
+test('while nobody knows whether a share has fallen, nothing starts that would not fit if it has', async () => {
+  const w = await begin();
+  let until = Infinity;
+  w.trouble.storeFaults.add(({ body }) => {
+    if (!writes(body, 'shares/head') || w.clock.now() > until) return 'serve';
+    if (until === Infinity) until = w.clock.now() + 3000;
+    return 'lose answer';
+  });
+  submit(w);
+  await w.until(() => until < Infinity, 10, 'the table is being changed');
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 600_000 });
+  assert.equal(await mostOn(w, work, 20), LEFT);
+  await w.close();
+});
+
+test('a new leader starts nothing before it has read the table', async () => {
+  const w = await begin();
+  submit(w);
+  await w.until(() => movePhase(w, 'm1') === 'done', 10, 'the move is done');
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 600_000 });
+  await w.until(() => w.running(work) === LEFT, 20, 'what fits runs');
+  w.crash(w.leader);
+  // Its first reading of the shares takes long, and what it could start waits.
+  const late = w.clock.now() + 6000;
+  w.trouble.storeFaults.add(({ path }) =>
+    path.includes('starts=shares') && w.clock.now() < late ? 'refuse' : 'serve',
+  );
+  assert.equal(await mostOn(w, work, 30), LEFT);
+  await w.close();
+});
+
+test('a cancellation that comes between the leader reading a move and writing it is not lost', async () => {
+  const w = await begin();
+  let cancelled = false;
+  w.trouble.storeFaults.add(({ body }) => {
+    if (writes(body, 'shares/head') && !cancelled) {
+      cancelled = true;
+      const record = w.store.get('shares/moves/m1') as object;
+      w.store.write('shares/moves/m1', { ...record, cancelRequested: true });
+    }
+    return 'serve';
+  });
+  submit(w);
+  await w.until(() => movePhase(w, 'm1') === 'cancelled', 20, 'the move is cancelled');
+  await w.close();
+});
+
+test('who leads no more changes nothing, and learns of it', async () => {
+  const clock = new FakeClock();
+  const fakeStore = new FakeStore(clock);
+  const log = { error() {}, warn() {}, info() {}, debug() {} };
+  const runtime = { clock, random: fakeRandom('r'), log, startedAt: 0 };
+  const store = new Store(
+    fakeStore.link(() => 'serve'),
+    runtime,
+    settings(),
+    1000,
+  );
+  const end = new AbortController();
+  const shares = new LeaderShares(
+    {
+      ...{ store, clock, log, random: runtime.random, base: settings().teams, clockErrorMs: 100 },
+      stepMs: 500,
+      transactionChanges: () => 20,
+      allControllersKnowShares: async () => true,
+    },
+    {
+      id: 'term',
+      signal: end.signal,
+      leaderCondition: () => ({ key: 'leader', version: 1 }),
+      leased: () => true,
+      end: () => end.abort(),
+    },
+    {
+      used: () => new Map<string, Amounts>(),
+      withdrawStarts: () => undefined,
+      changed: () => undefined,
+      candidates: () => [],
+    },
+  );
+  fakeStore.write('leader', { member: 'another' });
+  fakeStore.write('leader', { member: 'another' });
+  const record = {
+    ...{ w: 'w', id: 'm1', from: 'speech', to: 'vision', until: null, drainBy: null },
+    ...{ requestedAt: 1, changedAt: 1, phase: 'requested', order: 0, outcome: null, reason: null },
+    ...{ guaranteePassed: false, cancelRequested: false, passed: { cpus: 0, gpus: 0 } },
+    ...{ guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 8 } },
+  };
+  fakeStore.write('shares/moves/m1', record);
+  const loaded = shares.load(end.signal);
+  await clock.advance(100);
+  await loaded;
+  void shares.run(end.signal);
+  await clock.advance(3000);
+  assert.ok(end.signal.aborted, 'its term is over');
+  assert.deepEqual(fakeStore.get('shares/moves/m1'), record);
+});
--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -273,6 +273,8 @@
       await submit(w, { ...MOVE, forSeconds: 40 }, 2);
       await phaseIs(w, 'm1', 'returned', 150);
       assert.ok(writes > step, 'the failure came about');
+      // Until the last trouble is over, so that every controller answers.
+      await w.pass(10);
       await w.settle();
       assert.equal(await w.phase(rest, 1), 'done');
       await w.close();
