--- a/test/fakes/trouble-search.ts
+++ b/test/fakes/trouble-search.ts
@@ -1,5 +1,6 @@
 import { machines } from './meeting.js';
 import { SeededRandom } from './random.js';
+import { movePhase, withShares } from './share-checker.js';
 import type { Fate } from './store.js';
 import type { StoreRequest } from './troubles.js';
 import type { FakeWorker } from './worker.js';
@@ -243,8 +244,38 @@
   await w.pass(4);
 }
 
-/** Plays one short world; throws what went wrong, with its plan. */
-export async function playSeed(seed: number): Promise<void> {
+const TEAMS = ['vision', 'speech'];
+
+/** Operators move shares back and forth, for good and as loans, and take some of them back. */
+async function moveShares(w: World, random: SeededRandom): Promise<void> {
+  for (let i = 0; !w.settling; i++) {
+    const from = random.pick(TEAMS);
+    const to = TEAMS.find((team) => team !== from)!;
+    const limit = { gpus: Math.ceil(random.between(0, 8)) };
+    const guarantee = { gpus: Math.floor(random.between(0, 4)) };
+    const loan = random.next() < 0.5 ? { forSeconds: random.between(1, 15) } : {};
+    const { controller } = random.pick(w.nodes);
+    void controller?.shareDesk?.submit({ id: `m${i}`, from, to, limit, guarantee, ...loan });
+    await w.clock.sleep(random.between(500, 3000));
+    if (random.next() < 0.3) void random.pick(w.nodes).controller?.shareDesk?.cancel(`m${i}`);
+  }
+}
+
+/** Every move that was stored is over, or all of it is passed on until a later time. */
+const movesRest = (w: World): boolean =>
+  [...w.store.keys]
+    .filter(([key]) => key.startsWith('shares/moves/'))
+    .every(([key]) => {
+      const phase = movePhase(w, key.slice('shares/moves/'.length))!;
+      return !['requested', 'draining', 'returning', 'lent'].includes(phase);
+    });
+
+/**
+ * Plays one short world; throws what went wrong, with its plan.
+ *
+ * @param moving shares are moved all the while
+ */
+export async function playSeed(seed: number, moving = false): Promise<void> {
   const random = new SeededRandom(seed * 2654435761);
   const zones = random.pick(['aabb', 'aabb', 'aaabb', 'ab']);
   const controllers = random.next() < 0.8 ? 3 : 2;
@@ -252,16 +283,19 @@
   const troubles = plan(random);
   const w = new World(machines(zones), controllers, seed);
   w.balanced = random.next() < 0.5;
+  if (moving) withShares(w);
   try {
     await w.start();
     void w.keepAsking();
     await begin(w, full);
     void trickle(w, random);
+    if (moving) void moveShares(w, random);
     let over = false;
     void Promise.all(troubles.map((t) => bring(w, random, t))).then(() => (over = true));
     await w.until(() => over, TROUBLED_S + 3 * RETURNS_S, 'troubles are over');
     await w.pass(random.between(0, LEASE_S));
     await w.settle(SETTLED_S);
+    if (moving) await w.until(() => movesRest(w), SETTLED_S, 'all moves are over');
     await w.close();
   } catch (error) {
     // A broken rule says more than what it led to.
--- a/test/trouble-search.test.ts
+++ b/test/trouble-search.test.ts
@@ -12,3 +12,8 @@
 for (let seed = FROM; seed <= TO; seed++) {
   test(`two or three troubles meet at moments of their own (seed ${seed})`, () => playSeed(seed));
 }
+
+for (let seed = FROM; seed <= TO; seed++) {
+  test(`two or three troubles meet while shares are moved (seed ${seed})`, () =>
+    playSeed(seed, true));
+}
