--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -21,10 +21,13 @@
   checker: ShareChecker;
 }
 
-/** Eight machines with eight GPUs each, none to be rented, and three controllers. */
-async function begin(seed = 0): Promise<Story> {
-  const w = new World(EIGHT, 3, seed);
-  w.cloud.capacity = EIGHT.length;
+/** As many GPUs as the limits of both teams add up to: nobody's limit has slack to pass on. */
+const TWELVE = [...EIGHT, ...EIGHT.slice(2, 6)];
+
+/** Machines with eight GPUs each, none to be rented, and three controllers. */
+async function begin(seed = 0, machines = EIGHT): Promise<Story> {
+  const w = new World(machines, 3, seed);
+  w.cloud.capacity = machines.length;
   const checker = withShares(w);
   await w.start();
   return { w, checker };
@@ -79,11 +82,7 @@
 });
 
 test('what the receiver waits for at its limit is drained, and no more; the youngest work goes', async () => {
-  // As many GPUs as the limits of both teams add up to: nobody's limit has slack to pass on.
-  const w = new World([...EIGHT, ...EIGHT.slice(2, 6)], 3);
-  w.cloud.capacity = 12;
-  withShares(w);
-  await w.start();
+  const { w } = await begin(0, TWELVE);
   await submit(w, {
     ...MOVE,
     id: 'm0',
@@ -163,6 +162,47 @@
   await w.close();
 });
 
+test('users cancel what is being drained', async () => {
+  const { w } = await begin();
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 600_000 });
+  await w.until(() => w.running(work) === 64, 20, 'runs');
+  await submit(w, MOVE);
+  await phaseIs(w, 'm1', 'draining');
+  await w.cancel(work, 1);
+  await phaseIs(w, 'm1', 'done');
+  await w.settle();
+  await w.close();
+});
+
+test('every team is at its limit and has work waiting: nothing is stopped, the share moves as work ends', async () => {
+  const { w } = await begin(0, TWELVE);
+  const lending = await w.submit({ pieces: 80, crew: 'speech', runMs: 20_000 });
+  const asking = await w.submit({ pieces: 60, runMs: 20_000 });
+  await w.until(() => w.running(lending) === 64 && w.running(asking) === 32, 20, 'both are full');
+  // Its new guarantee is below what it uses: it has no claim to stop anybody's work.
+  await submit(w, { ...MOVE, limit: { gpus: 8 } });
+  await phaseIs(w, 'm1', 'done', 90);
+  await w.settle();
+  const starts = w.starts.filter((name) => name.startsWith(lending));
+  assert.equal(starts.length, 80, 'each task started once');
+  await w.close();
+});
+
+test('a zone is cut off while its delegate serves: what runs there counts until it is heard of', async () => {
+  const { w } = await begin();
+  const work = await w.submit({ pieces: 64, crew: 'speech', runMs: 15_000 });
+  await w.until(() => w.running(work) === 64, 20, 'runs');
+  w.split(true);
+  await submit(w, { ...MOVE, limit: { gpus: 40 } }, w.leader);
+  await phaseIs(w, 'm1', 'draining');
+  await w.pass(20);
+  assert.equal(movePhase(w, 'm1'), 'draining', 'half of it may still run behind the cut');
+  w.split(false);
+  await phaseIs(w, 'm1', 'done');
+  await w.settle();
+  await w.close();
+});
+
 test('no move begins while a controller has shares switched off; it begins once that one has', async () => {
   const w = new World(EIGHT, 3);
   withShares(w);
