Shares: a cancellation lost in a wait, and starts tried again without a look at the new table

Found on rereading. The leader took the records before it looked up which controllers know the table, so that a cancellation followed in between was written over, with the version that it brought. And starts that failed on a changed table were tried again as they were where the change had not been announced by this leader's own step; they are now taken back if they no longer fit, where the failure is handled. Both stories were seen failing first.

--- a/packages/shares/src/leader-shares.ts
+++ b/packages/shares/src/leader-shares.ts
@@ -81,11 +81,12 @@
 
   /**
    * A transaction that starts work was refused because the table has changed. Resolves once the table
-   * that the store has is known.
+   * that the store has is known, and starts that no longer fit are taken back.
    */
   async conditionFailed(failed: Condition, signal: AbortSignal): Promise<void> {
     await this.settled();
     if (this.book.headVersion === failed.version) await this.loadUntilRead(signal);
+    this.scheduler.withdrawStarts(this.teams);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -188,8 +189,9 @@
 
   private async transitions(most: number, signal: AbortSignal): Promise<Transition[]> {
     const { base, clock, clockErrorMs } = this.ports;
+    if (this.book.requests.length > 0) await this.lookForControllers(signal);
+    // Read after the wait: what was followed meanwhile must not be written over.
     const { requests, records } = this.book;
-    if (requests.length > 0) await this.lookForControllers(signal);
     return nextTransitions(
       records,
       requests,
--- a/test/shares-guards.test.ts
+++ b/test/shares-guards.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { LeaderShares, type Amounts } from '@leverhatch/shares';
+import {
+  LeaderShares,
+  type Amounts,
+  type SchedulerPort,
+  type SharePorts,
+} from '@leverhatch/shares';
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { movePhase, withShares } from './fakes/share-checker.js';
@@ -119,7 +124,8 @@
   await w.close();
 });
 
-test('who leads no more changes nothing, and learns of it', async () => {
+/** One leader's shares alone, with a request in the store. */
+async function alone(leaderVersion: number, part: Partial<SharePorts & SchedulerPort> = {}) {
   const clock = new FakeClock();
   const fakeStore = new FakeStore(clock);
   const log = { error() {}, warn() {}, info() {}, debug() {} };
@@ -137,11 +143,12 @@
       stepMs: 500,
       transactionChanges: () => 20,
       allControllersKnowShares: async () => true,
+      ...part,
     },
     {
       id: 'term',
       signal: end.signal,
-      leaderCondition: () => ({ key: 'leader', version: 1 }),
+      leaderCondition: () => ({ key: 'leader', version: leaderVersion }),
       leased: () => true,
       end: () => end.abort(),
     },
@@ -151,6 +158,7 @@
       withdrawStarts: () => undefined,
       changed: () => undefined,
       candidates: () => [],
+      ...part,
     },
   );
   fakeStore.write('leader', { member: 'another' });
@@ -165,8 +173,44 @@
   const loaded = shares.load(end.signal);
   await clock.advance(100);
   await loaded;
+  return { clock, fakeStore, shares, end, record };
+}
+
+test('who leads no more changes nothing, and learns of it', async () => {
+  const { clock, fakeStore, shares, end, record } = await alone(1);
   void shares.run(end.signal);
   await clock.advance(3000);
   assert.ok(end.signal.aborted, 'its term is over');
   assert.deepEqual(fakeStore.get('shares/moves/m1'), record);
 });
+
+test('a cancellation that is heard of while the controllers are looked up is not lost', async () => {
+  let lookUp = async (): Promise<void> => undefined;
+  const { clock, fakeStore, shares, end, record } = await alone(2, {
+    allControllersKnowShares: () => lookUp().then(() => true),
+  });
+  lookUp = async () => {
+    fakeStore.write('shares/moves/m1', { ...record, cancelRequested: true });
+    await clock.sleep(1000);
+  };
+  void shares.run(end.signal);
+  await clock.advance(5000);
+  assert.equal((fakeStore.get('shares/moves/m1') as { phase: string }).phase, 'cancelled');
+  end.abort();
+});
+
+test('starts whose table has changed are judged by the new one before they are tried again', async () => {
+  const judgedBy: number[] = [];
+  const { clock, fakeStore, shares, end, record } = await alone(2, {
+    withdrawStarts: (teams) => judgedBy.push(teams.get('speech')!.limit.gpus),
+  });
+  const failed = shares.condition();
+  const begun = { ...record, phase: 'draining', order: 1 };
+  fakeStore.write('shares/moves/m1', begun);
+  fakeStore.write('shares/head', { w: 'w', revision: 1 });
+  const known = shares.conditionFailed(failed, end.signal);
+  await clock.advance(100);
+  await known;
+  assert.deepEqual(judgedBy, [56]);
+  end.abort();
+});
