--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -197,13 +197,11 @@
 
   private shown(rollout: ReadableRollout): object {
     const spec = rollout.spec.record;
-    const status = rollout.status?.record ?? null;
     const leading = isOpen(rollout) ? this.leading() : null;
-    const { w: _mark, id: _id, from: _from, to: _to, ...rest } = status ?? NOT_BEGUN;
     return {
       ...{ id: spec.id, from: spec.from, to: spec.to, steps: spec.steps, maxSurge: spec.maxSurge },
       ...{ paused: spec.paused, rollback: spec.rollback, requestedAt: spec.requestedAt },
-      ...rest,
+      ...shownStatus(rollout.status?.record ?? null),
       seen: leading?.counts(rollout) ?? null,
       waitsFor: leading?.waitsFor(rollout) ?? heldText(rollout),
     };
@@ -223,9 +221,11 @@
   }
 }
 
-const NOT_BEGUN: Partial<Omit<StatusRecord, 'phase'>> & { phase: 'requested' } = {
-  phase: 'requested',
-};
+function shownStatus(status: StatusRecord | null): object {
+  if (status === null) return { phase: 'requested' };
+  const { phase, resumes, replicas, step, ceilings, reason, evidence, changedAt } = status;
+  return { phase, resumes, replicas, step, ceilings, reason, evidence, changedAt };
+}
 
 const CHANGES: Record<Order, Partial<SpecRecord>> = {
   pause: { paused: true },
--- a/packages/rollout/src/transitions.ts
+++ b/packages/rollout/src/transitions.ts
@@ -194,11 +194,11 @@
   return { phase: 'rolling-back', resumes: null, reason, ceilings };
 }
 
-/** Ceilings on the way back: `to` keeps at most what is placed, `from` gets that room and the surge. */
+/** Ceilings on the way back: `to` keeps at most what is placed, `from` gets the room that this leaves. */
 function returning(spec: SpecRecord, status: StatusRecord, seen: Observation): Ceilings {
   const { replicas, ceilings } = status;
   const to = Math.min(ceilings.to ?? 0, seen.to.placed);
-  const allowed = Math.min(replicas, replicas + spec.maxSurge - to);
+  const allowed = Math.min(replicas, replicas + spec.maxSurge - seen.to.placed);
   return { to, from: Math.max(ceilings.from ?? replicas, allowed) };
 }
 
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -172,7 +172,12 @@
   }
 
   private directReaches(node: Node, worker: FakeWorker): boolean {
-    return this.world.directOpen && !(this.apart && worker.yard !== this.zoneOf(node));
+    return this.world.directOpen && this.reaches(node, worker);
+  }
+
+  /** Whether the network lets a controller reach a machine. */
+  reaches(node: Node, worker: FakeWorker): boolean {
+    return !(this.apart && worker.yard !== this.zoneOf(node));
   }
 
   zoneOf(node: Node): string {
--- a/test/fakes/job-wishes.ts
+++ b/test/fakes/job-wishes.ts
@@ -15,6 +15,8 @@
   hulls?: string[];
   vcpus?: number;
   waitsOn?: string[];
+  /** The image of its tasks. */
+  crate?: string;
   /** It has a mistake: its tasks fail on every machine after running for so long. */
   failsAfterMs?: number;
 }
@@ -24,6 +26,8 @@
   readonly facts = new Map<string, JobFacts>();
   /** The jobs that each job needs. */
   readonly needs = new Map<string, string[]>();
+  /** The image of each job. */
+  readonly images = new Map<string, string>();
   private nextId = 1;
 
   wish(w: JobWish): { ref: string; body: object } {
@@ -38,7 +42,7 @@
       vcpus: w.vcpus ?? 1,
       gpus: w.gpus ?? 1,
       memoryGb: 4,
-      crate: 'img-1',
+      crate: w.crate ?? 'img-1',
       sizeGb: 4,
       hulls: w.hulls ?? null,
       yard: w.yard ?? null,
@@ -53,6 +57,7 @@
     const { shape, pieces, vcpus, gpus, memoryGb } = body;
     const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
     this.needs.set(ref, w.waitsOn ?? []);
+    this.images.set(ref, body.crate);
     const facts = { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 };
     this.facts.set(ref, w.failsAfterMs ? { ...facts, failsAfterMs: w.failsAfterMs } : facts);
     return { ref, body };
--- a/test/fakes/machines.ts
+++ b/test/fakes/machines.ts
@@ -67,6 +67,7 @@
         facts: (job) => this.world.facts.get(job) ?? null,
         assembled: (job, attempt) => this.assembled(job, attempt),
         onMachine: (w, p) => this.world.onMachine(w, p),
+        onHalted: (w, p) => this.world.onHalted(w, p),
         onDone: (p) => {
           this.world.checker.completed(p.job, p.task);
           this.world.onDone(p);
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -52,6 +52,8 @@
   assembled(job: string, attempt: number): boolean;
   onMachine(worker: FakeWorker, piece: Piece): void;
   onDone(piece: Piece): void;
+  /** A task that ran was told to stop. */
+  onHalted?(worker: FakeWorker, piece: Piece): void;
   /** Sends a report on its way; rejects if no connection comes about. */
   call(node: number, report: object, worker: FakeWorker): Promise<Answered>;
 }
@@ -224,6 +226,12 @@
 
   private halt(piece: Piece, windDownMs: number): void {
     if (piece.phase === 'ended') return;
+    const ran = piece.phase === 'running';
+    this.stopPiece(piece, windDownMs);
+    if (ran) this.host.onHalted?.(this, piece);
+  }
+
+  private stopPiece(piece: Piece, windDownMs: number): void {
     const saveMs = this.host.facts(piece.job)?.saveMs ?? 0;
     const saves = piece.phase === 'running' || piece.phase === 'flushing';
     if (saves && saveMs > 0 && windDownMs >= saveMs) {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -63,6 +63,10 @@
   settling = false;
   /** A task has just completed. */
   onDone: (piece: Piece) => void = () => undefined;
+  /** A task that ran has just been told to stop. */
+  onHalted: (worker: FakeWorker, piece: Piece) => void = () => undefined;
+  /** What else is looked at whenever the rules are checked. */
+  readonly observers = new Set<() => void>();
   /** Users come through the load balancer, which avoids controllers that fail its probes. */
   balanced = false;
   /** Whether commands reach the workers' own addresses. */
@@ -342,5 +346,6 @@
 
   private check(): void {
     this.checker.check();
+    for (const observe of this.observers) observe();
   }
 }
--- /dev/null
+++ b/test/rollout-failures.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { begin, finish, phaseIs, REPLICAS, start } from './fakes/rollout-story.js';
+import type { Fate } from './fakes/store.js';
+import type { World } from './fakes/world.js';
+
+/**
+ * Every transition against every failure of the leader that writes it: 8 replicas on 4 machines, three
+ * controllers. However it fails, the rollout ends as it would have, and the level is held.
+ */
+
+type Failure = (w: World, leader: number) => Fate;
+
+const AWAY_MS = 8000;
+
+const FAILURES: Record<string, Failure> = {
+  'the leader is killed before the store has it': (w, leader) => {
+    w.crash(leader);
+    void w.clock.sleep(AWAY_MS).then(() => w.restart(leader));
+    return 'lose request';
+  },
+  'the leader is killed after the store has it': (w, leader) => {
+    void w.clock.sleep(1).then(() => w.crash(leader));
+    void w.clock.sleep(AWAY_MS).then(() => w.restart(leader));
+    return 'lose answer';
+  },
+  'the leader stands still past its lease and wakes': (w, leader) => {
+    w.freeze(leader, AWAY_MS);
+    return 'serve';
+  },
+  'the store refuses the leader alone': (w, leader) => {
+    const until = w.clock.now() + AWAY_MS;
+    w.nodes[leader]!.fate = () => (w.clock.now() < until ? 'refuse' : 'serve');
+    return 'refuse';
+  },
+  'the answer is lost': () => 'lose answer',
+  'it is carried out late, after newer ones': () => ({ applyAfterMs: 6000 }),
+};
+
+/** The phases that a rollout which succeeds enters, and those of one that goes back at its second step. */
+const FORWARD = ['preparing', 'surging', 'judging', 'withdrawing', 'done'];
+const BACK = ['rolling-back', 'rolled-back'];
+
+const writesPhase = (body: unknown, phase: string): boolean => {
+  const text = JSON.stringify(body ?? null);
+  return text.includes('"write":"rollouts/status/') && text.includes(`"phase":"${phase}"`);
+};
+
+/** Lets the first write of a phase fail; answers whether it came to that. */
+function failAt(w: World, phase: string, fail: Failure): () => boolean {
+  let failed = false;
+  w.trouble.storeFaults.add(({ node, path, body }) => {
+    if (failed || path !== '/txn' || !writesPhase(body, phase)) return 'serve';
+    failed = true;
+    return fail(w, node);
+  });
+  return () => failed;
+}
+
+let seed = 0;
+
+for (const [name, fail] of Object.entries(FAILURES)) {
+  for (const phase of FORWARD) {
+    test(`${phase} is written and ${name}: the new version takes over`, async () => {
+      const story = await begin({ seed: seed++ });
+      const { w, models, to } = story;
+      const failed = failAt(w, phase, fail);
+      await start(story);
+      await phaseIs(w, 'done', 240);
+      assert.ok(failed(), 'the failure came about');
+      assert.equal(models.serving(to), REPLICAS);
+      // Until the last trouble is over, so that every controller answers.
+      await w.pass(AWAY_MS / 1000);
+      await finish(story, 'to');
+    });
+  }
+  for (const phase of BACK) {
+    test(`${phase} is written and ${name}: the old version is back`, async () => {
+      const story = await begin({ seed: seed++ });
+      const { w, models, from, to } = story;
+      const latencyMs = (serving: number): number => (serving > 2 ? 300 : 100);
+      models.models.set(to, { readyMs: 500, latencyMs, errorRate: 0 });
+      const failed = failAt(w, phase, fail);
+      await start(story);
+      await phaseIs(w, 'rolled-back', 240);
+      assert.ok(failed(), 'the failure came about');
+      assert.equal(models.serving(from), REPLICAS);
+      await w.pass(AWAY_MS / 1000);
+      await finish(story, 'from');
+    });
+  }
+}
--- /dev/null
+++ b/test/rollout.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ask, begin, finish, phaseIs, phaseOf, REPLICAS, start } from './fakes/rollout-story.js';
+
+test('a good version takes over in steps, and never fewer replicas serve than before', async () => {
+  const story = await begin();
+  const { w, models, checker, to } = story;
+  await start(story);
+  await phaseIs(w, 'done');
+  assert.equal(models.serving(to), REPLICAS);
+  assert.equal(checker.lowest, REPLICAS);
+  await finish(story, 'to');
+});
+
+test('the leader is killed in the middle of a withdrawal; the next one goes on', async () => {
+  const story = await begin({ seed: 1 });
+  const { w, checker } = story;
+  await start(story, {}, 1);
+  await phaseIs(w, 'withdrawing');
+  w.crash(w.leader);
+  await phaseIs(w, 'done');
+  assert.equal(checker.lowest, REPLICAS);
+  await finish(story, 'to');
+});
+
+test('a version that is slow under load goes back, and never fewer replicas serve than before', async () => {
+  const story = await begin({ seed: 2 });
+  const { w, models, checker, from, to } = story;
+  models.models.set(to, {
+    readyMs: 500,
+    latencyMs: (serving) => (serving > 2 ? 250 : 100),
+    errorRate: 0,
+  });
+  await start(story);
+  await phaseIs(w, 'rolled-back');
+  assert.equal(models.serving(from), REPLICAS);
+  assert.equal(checker.lowest, REPLICAS);
+  const { rollouts } = (await ask(w, 0, (api) => api.status())).body as {
+    rollouts: { waitsFor: string; reason: string }[];
+  };
+  assert.match(rollouts[0]!.waitsFor, /stays open without replicas/);
+  assert.match(rollouts[0]!.reason, /worse under load/);
+  await finish(story, 'from');
+});
+
+test('a version that is never ready goes back after the bound, and no old replica is withdrawn', async () => {
+  const story = await begin({ seed: 3 });
+  const { w, models, from, to } = story;
+  models.models.set(to, { readyMs: Infinity, latencyMs: () => 100, errorRate: 0 });
+  const starts = w.starts.filter((s) => s.startsWith(from)).length;
+  await start(story);
+  await phaseIs(w, 'surging');
+  await phaseIs(w, 'rolled-back');
+  assert.equal(w.starts.filter((s) => s.startsWith(from)).length, starts);
+  assert.equal(phaseOf(w), 'rolled-back');
+  await finish(story, 'from');
+});
