--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -9,6 +9,7 @@
 import { ROLLOUT_KEYS } from './keys.js';
 import type { LeaderRollouts } from './leader-rollouts.js';
 import type { RolloutPorts, ServiceJob } from './ports.js';
+import { FRESH_INTERVALS } from './proofs.js';
 import { isOpen, isReadable, RolloutBook, type ReadableRollout, type Rollout } from './records.js';
 import { isRepeat, newSpec, parseRequest, type RolloutRequest } from './request.js';
 import { stepTarget, type SpecRecord } from './spec.js';
@@ -20,6 +21,9 @@
 /** Two controllers may change one record at the same moment; each tries again this many times. */
 const MOST_TRIES = 5;
 
+/** Probes may come so many times less often than they should, well within what a proof is good for. */
+const MOST_STRETCH = FRESH_INTERVALS / 2;
+
 /** Requests of operators go with users' other writes. */
 const URGENCY = 1;
 
@@ -105,6 +109,7 @@
     if (from.state !== 'open') throw new BadRequest(422, 'from', `job ${from.id} is ${from.state}`);
     const why = whyNotVersions(request, from, await this.ports.readJob(request.to));
     if (why !== null) throw new BadRequest(422, why.field, why.message);
+    this.checkProbes(from);
     const limit = this.ports.teamLimit(from.team);
     for (const resource of ['cpus', 'gpus'] as const) {
       const least = from.need[resource] * (from.replicas + 1);
@@ -114,6 +119,15 @@
     }
   }
 
+  /** Replicas that cannot be probed in time would never be proven. */
+  private checkProbes({ replicas }: ServiceJob): void {
+    const { intervalMs, perSecond } = this.ports.probing;
+    const most = Math.floor((perSecond * intervalMs * MOST_STRETCH) / 1000);
+    if (replicas * 2 <= most) return;
+    const message = `${replicas * 2} replicas cannot be probed in time, ${most} can (probesPerSecond)`;
+    throw new BadRequest(422, 'from', message);
+  }
+
   /** The head changes with it: starts decided without knowing of this rollout are refused from now on. */
   private async store(spec: SpecRecord, book: RolloutBook): Promise<boolean> {
     const key = ROLLOUT_KEYS.spec(spec.id);
--- a/packages/rollout/src/leader-rollouts.ts
+++ b/packages/rollout/src/leader-rollouts.ts
@@ -22,6 +22,9 @@
 const URGENCY = 2;
 const HISTORY_URGENCY = 3;
 
+/** How often, in steps, jobs that are waited for are looked up in the store. */
+const STEPS_PER_LOOK_UP = 8;
+
 /** A step that comes so many times as late as it should: this controller stood still. */
 const LATE_STEPS = 4;
 
@@ -47,6 +50,8 @@
   /** Every controller has rollouts switched on, as it was last looked up. */
   private mayMove = false;
   private lookedAt: number;
+  /** When it was last looked up which awaited jobs are over. */
+  private lookedUpAt = -Infinity;
   /** Where the next look for something to do begins, so that each rollout gets its turn. */
   private turn = 0;
 
@@ -187,6 +192,7 @@
     const { open } = this;
     this.noticeStandstill();
     this.mayMove = open.length > 0 && (await this.controllers.allHaveIt(signal));
+    await this.lookUpAwaited(open);
     if (this.mayMove) {
       this.turn++;
       for (let i = 0; i < open.length; i++) {
@@ -197,6 +203,22 @@
     return this.retireOldest(signal);
   }
 
+  /**
+   * A new job that the leader does not know has not been submitted, or is over and nothing of it is left:
+   * the store tells.
+   */
+  private async lookUpAwaited(open: readonly ReadableRollout[]): Promise<void> {
+    const now = this.ports.clock.now();
+    if (now - this.lookedUpAt < this.ports.stepMs * STEPS_PER_LOOK_UP) return;
+    this.lookedUpAt = now;
+    for (const { spec } of open) {
+      const { to } = spec.record;
+      if (this.scheduler.job(to) !== null || this.observer.isOver(to)) continue;
+      const job = await this.ports.readJob(to);
+      if (job && job.state !== 'open') this.observer.over(to);
+    }
+  }
+
   /** What was measured while this controller stood still cannot be compared. */
   private noticeStandstill(): void {
     const now = this.ports.clock.now();
--- a/packages/rollout/src/observer.ts
+++ b/packages/rollout/src/observer.ts
@@ -41,6 +41,8 @@
   private readonly proofs: ReplicaProofs;
   private readonly prober: Prober;
   private readonly windows = new Map<string, JudgedStep>();
+  /** Jobs that the leader does not know since they are over. */
+  private readonly jobsOver = new Set<string>();
 
   constructor(
     private readonly ports: RolloutPorts,
@@ -48,7 +50,7 @@
     private readonly open: () => ReadableRollout[],
   ) {
     const { clock, random, probe, probing } = ports;
-    this.proofs = new ReplicaProofs(() => this.prober.intervalMs());
+    this.proofs = new ReplicaProofs(probing.intervalMs);
     this.prober = new Prober({
       ...{ clock, random, probe, settings: probing, proofs: this.proofs },
       replicas: () => this.probed(),
@@ -107,21 +109,33 @@
 
   observe(rollout: ReadableRollout, conflict: Observation['conflict']): Observation {
     const spec = rollout.spec.record;
+    const counts = this.counts(spec);
     return {
       wall: this.ports.clock.wall(),
       jobs: { from: this.scheduler.job(spec.from), to: this.scheduler.job(spec.to) },
-      ...this.counts(spec),
+      isNewJobOver: this.isOver(spec.to),
+      ...counts,
       neverReady: this.whyNeverReady(spec),
-      evidence: this.evidence(rollout),
+      evidence: this.evidence(rollout, counts.to.proven),
       conflict,
     };
   }
 
+  /** A job of which the store holds only that it is over. */
+  over(job: string): void {
+    this.jobsOver.add(job);
+  }
+
+  isOver(job: string): boolean {
+    return this.jobsOver.has(job);
+  }
+
   // ---- load
 
-  private evidence(rollout: ReadableRollout): Observation['evidence'] {
+  private evidence(rollout: ReadableRollout, proven: number): Observation['evidence'] {
     const window = this.windowOf(rollout);
-    return window?.judge(rollout.spec.record, this.ports.clock.now()) ?? null;
+    const complete = proven >= (rollout.status?.record.ceilings.to ?? 0);
+    return window?.judge(rollout.spec.record, this.ports.clock.now(), complete) ?? null;
   }
 
   /** The window of a step that is being judged; it begins when this leader first looks. */
--- a/packages/rollout/src/prober.ts
+++ b/packages/rollout/src/prober.ts
@@ -40,7 +40,7 @@
   }
 
   /** How often each replica is probed: less often where there are too many for the rate. */
-  intervalMs(): number {
+  private intervalMs(): number {
     const { intervalMs, perSecond } = this.parts.settings;
     return Math.max(intervalMs, (this.dueAt.size / perSecond) * 1000);
   }
--- a/packages/rollout/src/proofs.ts
+++ b/packages/rollout/src/proofs.ts
@@ -5,7 +5,7 @@
 export const ANSWERS_IN_A_ROW = 3;
 
 /** A proof is good for so many intervals, from when its probe was sent. */
-const FRESH_INTERVALS = 2.5;
+export const FRESH_INTERVALS = 2.5;
 
 /** Names one start of one replica in one session of its worker. */
 export const replicaKey = ({ job, task, attempt, machine, session }: Replica): string =>
@@ -23,8 +23,8 @@
   private readonly proofs = new Map<string, Proof>();
 
   constructor(
-    /** How often each replica is probed now. */
-    private readonly intervalMs: () => number,
+    /** How often each replica should be probed. */
+    private readonly intervalMs: number,
   ) {}
 
   /** A probe sent at `sentAt` got the answer of that very replica in time. */
@@ -56,7 +56,7 @@
   }
 
   private isFresh({ sentAt }: Proof, now: number): boolean {
-    return now - sentAt <= this.intervalMs() * FRESH_INTERVALS;
+    return now - sentAt <= this.intervalMs * FRESH_INTERVALS;
   }
 
   /** Forgets all but these replicas. */
--- a/packages/rollout/src/transitions.ts
+++ b/packages/rollout/src/transitions.ts
@@ -19,6 +19,8 @@
   /** Time of day. */
   wall: number;
   jobs: JobsSeen;
+  /** The new job is over, and nothing is left of it. */
+  isNewJobOver: boolean;
   from: VersionSeen;
   to: VersionSeen;
   /** Why the new version will not become ready; null: it still may. */
@@ -93,14 +95,15 @@
 function endedByUsers(
   spec: SpecRecord,
   status: StatusRecord,
-  { jobs }: Observation,
+  { jobs, isNewJobOver }: Observation,
 ): Change | null {
   if (jobs.from?.state !== 'open') {
     const reason = `job ${spec.from} was cancelled by its user`;
     return { phase: 'failed', resumes: null, reason, ceilings: NO_CEILINGS };
   }
-  // One that has not been submitted yet is waited for.
-  if (jobs.to === null || jobs.to.state === 'open') return null;
+  // One that has not been submitted yet is waited for; later, nothing is left of it.
+  const isAwaited = jobs.to === null && status.phase === 'preparing' && !isNewJobOver;
+  if (isAwaited || jobs.to?.state === 'open') return null;
   const ceilings = { from: status.replicas, to: 0 };
   if (status.phase === 'rolling-back' && sameCeilings(status.ceilings, ceilings)) return null;
   const reason = `job ${spec.to} was cancelled by its user`;
--- a/packages/rollout/src/verdict.ts
+++ b/packages/rollout/src/verdict.ts
@@ -1,11 +1,15 @@
 /** Compares the two versions under load, over one and the same window. */
-import { build, decodeFromCompressedBase64, type Histogram } from 'hdr-histogram-js';
+import { build, type Histogram } from 'hdr-histogram-js';
+import { readLatencies } from './latencies.js';
 import type { ProbeAnswer } from './probe.js';
 import type { SpecRecord } from './spec.js';
 import type { Evidence } from './status.js';
 
 /** So many windows may pass without samples enough, before it is given up. */
-export const MOST_WINDOWS = 3;
+const MOST_WINDOWS = 3;
+
+/** The same where new replicas are missing for a part of the time. */
+const MOST_WINDOWS_IN_ALL = 10;
 
 const DIGITS = 2;
 
@@ -21,8 +25,7 @@
   errors = 0;
 
   add({ requests, errors, latencies }: ProbeAnswer): void {
-    const histogram = latencies === null ? null : decodeFromCompressedBase64(latencies);
-    if (histogram) this.latencies.add(histogram);
+    if (latencies !== null) this.latencies.add(readLatencies(latencies));
     this.requests += requests;
     this.errors += errors;
   }
@@ -41,8 +44,14 @@
 export class LoadWindow {
   private readonly old = new VersionLoad();
   private readonly new = new VersionLoad();
+  private lookedAt: number;
+  private wasComplete = false;
+  /** Time in which all new replicas were proven. */
+  private countedMs = 0;
 
-  constructor(private readonly startedAt: number) {}
+  constructor(private readonly startedAt: number) {
+    this.lookedAt = startedAt;
+  }
 
   /** Takes in an answer; false if its histogram cannot be read. */
   add(version: 'old' | 'new', answer: ProbeAnswer): boolean {
@@ -54,13 +63,23 @@
     }
   }
 
-  /** What the window shows by now; null: it has not ended, and nothing is final. */
-  judge(thresholds: Thresholds, now: number): Evidence | null {
+  /**
+   * What the window shows by now; null: it has not ended. Time in which new replicas are missing does not
+   * count: a version is not to blame for a machine.
+   *
+   * @param complete whether all new replicas of the step are proven now
+   */
+  judge(thresholds: Thresholds, now: number, complete: boolean): Evidence | null {
+    if (complete && this.wasComplete) this.countedMs += now - this.lookedAt;
+    this.lookedAt = now;
+    this.wasComplete = complete;
     const windowMs = thresholds.judgeSeconds * 1000;
-    const elapsedMs = now - this.startedAt;
-    if (elapsedMs < windowMs) return null;
+    if (now - this.startedAt >= windowMs * MOST_WINDOWS_IN_ALL) {
+      return this.evidence(thresholds, this.verdict(thresholds));
+    }
+    if (this.countedMs < windowMs) return null;
     const verdict = this.verdict(thresholds);
-    if (verdict === 'undecided' && elapsedMs < windowMs * MOST_WINDOWS) return null;
+    if (verdict === 'undecided' && this.countedMs < windowMs * MOST_WINDOWS) return null;
     return this.evidence(thresholds, verdict);
   }
 
--- /dev/null
+++ b/test/rollout-machines.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { machines } from './fakes/meeting.js';
+import { withShares, shareApi } from './fakes/share-checker.js';
+import {
+  begin,
+  finish,
+  phaseIs,
+  phaseOf,
+  REPLICAS,
+  start,
+  type RolloutStory,
+} from './fakes/rollout-story.js';
+import type { ProbeFate } from './fakes/model-servers.js';
+import type { FakeWorker } from './fakes/worker.js';
+
+// Machines, networks and the store fail in each phase: 8 replicas on 8 machines, three controllers.
+
+const EIGHT = machines('aaaabbbb');
+const PHASES = ['surging', 'judging', 'withdrawing'];
+
+const holders = ({ w, to }: RolloutStory): FakeWorker[] => w.holding(to);
+
+function die({ w }: RolloutStory, workers: FakeWorker[]): void {
+  for (const { id } of workers) {
+    w.cloud.hosts.delete(id);
+    w.kill(id);
+  }
+}
+
+interface Trouble {
+  name: string;
+  /** Brings it; what it returns ends it. */
+  bring(story: RolloutStory): () => void;
+  lastsS: number;
+}
+
+const TROUBLES: Trouble[] = [
+  {
+    name: 'two machines die, one of them with a new replica',
+    bring: (story) => {
+      const victims = [...holders(story).slice(0, 1), ...story.w.holding(story.from).slice(0, 1)];
+      die(story, victims);
+      story.w.cloud.capacity = EIGHT.length;
+      return () => undefined;
+    },
+    lastsS: 1,
+  },
+  {
+    name: 'machines of new replicas hang and wake within their lease',
+    bring: (story) => {
+      const victims = holders(story);
+      for (const worker of victims) worker.hung = true;
+      return () => {
+        for (const worker of victims) worker.hung = false;
+      };
+    },
+    lastsS: 7,
+  },
+  {
+    name: 'machines of both versions hang for longer than their lease',
+    bring: (story) => {
+      const victims = [...holders(story).slice(0, 1), ...story.w.holding(story.from).slice(0, 2)];
+      for (const worker of victims) worker.hung = true;
+      return () => {
+        for (const worker of victims) worker.hung = false;
+      };
+    },
+    lastsS: 20,
+  },
+  {
+    name: 'a zone is cut off while its delegate serves',
+    bring: ({ w }) => {
+      w.split(true);
+      return () => w.split(false);
+    },
+    lastsS: 20,
+  },
+  {
+    name: 'the store is out for longer than a cancellation may take',
+    bring: ({ w }) => {
+      w.trouble.outage();
+      return () => w.trouble.outageOver();
+    },
+    lastsS: 45,
+  },
+  {
+    name: 'two controllers end at once and the third leads',
+    bring: ({ w }) => {
+      const victims = [w.leader, (w.leader + 1) % 3];
+      for (const i of victims) w.crash(i);
+      return () => {
+        for (const i of victims) w.restart(i);
+      };
+    },
+    lastsS: 30,
+  },
+];
+
+for (const { name, bring, lastsS } of TROUBLES) {
+  for (const [seed, phase] of PHASES.entries()) {
+    test(`in ${phase} ${name}`, async () => {
+      const story = await begin({ seed, machines: EIGHT });
+      const { w, models, to } = story;
+      await start(story, { readySeconds: 40 });
+      await phaseIs(w, phase);
+      const end = bring(story);
+      await w.pass(lastsS);
+      end();
+      await phaseIs(w, 'done', 300);
+      await w.until(() => models.serving(to) === REPLICAS, 90, 'the new version is whole');
+      await finish(story, 'to');
+    });
+  }
+}
+
+test('a machine with an old replica is taken back in the middle: it counts as a loss', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w, from } = story;
+  await start(story);
+  await phaseIs(w, 'withdrawing');
+  const [victim] = w.holding(from);
+  victim!.warningS = 30;
+  await w.pass(20);
+  die(story, [victim!]);
+  w.cloud.capacity = EIGHT.length;
+  await phaseIs(w, 'done', 300);
+  await finish(story, 'to');
+});
+
+test('shares are moved from the team of the service while it is being rolled out', async () => {
+  const story = await begin({ machines: EIGHT, before: (w) => void withShares(w) });
+  const { w, models, to } = story;
+  await start(story);
+  await phaseIs(w, 'surging');
+  const move = { id: 'm1', from: 'speech', to: 'vision', limit: { gpus: 40 } };
+  void shareApi(w, 0)!.submit(move);
+  await phaseIs(w, 'done', 300);
+  assert.equal(models.serving(to), REPLICAS);
+  await finish(story, 'to');
+});
+
+test('the team has no room left for a surge: the rollout waits, and goes on when there is some', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w, models, from } = story;
+  const work = await w.accept({ pieces: 48, crew: 'speech', runMs: 600_000 });
+  await w.until(() => w.running(work) === 48, 30, 'the team is at its limit');
+  await start(story);
+  await phaseIs(w, 'surging');
+  await w.pass(30);
+  assert.equal(phaseOf(w), 'surging');
+  assert.equal(models.serving(from), REPLICAS, 'nothing is withdrawn for want of room');
+  await w.cancel(work);
+  await phaseIs(w, 'done', 200);
+  await finish(story, 'to');
+});
+
+const FATES: ProbeFate[] = ['late', 'malformed', 'former attempt', 'silence'];
+
+for (const fate of FATES) {
+  test(`a new replica whose probes meet "${fate}" is never proven; the old version comes back`, async () => {
+    const story = await begin();
+    const { w, models, checker, from, to } = story;
+    models.faults.add(({ job, task }) => (job === to && task === 0 ? fate : 'answer'));
+    await start(story);
+    await phaseIs(w, 'rolled-back');
+    assert.equal(checker.lowest, REPLICAS);
+    assert.equal(models.serving(from), REPLICAS);
+    await finish(story, 'from');
+  });
+}
+
+test('a replica answers probes while its worker is silent: it does not count', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w, models, from } = story;
+  await start(story);
+  await phaseIs(w, 'judging');
+  // Its reports get lost, commands and probes reach it.
+  const silent = w.holding(from)[0]!;
+  silent.mute = true;
+  await w.pass(9);
+  assert.equal(models.serving(from), REPLICAS);
+  assert.notEqual(phaseOf(w), 'done');
+  silent.mute = false;
+  await phaseIs(w, 'done', 300);
+  await finish(story, 'to');
+});
+
+test('an old replica is lost for good while the store refuses changes: nothing is withdrawn meanwhile', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w, from } = story;
+  await start(story);
+  await phaseIs(w, 'judging');
+  die(story, w.holding(from).slice(0, 3));
+  w.cloud.capacity = EIGHT.length;
+  await phaseIs(w, 'done', 300);
+  await finish(story, 'to');
+});
