--- /dev/null
+++ b/packages/rollout/test/proofs.test.ts
@@ -0,0 +1,235 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { deflateSync } from 'node:zlib';
+import { build, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import { ceilingsOf } from '@leverhatch/rollout/ceilings';
+import { BadHistogram, readLatencies } from '@leverhatch/rollout/latencies';
+import type { Replica } from '@leverhatch/rollout/ports';
+import {
+  AddressTemplate,
+  answerOf,
+  BadTemplate,
+  HttpReplicaProbe,
+  type ProbeAnswer,
+} from '@leverhatch/rollout/probe';
+import { Prober } from '@leverhatch/rollout/prober';
+import { ReplicaProofs } from '@leverhatch/rollout/proofs';
+import type { Rollout } from '@leverhatch/rollout/records';
+import { LoadWindow } from '@leverhatch/rollout/verdict';
+import { FakeClock } from '../../../test/fakes/clock.js';
+import { fakeRandom } from '../../../test/fakes/random.js';
+import { httpTransports } from '../../../src/http/client.js';
+
+const REPLICA: Replica = {
+  ...{
+    job: 'j',
+    task: 3,
+    attempt: 2,
+    machine: 'm',
+    session: 4,
+    address: '127.0.0.1:9',
+    image: 'v',
+  },
+  ...{ running: true, starting: false, stopping: false },
+};
+
+const ANSWER = {
+  ...{ job: 'j', task: 3, attempt: 2, session: 4, version: 'v' },
+  ...{ requests: 10, errors: 1, latencies: null },
+};
+
+test('an answer counts only if it is that of the very replica', () => {
+  assert.ok(answerOf(REPLICA, ANSWER));
+  assert.ok(answerOf(REPLICA, { ...ANSWER, colour: 'red' }), 'unknown fields are ignored');
+  for (const change of [
+    { job: 'k' },
+    { task: 4 },
+    { attempt: 1 },
+    { session: 3 },
+    { version: 'old' },
+    { errors: 11 },
+    { requests: -1 },
+    { requests: 'many' },
+    { latencies: 7 },
+    { latencies: 'x'.repeat(20_000) },
+  ]) {
+    assert.equal(answerOf(REPLICA, { ...ANSWER, ...change }), null, JSON.stringify(change));
+  }
+  assert.equal(answerOf(REPLICA, null), null);
+});
+
+test('three answers in a row prove a replica, for as long as the last one is fresh', () => {
+  const proofs = new ReplicaProofs(1000);
+  for (const at of [0, 1000]) proofs.answered(REPLICA, at);
+  assert.ok(!proofs.isProven(REPLICA, 1000));
+  proofs.answered(REPLICA, 2000);
+  assert.ok(proofs.isProven(REPLICA, 4500));
+  assert.ok(!proofs.isProven(REPLICA, 4501), 'silence beyond the bound');
+  assert.ok(!proofs.isProven({ ...REPLICA, running: false }, 2000), 'no report says that it runs');
+  assert.ok(!proofs.isProven({ ...REPLICA, stopping: true }, 2000), 'it was told to stop');
+  assert.ok(!proofs.isProven({ ...REPLICA, attempt: 3 }, 2000), 'another start');
+  assert.ok(!proofs.isProven({ ...REPLICA, session: 5 }, 2000), 'another session');
+  proofs.failed(REPLICA, 3000);
+  assert.ok(!proofs.isProven(REPLICA, 3000), 'one failure');
+  for (const at of [4000, 5000, 9000, 10_000]) proofs.answered(REPLICA, at);
+  assert.ok(!proofs.isProven(REPLICA, 10_000), 'answers with a gap are not in a row');
+});
+
+test('the bound of readiness counts probes in vain, and none after a proof', () => {
+  const proofs = new ReplicaProofs(1000);
+  assert.equal(proofs.probedInVainMs(REPLICA, 9000), 0, 'not probed yet');
+  proofs.failed(REPLICA, 1000);
+  assert.equal(proofs.probedInVainMs(REPLICA, 9000), 8000);
+  proofs.keep(new Set());
+  assert.equal(proofs.probedInVainMs(REPLICA, 9000), 0, 'forgotten while it was not probed');
+  for (const at of [9000, 9500, 10_000]) proofs.answered(REPLICA, at);
+  proofs.failed(REPLICA, 10_500);
+  assert.equal(proofs.probedInVainMs(REPLICA, 90_000), 0);
+});
+
+test('probes of 500 replicas are spread over the interval and keep to the rate', async () => {
+  const clock = new FakeClock();
+  const replicas = Array.from({ length: 500 }, (_, task) => ({ ...REPLICA, task }));
+  const perTenth = new Map<number, number>();
+  let underWay = 0;
+  let mostUnderWay = 0;
+  const stop = new AbortController();
+  const prober = new Prober({
+    clock,
+    random: fakeRandom('p', 7),
+    settings: { intervalMs: 2000, perSecond: 100 },
+    proofs: new ReplicaProofs(2000),
+    replicas: () => replicas,
+    answered: () => undefined,
+    probe: {
+      ask: async (replica) => {
+        const tenth = Math.floor(clock.now() / 100);
+        perTenth.set(tenth, (perTenth.get(tenth) ?? 0) + 1);
+        mostUnderWay = Math.max(mostUnderWay, ++underWay);
+        await clock.sleep(300);
+        underWay--;
+        return { ...ANSWER, task: replica.task };
+      },
+    },
+  });
+  const run = prober.run(stop.signal);
+  await clock.advance(20_000);
+  const sent = [...perTenth.values()].reduce((a, b) => a + b, 0);
+  assert.ok(sent <= 100 * 20 + 50 && sent >= 100 * 15, `${sent} probes in 20 s`);
+  assert.ok(Math.max(...perTenth.values()) <= 50 && mostUnderWay <= 50);
+  stop.abort();
+  await clock.advance(1000);
+  await run;
+});
+
+const histogramOf = (values: number[], digits: 1 | 2 | 3 | 4 | 5 = 2): string => {
+  const histogram = build({ numberOfSignificantValueDigits: digits });
+  for (const value of values) histogram.recordValue(value);
+  return encodeIntoCompressedBase64(histogram);
+};
+
+const load = (latencyUs: number, requests: number, errors = 0): ProbeAnswer => ({
+  ...ANSWER,
+  ...{ requests, errors, latencies: histogramOf(Array(requests - errors).fill(latencyUs)) },
+});
+
+const THRESHOLDS = {
+  ...{ judgeSeconds: 10, minSamples: 100, percentile: 95 },
+  ...{ maxLatencyRatio: 1.3, maxErrorIncrease: 0.01 },
+};
+
+test('verdicts: slower, more errors, too little to tell, and machines that are missing', () => {
+  const judge = (old: ProbeAnswer, fresh: ProbeAnswer, atMs: number, complete = true) => {
+    const window = new LoadWindow(0);
+    window.add('old', old);
+    window.add('new', fresh);
+    window.judge(THRESHOLDS, 0, complete);
+    return window.judge(THRESHOLDS, atMs, complete);
+  };
+  assert.equal(judge(load(1000, 200), load(1000, 200), 9000), null, 'the window has not ended');
+  const verdicts: [ProbeAnswer, ProbeAnswer, string][] = [
+    [load(1000, 200), load(1200, 200), 'better-or-same'],
+    [load(1000, 200), load(500, 200), 'better-or-same'],
+    [load(1000, 200), load(1500, 200), 'worse'],
+    [load(1000, 200), load(1000, 200, 8), 'worse'],
+    [load(1000, 200, 8), load(1000, 200, 9), 'better-or-same'],
+  ];
+  for (const [old, fresh, verdict] of verdicts) {
+    assert.equal(judge(old, fresh, 10_000)!.verdict, verdict);
+  }
+  assert.equal(judge(load(1000, 200), load(1000, 50), 10_000), null, 'it may still come');
+  assert.equal(judge(load(1000, 200), load(1000, 50), 30_000)!.verdict, 'undecided');
+  assert.equal(judge(load(1000, 200), load(1000, 50), 99_000, false), null, 'not to blame');
+  assert.equal(judge(load(1000, 200), load(1000, 50), 100_000, false)!.verdict, 'undecided');
+});
+
+test('histograms that are none, or would take much memory, are refused', () => {
+  assert.equal(readLatencies(histogramOf([100, 200, 300])).totalCount, 3);
+  const bomb = Buffer.concat([Buffer.alloc(8), deflateSync(Buffer.alloc(8 * 1024 * 1024))]);
+  for (const text of ['', 'nonsense', histogramOf([100], 5), bomb.toString('base64')]) {
+    assert.throws(() => readLatencies(text), BadHistogram);
+  }
+  assert.equal(new LoadWindow(0).add('new', { ...ANSWER, latencies: 'nonsense' }), false);
+});
+
+test('addresses of probes follow the template, and a wrong one is told apart', () => {
+  const template = new AddressTemplate('http://{host}:9100/r/{job}/{task}/{attempt}');
+  const replica = { ...REPLICA, address: '10.1.0.5:9000', job: 'a/b' };
+  assert.equal(template.of(replica).href, 'http://10.1.0.5:9100/r/a%2Fb/3/2');
+  assert.equal(new AddressTemplate('http://{address}/x').of(replica).host, '10.1.0.5:9000');
+  for (const bad of ['', 'nonsense', 'https://{host}:1/', 'http://{host}/x', 'http://{rack}:1/x']) {
+    assert.throws(() => new AddressTemplate(bad), BadTemplate, bad);
+  }
+});
+
+test('probes over HTTP reuse their connection, and a wrong answer or none is an error', async () => {
+  let connections = 0;
+  let status = 200;
+  const server = createServer((request, response) => {
+    if (request.url?.endsWith('/9/2')) return;
+    response.writeHead(status).end(JSON.stringify(ANSWER));
+  });
+  server.on('connection', () => connections++);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const limits = { sockets: 4, answerBytes: 1024, keepIdleMs: 5000 };
+  const template = new AddressTemplate(`http://{host}:${port}/r/{job}/{task}/{attempt}`);
+  const probe = new HttpReplicaProbe(template, httpTransports(limits));
+  const { signal } = new AbortController();
+  for (let i = 0; i < 3; i++) assert.deepEqual(await probe.ask(REPLICA, 1000, signal), ANSWER);
+  assert.equal(connections, 1);
+  await assert.rejects(probe.ask({ ...REPLICA, task: 9 }, 100, signal), 'no answer in time');
+  status = 500;
+  await assert.rejects(probe.ask(REPLICA, 1000, signal), /500/);
+  await assert.rejects(probe.ask({ ...REPLICA, address: null }, 1000, signal));
+  server.close();
+  server.closeAllConnections();
+});
+
+test('ceilings follow from the records, and the newest rollout of a job speaks for it', () => {
+  const rollout = (id: string, version: number, status: object | null, jobs: object): Rollout =>
+    ({
+      id,
+      spec: { record: { id, ...jobs }, version },
+      status: status && { record: { id, ...jobs, ...status }, version },
+    }) as Rollout;
+  const forth = { from: 'a', to: 'b' };
+  const back = { from: 'b', to: 'a' };
+  const done = { phase: 'done', ceilings: { from: 0, to: null } };
+  const of = (...rollouts: Rollout[]): Record<string, number> =>
+    Object.fromEntries(ceilingsOf(rollouts, () => 5));
+  assert.deepEqual(of(rollout('r1', 1, null, forth)), { b: 0 }, 'asked for');
+  assert.deepEqual(of(rollout('r1', 1, done, forth)), { a: 0 });
+  const surging = { phase: 'surging', ceilings: { from: 8, to: 2 } };
+  assert.deepEqual(of(rollout('r1', 1, done, forth), rollout('r2', 2, surging, back)), {
+    b: 8,
+    a: 2,
+  });
+  assert.deepEqual(of(rollout('r1', 1, done, forth), rollout('r2', 2, done, back)), { b: 0 });
+  const refused = { phase: 'refused', ceilings: { from: null, to: null } };
+  assert.deepEqual(of(rollout('r1', 1, done, forth), rollout('r2', 2, refused, back)), { a: 0 });
+  const broken = { ...rollout('r1', 1, null, forth), status: { record: null, version: 3 } };
+  assert.deepEqual(of(broken), { a: 5, b: 5 }, 'what is placed');
+});
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -91,11 +91,11 @@
   readonly zoneDelegates: ZoneDelegateWatch;
   readonly longPoll: LongPoll;
   readonly stopCommands: StopCommands;
+  readonly stops: TaskStops;
   readonly records = new JobRecords(this);
   readonly dependencies = new DependencyTracker(this);
   readonly reports = new ReportHandler(this);
   readonly progress = new TaskProgress(this);
-  readonly stops = new TaskStops(this);
   readonly rounds = new DecisionRounds(this);
   /** True once the cloud has listed its machines in this term. */
   listedOnce = false;
@@ -106,7 +106,7 @@
     /** `successor`: whom the workers are sent to until the next leader is known. */
     readonly resign: (successor?: string) => void,
   ) {
-    const { settings, runtime, store, cloud } = parts;
+    const { settings, runtime, store } = parts;
     this.lifetimeMs = settings.workers.leaseMs * parts.operator.election.lifetime;
     this.view = new CancellationView(cancellationViewLimitMs(settings.workers, this.lifetimeMs));
     this.silence = new WorkerSilence(term.startedAt, settings.workers, parts.silentTerms);
@@ -131,14 +131,54 @@
       this.fleet.leaseRanOut(m, now),
     );
     this.teamLimits = new TeamLimits(runtime.log, settings.workers.reportMs);
+    this.longPoll = new LongPoll(runtime, longestHoldMs(settings.workers.reportMs));
+    this.stopCommands = new StopCommands(
+      parts.workers,
+      runtime,
+      term,
+      settings.workers.reportMs,
+      settings.machine.sockets,
+      (r) => {
+        this.fleet.direct(r);
+      },
+    );
+    this.stops = this.createStops();
     this.extensions = this.beginExtensions();
-    const endsWaitMs = settings.workers.leaseMs;
-    const layouts: LayoutPolicy = {
-      rangesReadable: () => parts.membership.allRead(RECORD_FORMATS.rangedRuns),
-      leftoversKnown: () => parts.membership.allRead(RECORD_FORMATS.leftoverRuns),
+    const layouts = this.layoutPolicy();
+    this.ledger = this.createLedger(layouts);
+    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
+    this.rentals = this.createRentals();
+    this.gate = new GangGate(parts.operator);
+    this.reconciler = new MachineReconciler(
+      this.fleet,
+      this.rentals,
+      settings,
+      parts.operator,
+      () => this.types,
+      term.startedAt,
+    );
+  }
+
+  private createStops(): TaskStops {
+    const { settings, runtime } = this.parts;
+    const { fleet, longPoll, stopCommands } = this;
+    return new TaskStops(fleet, longPoll, stopCommands, settings.workers, runtime.clock);
+  }
+
+  private layoutPolicy(): LayoutPolicy {
+    const { membership, store } = this.parts;
+    return {
+      rangesReadable: () => membership.allRead(RECORD_FORMATS.rangedRuns),
+      leftoversKnown: () => membership.allRead(RECORD_FORMATS.leftoverRuns),
       rangesWanted: () => store.limits.recordsMustShrink,
     };
-    this.ledger = new Ledger(
+  }
+
+  private createLedger(layouts: LayoutPolicy): Ledger {
+    const { store, runtime, settings } = this.parts;
+    const { term } = this;
+    const endsWaitMs = settings.workers.leaseMs;
+    return new Ledger(
       store,
       runtime,
       term,
@@ -166,8 +206,11 @@
       },
       this.extensions.startFences,
     );
-    this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
-    this.rentals = new Rentals(cloud, store, runtime, settings, term, parts.cloudTimeoutMs, {
+  }
+
+  private createRentals(): Rentals {
+    const { cloud, store, runtime, settings, cloudTimeoutMs } = this.parts;
+    return new Rentals(cloud, store, runtime, settings, this.term, cloudTimeoutMs, {
       rented: (ids, rent) => {
         for (const id of ids) {
           const m = this.fleet.machine(id, runtime.clock.now());
@@ -187,26 +230,6 @@
         this.touch();
       },
     });
-    this.longPoll = new LongPoll(runtime, longestHoldMs(settings.workers.reportMs));
-    this.stopCommands = new StopCommands(
-      parts.workers,
-      runtime,
-      term,
-      settings.workers.reportMs,
-      settings.machine.sockets,
-      (r) => {
-        this.fleet.direct(r);
-      },
-    );
-    this.gate = new GangGate(parts.operator);
-    this.reconciler = new MachineReconciler(
-      this.fleet,
-      this.rentals,
-      settings,
-      parts.operator,
-      () => this.types,
-      term.startedAt,
-    );
   }
 
   private beginExtensions(): TermExtensions {
--- a/src/control/task-stops.ts
+++ b/src/control/task-stops.ts
@@ -1,12 +1,22 @@
+import type { Clock } from '@leverhatch/core/clock';
+import type { Fleet } from '../fleet/fleet.js';
+import type { StopCommands } from '../fleet/stop-commands.js';
 import type { Job, Placement } from '../jobs/tracked-job.js';
-import type { Leader } from './leader.js';
+import type { Settings } from '../settings/deploy.js';
+import type { LongPoll } from './long-poll.js';
 
 /** Work is little that is done again in this many times what saving it takes. */
 const LITTLE_LOSS_SAVES = 3;
 
 /** Stops tasks, with or without time to save, by the shortest way there is to their machines. */
 export class TaskStops {
-  constructor(private readonly leader: Leader) {}
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly longPoll: LongPoll,
+    private readonly commands: StopCommands,
+    private readonly workers: Settings['workers'],
+    private readonly clock: Clock,
+  ) {}
 
   /** Stops every task of a job; what was never sent is taken back at once. */
   stopAll(job: Job, graceMs: number): void {
@@ -20,23 +30,22 @@
       unsavedStops.set(p.task, (unsavedStops.get(p.task) ?? 0) + 1);
     }
     p.stop = { graceMs };
-    if (p.stage === 'recording' || p.stage === 'recorded') this.leader.fleet.withdraw(p);
-    else if (!this.leader.longPoll.release(p.machine)) this.halt(p, graceMs);
+    if (p.stage === 'recording' || p.stage === 'recorded') this.fleet.withdraw(p);
+    else if (!this.longPoll.release(p.machine)) this.halt(p, graceMs);
   }
 
   private halt(p: Placement, graceMs: number): void {
-    const m = this.leader.fleet.machines.get(p.machine);
+    const m = this.fleet.machines.get(p.machine);
     // A silent machine would only hold a socket; its lease is running out.
-    const { reportMs } = this.leader.parts.settings.workers;
     if (!m || p.session !== m.session || m.heardAt === null) return;
-    if (this.leader.now - m.heardAt > reportMs * 2) return;
+    if (this.clock.now() - m.heardAt > this.workers.reportMs * 2) return;
     const { task, attempt } = p;
-    this.leader.stopCommands.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
+    this.commands.add(m, { op: 'stop', job: p.job.id, task, attempt, graceMs });
   }
 
   graceFor(job: Job): number {
     const { spec } = job;
-    return spec.checkpointMs > 0 ? spec.saveMs + this.leader.parts.settings.workers.gangPeerMs : 0;
+    return spec.checkpointMs > 0 ? spec.saveMs + this.workers.gangPeerMs : 0;
   }
 
   /**
