--- a/test/fakes/job-wishes.ts
+++ b/test/fakes/job-wishes.ts
@@ -28,6 +28,7 @@
   readonly needs = new Map<string, string[]>();
   /** The image of each job. */
   readonly images = new Map<string, string>();
+  private readonly bodies = new Map<string, object>();
   private nextId = 1;
 
   wish(w: JobWish): { ref: string; body: object } {
@@ -58,8 +59,14 @@
     const [runMs, fetchMs] = [w.runMs ?? 20_000, w.fetchMs ?? 2000];
     this.needs.set(ref, w.waitsOn ?? []);
     this.images.set(ref, body.crate);
+    this.bodies.set(ref, body);
     const facts = { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 };
     this.facts.set(ref, w.failsAfterMs ? { ...facts, failsAfterMs: w.failsAfterMs } : facts);
     return { ref, body };
   }
+
+  /** What was wished for under this id. */
+  wished(ref: string): { ref: string; body: object } {
+    return { ref, body: this.bodies.get(ref)! };
+  }
 }
--- a/test/fakes/loopback.ts
+++ b/test/fakes/loopback.ts
@@ -1,5 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { setMaxListeners } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import { createServer as createNetServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -9,11 +10,18 @@
 import { FakeCloud, type Host } from './cloud.js';
 import { JobWishes, type JobWish } from './job-wishes.js';
 import { FakeStore } from './store.js';
+import { ModelServers } from './model-servers.js';
 import { FakeWorker } from './worker.js';
 
 const LEASE_MS = 10_000;
 const HOST = '127.0.0.1';
 
+/** What the operators' file switches on, beside the listener. */
+const SHARES = '<shares><enabled>yes</enabled></shares>';
+
+/** A probe's path: job, task and attempt. */
+const PROBED = /^\/replicas\/([^/]+)\/(\d+)\/(\d+)$/;
+
 /** Longer than any watch of the store may wait. */
 const STORE_TIMEOUT_MS = 30_000;
 
@@ -49,7 +57,15 @@
   readonly workers: FakeWorker[] = [];
   readonly controllers: Process[] = [];
   readonly wishes = new JobWishes();
+  readonly models = new ModelServers({
+    now: () => systemClock.now(),
+    sleep: (ms) => systemClock.sleep(ms),
+    worker: (id) => this.workers.find((worker) => worker.id === id),
+    workers: () => this.workers,
+    image: (job) => this.wishes.images.get(job) ?? '',
+  });
   private readonly servers: Server[] = [];
+  private readonly serverOf = new Map<string, Server>();
   private readonly directory = mkdtempSync(join(tmpdir(), 'loopback-'));
   private readonly end = new AbortController();
   private readonly reportsTo: Transport[] = [];
@@ -57,8 +73,12 @@
   constructor(
     private readonly machines: number,
     private readonly teams: readonly LoopbackTeam[],
+    /** What the operators' file switches on. */
+    private readonly switches = SHARES,
   ) {
     this.cloud.capacity = machines;
+    // Every worker and stand-in listens to it.
+    setMaxListeners(0, this.end.signal);
   }
 
   async start(controllers: number): Promise<void> {
@@ -157,11 +177,12 @@
     writeFileSync(this.file(`${own.name}.toml`), text);
     writeFileSync(
       this.file(`${own.name}.xml`),
-      `<leverhatch><shares><listen>${own.operatorsAddress}</listen></shares></leverhatch>`,
+      `<leverhatch><operators><listen>${own.operatorsAddress}</listen></operators>${this.switches}</leverhatch>`,
     );
   }
 
-  private spawn(own: Process): void {
+  /** Starts a process, also one that was killed. */
+  spawn(own: Process): void {
     const program = new URL('../../src/main.js', import.meta.url).pathname;
     const files = [this.file(`${own.name}.toml`), this.file(`${own.name}.xml`)];
     own.child = spawn(process.execPath, [program, '--config', files[0]!, '--operator', files[1]!], {
@@ -174,7 +195,9 @@
     const host: Host = this.cloud.add(yard, 0);
     const { vcpus, gpus, memoryGb } = this.cloud.hulls[0]!;
     const address = await this.serve({
-      request: async (_method, _path, body) => {
+      request: async (_method, path, body) => {
+        const probed = PROBED.exec(path);
+        if (probed) return this.probed(worker, probed);
         const reply = worker.direct(body as Parameters<FakeWorker['direct']>[0]);
         if (!reply) throw new Error('no answer');
         return reply;
@@ -196,21 +219,43 @@
       },
     );
     this.workers.push(worker);
+    this.serverOf.set(worker.id, this.servers.at(-1)!);
     void worker.run(this.end.signal);
   }
 
+  private probed(worker: FakeWorker, [, job, task, attempt]: RegExpExecArray): Reply {
+    const named = { job: job!, task: Number(task), attempt: Number(attempt) };
+    const answer = this.models.answer(worker, named);
+    if (answer === null) throw new Error('no answer');
+    return { status: 200, body: answer };
+  }
+
+  /** A machine stops with all that is on it. */
+  die(worker: FakeWorker): void {
+    worker.dead = true;
+    this.cloud.hosts.delete(worker.id);
+    const server = this.serverOf.get(worker.id)!;
+    server.close();
+    server.closeAllConnections();
+  }
+
   /** The tasks of a job that are on machines now. */
   on(ref: string): number {
     let tasks = 0;
-    for (const { pieces } of this.workers) {
+    for (const { pieces, dead } of this.workers) {
+      if (dead) continue;
       for (const { job, phase } of pieces) if (job === ref && phase === 'running') tasks++;
     }
     return tasks;
   }
 
   /** A user submits at one controller, and at the next while one does not serve. */
-  async submit(wish: JobWish, first = 0): Promise<string> {
-    const { ref, body } = this.wishes.wish(wish);
+  submit(wish: JobWish, first = 0): Promise<string> {
+    return this.submitWished(this.wishes.wish(wish), first);
+  }
+
+  /** The same of a job that was wished for before. */
+  async submitWished({ ref, body }: { ref: string; body: object }, first = 0): Promise<string> {
     for (let i = first; !this.end.signal.aborted; i++) {
       const to = this.reportsTo[i % this.reportsTo.length]!;
       const reply = await to.request('POST', '/work', body, 5000).catch(() => null);
