--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { parseDeploy } from '../src/settings/deploy.js';
 import { SettingsError } from '../src/settings/error.js';
+import { loadExtensions } from '../src/settings/extensions.js';
 import { OPERATOR_DEFAULTS, parseOperator } from '../src/settings/operator.js';
 import { SETTINGS } from './fakes/world.js';
 
@@ -95,6 +96,14 @@
     ['<gate><slackSeconds>-1</slackSeconds></gate>', /slackSeconds: must be a positive number/],
     ['<gate>soon</gate>', /leverhatch\.gate: must be one element/],
     ['<election><lifetime>0.9</lifetime></election>', /lifetime: must be at most 0\.8/],
+    ['<shares><listen>here</listen></shares>', /leverhatch\.shares\.listen: must be HOST:PORT/],
+    ['<operators><listen>a:b</listen></operators>', /leverhatch\.operators\.listen: must be HOST/],
+    ['<shares><enabled>maybe</enabled></shares>', /leverhatch\.shares\.enabled: must be yes or no/],
+    [
+      '<operators><listen>a:1</listen></operators><shares><listen>a:2</listen></shares>',
+      /leverhatch\.shares\.listen: must be left out/,
+    ],
+    ['<rollout><probeSeconds>0</probeSeconds></rollout>', /probeSeconds: must be a positive/],
     ['<gate>', /^op\.xml: /],
   ];
   for (const [inside, what] of lines)
@@ -103,3 +112,37 @@
       what,
     );
 });
+
+test("former and present operators' files switch on the same parts, and what cannot be used is named", async () => {
+  const load = (inside: string) =>
+    loadExtensions(parseOperator(`<leverhatch>${inside}</leverhatch>`, 'op.xml'), 'op.xml');
+  assert.equal(await load(''), null, 'nothing is loaded');
+  assert.equal(await load('<operators><listen>a:1</listen></operators>'), null);
+  const former = await load('<shares><listen>a:1</listen><allow>10.0.0.0/8</allow></shares>');
+  assert.deepEqual([former!.create.length, former!.listener.address], [1, 'a:1']);
+  assert.ok(former!.listener.allowed.allows('10.1.1.1'));
+  assert.ok(!former!.listener.allowed.allows('127.0.0.1'));
+  const probe = '<rollout><probe>http://{host}:9100/{job}/{task}/{attempt}</probe></rollout>';
+  const beside = await load(`<shares><listen>a:1</listen></shares>${probe}`);
+  assert.deepEqual([beside!.create.length, beside!.listener.address], [2, 'a:1']);
+  const listener = '<operators><listen>b:2</listen><allow>10.0.0.0/8</allow></operators>';
+  const both = await load(`${listener}<shares><enabled>yes</enabled></shares>${probe}`);
+  assert.deepEqual([both!.create.length, both!.listener.address], [2, 'b:2']);
+  assert.ok(both!.sockets > 0 && former!.sockets === 0);
+  const wrong: [string, RegExp][] = [
+    [probe, /^op\.xml: leverhatch\.operators\.listen: must be HOST:PORT/],
+    [
+      `${listener}<rollout><probe>nonsense</probe></rollout>`,
+      /leverhatch\.rollout\.probe: must be/,
+    ],
+    [
+      `${listener}<rollout><probe>http://{rack}:1/</probe></rollout>`,
+      /leverhatch\.rollout\.probe: unknown variable \{rack\}/,
+    ],
+    [
+      `<operators><listen>b:2</listen><allow>here</allow></operators>${probe}`,
+      /leverhatch\.operators\.allow: here is not a network/,
+    ],
+  ];
+  for (const [inside, what] of wrong) await assert.rejects(load(inside), { message: what });
+});
