--- a/test/fakes/rollout-checker.ts
+++ b/test/fakes/rollout-checker.ts
@@ -141,7 +141,7 @@
   `${worker.id}#${worker.shift} ${job}/${task}/${attempt}`;
 
 /** Model servers beside the workers of a story, and rollouts switched on at controllers that start from now on. */
-export function withRollouts(world: World): ModelServers {
+export function withRollouts(world: World, probing = PROBING): ModelServers {
   const models = new ModelServers({
     now: () => world.clock.now(),
     sleep: (ms) => world.clock.sleep(ms),
@@ -153,7 +153,7 @@
     const probe = models.probe((worker) => world.controllers.reaches(node, worker));
     node.extensions.set(
       'rollout',
-      (host) => new RolloutExtension({ package: rollout, probe, probing: PROBING }, host),
+      (host) => new RolloutExtension({ package: rollout, probe, probing }, host),
     );
   }
   return models;
--- /dev/null
+++ b/test/measurements/rollout.ts
@@ -0,0 +1,226 @@
+/**
+ * Measures stepped rollouts, in memory and in simulated time, and prints raw results as JSON.
+ * Usage: node target/check/test/measurements/rollout.js [MACHINES...]
+ */
+import { performance } from 'node:perf_hooks';
+import { build, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import { systemRandom } from '@leverhatch/core/random';
+import { Prober } from '@leverhatch/rollout/prober';
+import { ReplicaProofs } from '@leverhatch/rollout/proofs';
+import type { Replica } from '@leverhatch/rollout';
+import { FakeClock } from '../fakes/clock.js';
+import type { ModelServers } from '../fakes/model-servers.js';
+import { rolloutApi, rolloutStatus, withRollouts } from '../fakes/rollout-checker.js';
+import { World, type JobWish } from '../fakes/world.js';
+
+/** The sample's teams may use as much as eight of its machines hold. */
+const MACHINES_OF_SAMPLE = 8;
+const REPLICAS_PER_MACHINE = 2;
+const SURGE_SHARE = 0.1;
+const PROBE_MS = 2000;
+const STEPS = [0.1, 0.5, 1];
+const JUDGE_S = 20;
+const FETCH_MS = 2000;
+const MOST_S = 3600;
+
+type Way = 'rollout' | 'new beside old' | 'new after old';
+
+interface Result {
+  machines: number;
+  replicas: number;
+  way: Way;
+  /** From the request until only the new version is placed. */
+  doneS: number;
+  level: number;
+  lowest: number;
+  /** Replicas beyond the level, over time; and the least that the batches need for their fetches. */
+  surgeReplicaSeconds: number;
+  leastSurgeReplicaSeconds: number | null;
+  /** Steps of the rollout that were written, and the puts and deletes of the store for them. */
+  transitions: number;
+  rolloutWrites: number;
+  probesPerSecond: number;
+  realSeconds: number;
+}
+
+interface Scene {
+  w: World;
+  models: ModelServers;
+  from: string;
+  next: { ref: string; body: object };
+  replicas: number;
+  surge: number;
+}
+
+async function scene(machines: number): Promise<Scene> {
+  const yards = Array.from({ length: machines }, (_, i) => ({ yard: i % 2 ? 'a' : 'b' }));
+  const scale = machines / MACHINES_OF_SAMPLE;
+  const w = new World(yards, 3, 0, { rps: 2000, writeRps: 500 }, scale);
+  w.cloud.capacity = machines;
+  const replicas = machines * REPLICAS_PER_MACHINE;
+  const perSecond = (replicas * 2000) / PROBE_MS;
+  const models = withRollouts(w, { intervalMs: PROBE_MS, perSecond });
+  await w.start();
+  const service: JobWish = {
+    ...{ shape: 'service', pieces: replicas, gpus: 2, runMs: 0, crew: 'speech' },
+    ...{ urgency: 'production', fetchMs: FETCH_MS },
+  };
+  const from = await w.accept({ ...service, crate: 'v1' });
+  await w.until(() => models.serving(from) === replicas, 300, 'the old version serves');
+  const next = w.wish({ ...service, crate: 'v2' });
+  return { w, models, from, next, replicas, surge: Math.ceil(replicas * SURGE_SHARE) };
+}
+
+/** Looks every quarter of a second at what serves and what is placed. */
+class Meter {
+  lowest = Infinity;
+  surgeReplicaSeconds = 0;
+  private readonly from: string;
+
+  constructor(private readonly s: Scene) {
+    this.from = s.from;
+    s.w.observers.add(() => this.look());
+  }
+
+  private look(): void {
+    const { w, models, next, replicas } = this.s;
+    const serving = models.serving(this.from) + models.serving(next.ref);
+    this.lowest = Math.min(this.lowest, serving);
+    const placed = w.on(this.from).length + w.on(next.ref).length;
+    this.surgeReplicaSeconds += Math.max(0, placed - replicas) / 4;
+  }
+}
+
+async function measure(machines: number, way: Way): Promise<Result> {
+  const began = performance.now();
+  const played = await scene(machines);
+  const { w, models, from, next, replicas, surge } = played;
+  const meter = new Meter(played);
+  let rolloutWrites = 0;
+  let transitions = 0;
+  const before = w.store.onWrite;
+  w.store.onWrite = (key) => {
+    before(key);
+    if (key.startsWith('rollouts/')) rolloutWrites++;
+    if (key.startsWith('rollouts/status/')) transitions++;
+  };
+  const askedAt = w.clock.now();
+  if (way === 'rollout') {
+    const request = {
+      ...{ id: 'r', from, to: next.ref, steps: STEPS, maxSurge: surge },
+      ...{ judgeSeconds: JUDGE_S, minSamples: 100 },
+    };
+    await w.drive(rolloutApi(w, 1)!.start(request));
+    await w.drive(w.acceptingWished(next));
+    await w.until(() => rolloutStatus(w, 'r')?.phase === 'done', MOST_S, 'the rollout is done');
+  } else if (way === 'new beside old') {
+    await w.drive(w.acceptingWished(next));
+    await w.until(() => models.serving(next.ref) === replicas, MOST_S, 'the new version serves');
+    await w.cancel(from);
+  } else {
+    await w.cancel(from);
+    await w.drive(w.acceptingWished(next));
+  }
+  const over = (): boolean => models.serving(next.ref) === replicas && w.on(from).length === 0;
+  await w.until(over, MOST_S, 'only the new version is placed');
+  const doneS = (w.clock.now() - askedAt) / 1000;
+  const { lowest, surgeReplicaSeconds } = meter;
+  const result: Result = {
+    ...{ machines, replicas, way, doneS, level: replicas, lowest, surgeReplicaSeconds },
+    leastSurgeReplicaSeconds: way === 'rollout' ? (replicas * FETCH_MS) / 1000 : null,
+    ...{ transitions, rolloutWrites },
+    probesPerSecond: Math.round(models.asked / doneS),
+    realSeconds: Math.round((performance.now() - began) / 1000),
+  };
+  if (way !== 'new after old') await w.cancel(from);
+  await w.close();
+  return result;
+}
+
+// ---- how soon a slower version is noticed
+
+interface Detection {
+  timesSlower: number;
+  phase: string;
+  /** From its first replica that serves until the rollout turns back. */
+  noticedS: number;
+  /** Until only the old version is placed. */
+  backS: number;
+  oldReplicasWithdrawn: number;
+  lowest: number;
+}
+
+async function detect(timesSlower: number): Promise<Detection> {
+  const played = await scene(MACHINES_OF_SAMPLE);
+  const { w, models, from, next, replicas, surge } = played;
+  const meter = new Meter(played);
+  models.models.set(next.ref, {
+    readyMs: 500,
+    latencyMs: () => 100 * timesSlower,
+    errorRate: 0,
+  });
+  const request = { id: 'r', from, to: next.ref, steps: STEPS, maxSurge: surge };
+  await w.drive(rolloutApi(w, 1)!.start({ ...request, judgeSeconds: JUDGE_S, minSamples: 100 }));
+  await w.drive(w.acceptingWished(next));
+  await w.until(() => models.serving(next.ref) > 0, 120, 'a new replica serves');
+  const servesAt = w.clock.now();
+  const turned = ['rolling-back', 'rolled-back', 'done'];
+  await w.until(() => turned.includes(rolloutStatus(w, 'r')?.phase ?? ''), MOST_S, 'it turns');
+  const noticedS = (w.clock.now() - servesAt) / 1000;
+  const oldReplicasWithdrawn = replicas - models.serving(from);
+  const ends = ['rolled-back', 'done'];
+  await w.until(() => ends.includes(rolloutStatus(w, 'r')?.phase ?? ''), MOST_S, 'it ends');
+  const { phase } = rolloutStatus(w, 'r')!;
+  const backS = (w.clock.now() - servesAt) / 1000;
+  const { lowest } = meter;
+  await w.close();
+  return { timesSlower, phase, noticedS, backS, oldReplicasWithdrawn, lowest };
+}
+
+// ---- what probes cost the leader, without the network
+
+async function probeCost(): Promise<{ probes: number; microsecondsEach: number }> {
+  const clock = new FakeClock();
+  const histogram = build({ numberOfSignificantValueDigits: 2 });
+  for (let i = 0; i < 200; i++) histogram.recordValue(50_000 + i * 997);
+  const latencies = encodeIntoCompressedBase64(histogram);
+  const replicas = Array.from({ length: 1000 }, (_, task): Replica => ({
+    ...{ job: 'j', task, attempt: 1, machine: `m${task}`, session: 1, address: 'a:1', image: 'v' },
+    ...{ running: true, starting: false, stopping: false },
+  }));
+  let probes = 0;
+  const prober = new Prober({
+    clock,
+    random: systemRandom(),
+    settings: { intervalMs: PROBE_MS, perSecond: 1000 },
+    proofs: new ReplicaProofs(PROBE_MS),
+    replicas: () => replicas,
+    answered: () => void probes++,
+    probe: {
+      ask: async ({ job, task, attempt, session, image }) => ({
+        ...{ job, task, attempt, session, version: image, requests: 200, errors: 0, latencies },
+      }),
+    },
+  });
+  const stop = new AbortController();
+  void prober.run(stop.signal);
+  const began = process.cpuUsage();
+  await clock.advance(60_000);
+  const { user, system } = process.cpuUsage(began);
+  stop.abort();
+  return { probes, microsecondsEach: Math.round((user + system) / probes) };
+}
+
+const sizes = process.argv.slice(2).map(Number);
+const results: Result[] = [];
+const WAYS: Way[] = ['rollout', 'new beside old', 'new after old'];
+for (const machines of sizes.length > 0 ? sizes : [8, 100]) {
+  for (const way of WAYS) {
+    results.push(await measure(machines, way));
+    console.error(JSON.stringify(results.at(-1)));
+  }
+}
+const detections: Detection[] = [];
+for (const timesSlower of [1, 1.5, 2, 5]) detections.push(await detect(timesSlower));
+console.log(JSON.stringify({ results, detections, probeCost: await probeCost() }, null, 2));
+process.exit(0);
