Rollout: known losses excuse no stop; status asks for the leader's answer

Guards taken out in a scratch copy showed that no story noticed the level's check before a withdrawal: the checker excused stops by losses that had to be known. It does not any more, and two stories lose machines while a step is being written. Tried as a new operator from an empty checkout: status showed question marks where a follower was named first; the command now goes on to the leader.

--- a/packages/operators/src/command.ts
+++ b/packages/operators/src/command.ts
@@ -78,6 +78,27 @@
   throw new Unreachable(failures.join('; '));
 }
 
+/**
+ * Asks for what the leader alone knows in full: its answer, which says `leading`, or else the first one.
+ * The controllers are asked in turn.
+ */
+export async function askLeader(at: string[], path: string): Promise<Answered> {
+  let first: Answered | null = null;
+  const failures: string[] = [];
+  for (const address of at) {
+    try {
+      const answered = await ask([address], 'GET', path);
+      if (answered.body.leading === true) return answered;
+      first ??= answered;
+    } catch (error) {
+      if (!(error instanceof Unreachable)) throw error;
+      failures.push(error.message);
+    }
+  }
+  if (first) return first;
+  throw new Unreachable(failures.join('; '));
+}
+
 /** The client says only that it failed; what it met is in the cause. */
 function reasonOf(error: unknown): string {
   if (!(error instanceof Error)) return String(error);
--- a/packages/operators/test/command.test.ts
+++ b/packages/operators/test/command.test.ts
@@ -97,6 +97,24 @@
   server.closeAllConnections();
 });
 
+test('what the leader alone knows is asked of the others as well, until one says that it leads', async () => {
+  const listen = async (body: object): Promise<string> => {
+    const server = createServer((_request, response) => response.end(JSON.stringify(body)));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    server.unref();
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+  const rollouts = { rollouts: [], unreadable: [] };
+  const follower = await listen({ ...rollouts, leading: false });
+  const leader = await listen({ ...rollouts, leading: true });
+  const of = async (...addresses: string[]): Promise<unknown> => {
+    const at = addresses.flatMap((address) => ['--at', address]);
+    return JSON.parse((await run('rollout', 'status', '--json', ...at)).out).leading;
+  };
+  assert.equal(await of(follower, leader), true);
+  assert.equal(await of(follower, `127.0.0.1:${await closedPort()}`), false);
+});
+
 test('addresses are HOST:PORT, also of IPv6', () => {
   assert.deepEqual(splitAddress('[::1]:80'), { host: '::1', port: 80 });
   assert.deepEqual(splitAddress('berth-0:8090'), { host: 'berth-0', port: 8090 });
--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -187,7 +187,8 @@
       const open = book.rollouts.filter(isOpen).filter(isReadable);
       const held = await this.heldBack(book);
       const rollouts = [...open, ...held].map((rollout) => this.shown(rollout));
-      return { status: 200, body: { rollouts, unreadable: book.unreadable } };
+      const leading = this.leading() !== null;
+      return { status: 200, body: { leading, rollouts, unreadable: book.unreadable } };
     });
   }
 
--- a/packages/rollout/src/command.ts
+++ b/packages/rollout/src/command.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import {
   ask,
+  askLeader,
   BadInput,
   positive,
   tableText,
@@ -109,7 +110,7 @@
 
 function statusText(body: Record<string, unknown>): string {
   const parts = [
-    'OLD and NEW are replicas proven / placed of those allowed; ? is known to the leader.',
+    'OLD and NEW are replicas proven / placed of those allowed; ? is known to the leader alone.',
   ];
   parts.push(rolloutsText(body.rollouts as ShownRollout[]));
   for (const key of body.unreadable as string[]) parts.push(`cannot be read: ${key}`);
@@ -147,7 +148,7 @@
   command('status', 'rollouts under way, and jobs that one left without replicas')
     .argument('[id]')
     .action(async (id: string | undefined, options: CommonOptions) => {
-      const answered = await ask(options.at, 'GET', '/rollouts');
+      const answered = await askLeader(options.at, '/rollouts');
       report(options, onlyNamed(answered, id), statusText);
     });
   command('history', 'rollouts that are over').action(async (options: CommonOptions) => {
--- a/packages/shares/src/api.ts
+++ b/packages/shares/src/api.ts
@@ -124,7 +124,15 @@
       const policyFailure = leading?.policyFailure ?? null;
       return {
         status: 200,
-        body: { revision: book.revision, teams, moves, suspended, unreadable, policyFailure },
+        body: {
+          leading: leading !== null,
+          revision: book.revision,
+          teams,
+          moves,
+          suspended,
+          unreadable,
+          policyFailure,
+        },
       };
     });
   }
--- a/packages/shares/src/command.ts
+++ b/packages/shares/src/command.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import {
   ask,
+  askLeader,
   BadInput,
   positive,
   tableText,
@@ -174,7 +175,7 @@
       .option('--id <id>', 'names the move: the same one again changes nothing');
   command('show', 'what every team has, and the moves under way').action(
     async (options: CommonOptions) => {
-      report(options, await ask(options.at, 'GET', '/shares'), showText);
+      report(options, await askLeader(options.at, '/shares'), showText);
     },
   );
   command('history', 'moves that are over').action(async (options: CommonOptions) => {
--- a/test/fakes/rollout-checker.ts
+++ b/test/fakes/rollout-checker.ts
@@ -8,7 +8,7 @@
 export const PROBING = { intervalMs: 1000, perSecond: 200 };
 
 /** For so long after a fault nobody can know of it: a proof is fresh, and a stop is on its way. */
-const UNKNOWN_FOR_MS = 9000;
+const UNKNOWN_FOR_MS = 5000;
 
 /** Of the records the checker reads only which jobs are meant, the level, and what was allowed. */
 interface SeenStatus {
@@ -88,14 +88,20 @@
     const { from, to, replicas } = status;
     if (this.isCancelled(from) || this.isCancelled(to)) return;
     const left = this.models.serving(from) + this.models.serving(to);
-    const excused = this.recentFaults(status);
+    // What was lost before that had to be known: it excuses no stop.
+    const excused = this.faultsSince(status, this.world.clock.now() - UNKNOWN_FOR_MS);
     if (left >= replicas - excused) return;
     this.report(`${job}/${task} stopped: ${left} serve, ${replicas} are needed, ${excused} lost`);
   }
 
-  private recentFaults({ id, from, to }: SeenStatus): number {
+  /** Faults that are not made good yet, or that nobody can know of. */
+  private recentFaults(status: SeenStatus): number {
     const now = this.world.clock.now();
-    const since = Math.min(this.reachedAt.get(id) ?? now, now - UNKNOWN_FOR_MS);
+    const reachedAt = this.reachedAt.get(status.id) ?? now;
+    return this.faultsSince(status, Math.min(reachedAt, now - UNKNOWN_FOR_MS));
+  }
+
+  private faultsSince({ from, to }: SeenStatus, since: number): number {
     return this.faults.filter(({ at, job }) => at >= since && (job === from || job === to)).length;
   }
 
--- a/test/rollout-machines.test.ts
+++ b/test/rollout-machines.test.ts
@@ -3,6 +3,7 @@
 import { machines } from './fakes/meeting.js';
 import { withShares, shareApi } from './fakes/share-checker.js';
 import {
+  ask,
   begin,
   finish,
   phaseIs,
@@ -13,12 +14,16 @@
 } from './fakes/rollout-story.js';
 import type { ProbeFate } from './fakes/model-servers.js';
 import type { FakeWorker } from './fakes/worker.js';
+import type { World } from './fakes/world.js';
 
 // Machines, networks and the store fail in each phase: 8 replicas on 8 machines, three controllers.
 
 const EIGHT = machines('aaaabbbb');
 const PHASES = ['surging', 'judging', 'withdrawing'];
 
+/** For so long a write gets lost: longer than a proof is good for. */
+const LOST_MS = 4000;
+
 const holders = ({ w, to }: RolloutStory): FakeWorker[] => w.holding(to);
 
 function die({ w }: RolloutStory, workers: FakeWorker[]): void {
@@ -114,6 +119,59 @@
   }
 }
 
+/** How many replicas have been withdrawn. */
+const withdrawn = (w: World): number =>
+  w.logged.filter(({ message }) => message === 'replica withdrawn').length;
+
+/** Whether a transaction writes this phase. */
+const writesPhase = (body: unknown, phase: string): boolean => {
+  const text = JSON.stringify(body ?? null);
+  return text.includes('"write":"rollouts/status/') && text.includes(`"phase":"${phase}"`);
+};
+
+test('new replicas die while the withdrawal of old ones is being written: none is withdrawn before they are made good', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w } = story;
+  let diedAt = 0;
+  w.trouble.storeFaults.add(({ body }) => {
+    if (!writesPhase(body, 'withdrawing')) return 'serve';
+    if (diedAt > 0) return w.clock.now() < diedAt + LOST_MS ? 'lose request' : 'serve';
+    diedAt = w.clock.now();
+    die(story, holders(story));
+    w.cloud.capacity = EIGHT.length;
+    return 'lose request';
+  });
+  await start(story);
+  await w.until(() => diedAt > 0 && phaseOf(w) === 'withdrawing', 60, 'it is written');
+  await w.pass(3);
+  assert.equal(withdrawn(w), 0, 'nothing is withdrawn for replicas that are gone');
+  await phaseIs(w, 'done', 300);
+  await finish(story, 'to');
+});
+
+test('old replicas die while the way back is being written: no new one is withdrawn before they are made good', async () => {
+  const story = await begin({ machines: EIGHT });
+  const { w, models, from } = story;
+  await start(story);
+  await w.until(() => models.serving(from) <= REPLICAS / 2, 150, 'half of the old version is gone');
+  let diedAt = 0;
+  w.trouble.storeFaults.add(({ body }) => {
+    if (!writesPhase(body, 'rolling-back')) return 'serve';
+    if (diedAt > 0) return w.clock.now() < diedAt + LOST_MS ? 'lose request' : 'serve';
+    diedAt = w.clock.now();
+    die(story, w.holding(from).slice(0, 2));
+    w.cloud.capacity = EIGHT.length;
+    return 'lose request';
+  });
+  const before = withdrawn(w);
+  await ask(w, 0, (api) => api.order('r1', 'rollback'));
+  await w.until(() => diedAt > 0 && phaseOf(w) === 'rolling-back', 60, 'it is written');
+  await w.pass(2);
+  assert.equal(withdrawn(w), before, 'the new ones stay');
+  await phaseIs(w, 'rolled-back', 300);
+  await finish(story, 'from');
+});
+
 test('a machine with an old replica is taken back in the middle: it counts as a loss', async () => {
   const story = await begin({ machines: EIGHT });
   const { w, from } = story;
