Rollout: probes and looks cost a leader less; stories for two guards that none noticed

Cause: a profile at 300 machines showed a third of the time in making and naming replicas twenty times an interval. A surge that waits for rented machines is a story.

--- a/packages/rollout/src/leader-rollouts.ts
+++ b/packages/rollout/src/leader-rollouts.ts
@@ -50,6 +50,8 @@
   /** Every controller has rollouts switched on, as it was last looked up. */
   private mayMove = false;
   private lookedAt: number;
+  /** When it was last looked what may be withdrawn. */
+  private withdrewAt = -Infinity;
   /** When it was last looked up which awaited jobs are over. */
   private lookedUpAt = -Infinity;
   /** Where the next look for something to do begins, so that each rollout gets its turn. */
@@ -162,7 +164,11 @@
 
   /** Withdraws what may go now without a gap in capacity. */
   withdraw(): void {
-    if (!this.mayMove || !this.term.leased()) return;
+    const now = this.ports.clock.now();
+    // Rounds come often while much happens, and each look goes over all replicas.
+    const isEarly = now - this.withdrewAt < this.ports.stepMs / 2;
+    if (isEarly || !this.mayMove || !this.term.leased()) return;
+    this.withdrewAt = now;
     for (const { spec, status } of this.open) {
       if (status) this.withdrawOf(spec.record, status.record);
     }
@@ -172,6 +178,8 @@
     const { phase, replicas, ceilings, step } = status;
     if (phase !== 'withdrawing' && phase !== 'rolling-back') return;
     const back = phase === 'rolling-back';
+    const placed = this.scheduler.job(back ? spec.to : spec.from)?.placed ?? 0;
+    if (placed <= (back ? 0 : ceilings.from!)) return;
     const from = this.observer.judged(spec.from, spec);
     const to = this.observer.judged(spec.to, spec);
     const [leaving, others] = back ? [to, from] : [from, to];
--- a/packages/rollout/src/observer.ts
+++ b/packages/rollout/src/observer.ts
@@ -30,9 +30,12 @@
 const isBefore = (other: Rollout, spec: ReadableRollout['spec']): boolean =>
   other.spec.version < spec.version;
 
-/** A window of judging and the transition with which it began. */
+/** A window of judging, for one step of one rollout. */
 interface JudgedStep {
+  /** The transition with which it began. */
   began: string;
+  from: string;
+  to: string;
   window: LoadWindow;
 }
 
@@ -90,38 +93,42 @@
 
   /** How many replicas of each job are placed and proven. */
   counts(spec: SpecRecord): { from: VersionSeen; to: VersionSeen } {
-    const of = (job: string): VersionSeen => {
-      const judged = this.judged(job, spec);
-      return {
-        placed: this.scheduler.job(job)?.placed ?? 0,
-        proven: judged.filter(({ proven }) => proven).length,
-        unserved: judged.filter(({ neverServed }) => neverServed).length,
-      };
+    return {
+      from: this.countsOf(spec.from, this.judged(spec.from, spec)),
+      to: this.countsOf(spec.to, this.judged(spec.to, spec)),
+    };
+  }
+
+  private countsOf(job: string, judged: readonly JudgedReplica[]): VersionSeen {
+    return {
+      placed: this.scheduler.job(job)?.placed ?? 0,
+      proven: judged.filter(({ proven }) => proven).length,
+      unserved: judged.filter(({ neverServed }) => neverServed).length,
     };
-    return { from: of(spec.from), to: of(spec.to) };
   }
 
-  private whyNeverReady(spec: SpecRecord): string | null {
+  private whyNeverReady(spec: SpecRecord, judged: readonly JudgedReplica[]): string | null {
     if (this.scheduler.job(spec.to)?.failing) {
       return `replicas of ${spec.to} fail on every machine`;
     }
-    const replicas = this.scheduler.replicas(spec.to);
-    const late = replicas.find((replica) => this.isOverdue(replica, spec.readySeconds));
+    const late = judged.find(({ replica }) => this.isOverdue(replica, spec.readySeconds));
     if (!late) return null;
-    const { job, task } = late;
+    const { job, task } = late.replica;
     return `${job}/${task} was probed for ${spec.readySeconds} s without being proven`;
   }
 
   observe(rollout: ReadableRollout, conflict: Observation['conflict']): Observation {
     const spec = rollout.spec.record;
-    const counts = this.counts(spec);
+    const old = this.judged(spec.from, spec);
+    const fresh = this.judged(spec.to, spec);
+    const to = this.countsOf(spec.to, fresh);
     return {
       wall: this.ports.clock.wall(),
       jobs: { from: this.scheduler.job(spec.from), to: this.scheduler.job(spec.to) },
       isNewJobOver: this.isOver(spec.to),
-      ...counts,
-      neverReady: this.whyNeverReady(spec),
-      evidence: this.evidence(rollout, counts.to.proven),
+      ...{ from: this.countsOf(spec.from, old), to },
+      neverReady: this.whyNeverReady(spec, fresh),
+      evidence: this.evidence(rollout, to.proven),
       conflict,
     };
   }
@@ -149,10 +156,11 @@
       this.windows.delete(id);
       return null;
     }
+    const { w: began, from, to } = status.record;
     const known = this.windows.get(id);
-    if (known?.began === status.record.w) return known.window;
+    if (known?.began === began) return known.window;
     const window = new LoadWindow(this.ports.clock.now());
-    this.windows.set(id, { began: status.record.w, window });
+    this.windows.set(id, { began, from, to, window });
     return window;
   }
 
@@ -162,14 +170,12 @@
   }
 
   private answered(replica: Replica, answer: ProbeAnswer): void {
-    for (const rollout of this.open()) {
-      const { from, to } = rollout.spec.record;
+    const now = this.ports.clock.now();
+    for (const { from, to, window } of this.windows.values()) {
       if (replica.job !== from && replica.job !== to) continue;
-      const window = this.windowOf(rollout);
-      if (!window || !this.proofs.isProven(replica, this.ports.clock.now())) continue;
-      if (!window.add(replica.job === from ? 'old' : 'new', answer)) {
-        this.proofs.failed(replica, this.ports.clock.now());
-      }
+      if (!this.proofs.isProven(replica, now)) continue;
+      const version = replica.job === from ? 'old' : 'new';
+      if (!window.add(version, answer)) this.proofs.failed(replica, now);
     }
   }
 }
--- a/packages/rollout/src/ports.ts
+++ b/packages/rollout/src/ports.ts
@@ -25,6 +25,8 @@
 
 /** One start of one replica. */
 export interface Replica {
+  /** Names this start in this session of its worker. */
+  key: string;
   job: string;
   task: number;
   attempt: number;
--- a/packages/rollout/src/prober.ts
+++ b/packages/rollout/src/prober.ts
@@ -3,7 +3,7 @@
 import type { Random } from '@leverhatch/core/random';
 import { answerOf, type ProbeAnswer, type ReplicaProbe } from './probe.js';
 import type { ProbeSettings, Replica } from './ports.js';
-import { replicaKey, type ReplicaProofs } from './proofs.js';
+import type { ReplicaProofs } from './proofs.js';
 
 /** A probe is late after this share of the interval. */
 const TIMEOUT_SHARE = 1 / 2;
@@ -11,6 +11,9 @@
 /** It is looked so often in an interval which replicas are due. */
 const LOOKS_PER_INTERVAL = 20;
 
+/** It is looked up so often in an interval which replicas there are. */
+const REFRESHES_PER_INTERVAL = 4;
+
 /** At most so many seconds' worth of probes are sent at once, and are under way. */
 const BURST_SECONDS = 0.5;
 
@@ -27,10 +30,17 @@
   answered(replica: Replica, answer: ProbeAnswer): void;
 }
 
+/** A replica and when it is to be probed next. */
+interface Due {
+  replica: Replica;
+  at: number;
+}
+
 /** The probes of one term. */
 export class Prober {
-  /** When each replica is due; in the order in which they come. */
-  private readonly dueAt = new Map<string, number>();
+  /** All replicas, the one that is due first at the head. */
+  private queue: Due[] = [];
+  private refreshedAt = -Infinity;
   private readonly underWay = new Set<string>();
   private tokens = 0;
   private refilledAt: number;
@@ -40,9 +50,9 @@
   }
 
   /** How often each replica is probed: less often where there are too many for the rate. */
-  private intervalMs(): number {
+  private get intervalMs(): number {
     const { intervalMs, perSecond } = this.parts.settings;
-    return Math.max(intervalMs, (this.dueAt.size / perSecond) * 1000);
+    return Math.max(intervalMs, (this.queue.length / perSecond) * 1000);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -54,32 +64,41 @@
   }
 
   private look(signal: AbortSignal): void {
-    const { clock, proofs } = this.parts;
-    const now = clock.now();
-    const replicas = new Map(this.parts.replicas().map((r) => [replicaKey(r), r] as const));
-    this.forgetGone(replicas);
-    proofs.keep(new Set(replicas.keys()));
-    this.admit(replicas, now);
+    const now = this.parts.clock.now();
+    const refreshMs = this.parts.settings.intervalMs / REFRESHES_PER_INTERVAL;
+    if (now - this.refreshedAt >= refreshMs) this.refresh(now);
     this.refill(now);
-    for (const [key, dueAt] of [...this.dueAt].sort(([, a], [, b]) => a - b)) {
-      if (dueAt > now || this.tokens < 1) break;
-      if (this.underWay.has(key) || this.underWay.size >= this.mostUnderWay) continue;
-      this.tokens--;
-      this.dueAt.set(key, Math.max(dueAt, now - this.intervalMs() / 2) + this.intervalMs());
-      void this.probe(key, replicas.get(key)!, signal);
+    let due = this.queue[0];
+    while (due && due.at <= now && this.tokens >= 1 && this.underWay.size < this.mostUnderWay) {
+      this.queue.shift();
+      // All intervals are the same, so that nobody is due later than this one.
+      this.queue.push({ replica: due.replica, at: now + this.intervalMs });
+      if (!this.underWay.has(due.replica.key)) {
+        this.tokens--;
+        void this.probe(due.replica, signal);
+      }
+      due = this.queue[0];
     }
   }
 
-  private forgetGone(replicas: ReadonlyMap<string, Replica>): void {
-    for (const key of this.dueAt.keys()) if (!replicas.has(key)) this.dueAt.delete(key);
-  }
-
-  /** New ones begin at a moment of their own, so that the probes of many spread over the interval. */
-  private admit(replicas: ReadonlyMap<string, Replica>, now: number): void {
-    for (const key of replicas.keys()) {
-      if (this.dueAt.has(key)) continue;
-      this.dueAt.set(key, now + this.parts.random.next() * this.intervalMs());
+  /** Looks up whom to probe. New ones begin at a moment of their own, so that probes are spread. */
+  private refresh(now: number): void {
+    this.refreshedAt = now;
+    const { random, proofs } = this.parts;
+    const replicas = new Map(this.parts.replicas().map((r) => [r.key, r] as const));
+    proofs.keep(replicas);
+    const queue: Due[] = [];
+    for (const { replica, at } of this.queue) {
+      const present = replicas.get(replica.key);
+      if (!present) continue;
+      queue.push({ replica: present, at });
+      replicas.delete(replica.key);
+    }
+    for (const replica of replicas.values()) {
+      queue.push({ replica, at: now + random.next() * this.intervalMs });
     }
+    if (replicas.size > 0) queue.sort((a, b) => a.at - b.at);
+    this.queue = queue;
   }
 
   private get mostUnderWay(): number {
@@ -93,11 +112,11 @@
     this.refilledAt = now;
   }
 
-  private async probe(key: string, replica: Replica, signal: AbortSignal): Promise<void> {
+  private async probe(replica: Replica, signal: AbortSignal): Promise<void> {
     const { clock, probe, proofs } = this.parts;
     const timeoutMs = this.parts.settings.intervalMs * TIMEOUT_SHARE;
     const sentAt = clock.now();
-    this.underWay.add(key);
+    this.underWay.add(replica.key);
     try {
       const answer = answerOf(replica, await probe.ask(replica, timeoutMs, signal));
       // Also where the answer waited here, since this controller stood still.
@@ -109,7 +128,7 @@
     } catch {
       proofs.failed(replica, sentAt);
     } finally {
-      this.underWay.delete(key);
+      this.underWay.delete(replica.key);
     }
   }
 }
--- a/packages/rollout/src/proofs.ts
+++ b/packages/rollout/src/proofs.ts
@@ -7,10 +7,6 @@
 /** A proof is good for so many intervals, from when its probe was sent. */
 export const FRESH_INTERVALS = 2.5;
 
-/** Names one start of one replica in one session of its worker. */
-export const replicaKey = ({ job, task, attempt, machine, session }: Replica): string =>
-  `${job}/${task}/${attempt}@${machine}#${session}`;
-
 interface Proof {
   inARow: number;
   /** When the last probe that was answered was sent. */
@@ -39,7 +35,7 @@
   }
 
   private proofOf(replica: Replica, sentAt: number): Proof {
-    const key = replicaKey(replica);
+    const key = replica.key;
     const known = this.proofs.get(key);
     if (known) return known;
     const proof = { inARow: 0, sentAt, probedSince: sentAt, wasProven: false };
@@ -53,14 +49,14 @@
   }
 
   isProven(replica: Replica, now: number): boolean {
-    const proof = this.proofs.get(replicaKey(replica));
+    const proof = this.proofs.get(replica.key);
     if (!proof || !replica.running || replica.stopping) return false;
     return proof.inARow >= ANSWERS_IN_A_ROW && this.isFresh(proof, now);
   }
 
   /** For how long it has been probed without being proven once; 0: it was, or was not probed yet. */
   probedInVainMs(replica: Replica, now: number): number {
-    const proof = this.proofs.get(replicaKey(replica));
+    const proof = this.proofs.get(replica.key);
     return !proof || proof.wasProven ? 0 : now - proof.probedSince;
   }
 
@@ -69,7 +65,7 @@
   }
 
   /** Forgets all but these replicas. */
-  keep(keys: ReadonlySet<string>): void {
+  keep(keys: { has(key: string): boolean }): void {
     for (const key of this.proofs.keys()) if (!keys.has(key)) this.proofs.delete(key);
   }
 }
--- a/packages/rollout/test/proofs.test.ts
+++ b/packages/rollout/test/proofs.test.ts
@@ -23,6 +23,7 @@
 import { httpTransports } from '../../../src/http/client.js';
 
 const REPLICA: Replica = {
+  key: 'j/3/2@m#4',
   ...{
     job: 'j',
     task: 3,
@@ -69,8 +70,8 @@
   assert.ok(!proofs.isProven(REPLICA, 4501), 'silence beyond the bound');
   assert.ok(!proofs.isProven({ ...REPLICA, running: false }, 2000), 'no report says that it runs');
   assert.ok(!proofs.isProven({ ...REPLICA, stopping: true }, 2000), 'it was told to stop');
-  assert.ok(!proofs.isProven({ ...REPLICA, attempt: 3 }, 2000), 'another start');
-  assert.ok(!proofs.isProven({ ...REPLICA, session: 5 }, 2000), 'another session');
+  assert.ok(!proofs.isProven({ ...REPLICA, key: 'j/3/3@m#4' }, 2000), 'another start');
+  assert.ok(!proofs.isProven({ ...REPLICA, key: 'j/3/2@m#5' }, 2000), 'another session');
   proofs.failed(REPLICA, 3000);
   assert.ok(!proofs.isProven(REPLICA, 3000), 'one failure');
   for (const at of [4000, 5000, 9000, 10_000]) proofs.answered(REPLICA, at);
@@ -91,7 +92,10 @@
 
 test('probes of 500 replicas are spread over the interval and keep to the rate', async () => {
   const clock = new FakeClock();
-  const replicas = Array.from({ length: 500 }, (_, task) => ({ ...REPLICA, task }));
+  const replicas = Array.from({ length: 500 }, (_, task) => ({
+    ...REPLICA,
+    ...{ task, key: `j/${task}` },
+  }));
   const perTenth = new Map<number, number>();
   let underWay = 0;
   let mostUnderWay = 0;
--- a/packages/rollout/test/transitions.test.ts
+++ b/packages/rollout/test/transitions.test.ts
@@ -107,6 +107,7 @@
 }
 
 const replicaOf = (job: string, task: number): Replica => ({
+  key: `${job}/${task}`,
   ...{ job, task, attempt: 1, machine: `m${task}`, session: 1, address: 'a:1', image: 'i' },
   ...{ running: true, starting: false, stopping: false },
 });
--- a/src/control/rollout-extension.ts
+++ b/src/control/rollout-extension.ts
@@ -10,6 +10,7 @@
 import { KEYS } from '../state/keys.js';
 import type { Store } from '../state/store.js';
 import type { ControllerHost, Extension, ExtensionHost, TermExtension } from './extension.js';
+import { recordPorts } from './record-ports.js';
 import { ServiceRollouts } from './service-rollouts.js';
 
 /** The package that rolls versions out, as it is loaded where it is switched on. */
@@ -22,9 +23,6 @@
   probing: ProbeSettings;
 }
 
-/** How often a leader looks whether a rollout can go on, as a share of a report interval. */
-const STEP_SHARE = 1 / 2;
-
 /** What operators ask about jobs goes with users' requests. */
 const URGENCY = 1;
 
@@ -43,16 +41,15 @@
     host: ControllerHost,
   ) {
     const { store, runtime, settings } = host;
-    const { clock, random, log } = runtime;
     const { package: rollout, probe, probing } = switchedOn;
     this.ports = {
-      ...{ store, clock, random, log, probe, probing },
-      stepMs: settings.workers.reportMs * STEP_SHARE,
+      ...recordPorts(host),
+      ...{ probe, probing },
       readJob: (id) => readServiceJob(store, id),
       teamLimit: (team) => settings.teams.get(team)?.limit ?? null,
       allControllersHaveIt: (signal) => host.allHave(this.feature, signal),
     };
-    this.api = new rollout.RolloutApi(this.ports, random.unique(), () =>
+    this.api = new rollout.RolloutApi(this.ports, runtime.random.unique(), () =>
       this.term && host.leading() ? this.term.rollouts : null,
     );
     this.routes = rollout.rolloutRoutes(this.api);
--- a/src/control/service-rollouts.ts
+++ b/src/control/service-rollouts.ts
@@ -1,5 +1,6 @@
 import type { LeaderRollouts, Replica, ScheduledJob, SchedulerPort } from '@leverhatch/rollout';
 import type { Condition } from '@leverhatch/core/store';
+import { startKey } from '../fleet/machine.js';
 import type { Job, Placement } from '../jobs/tracked-job.js';
 import type { ExtensionHost, TermExtension } from './extension.js';
 import type { RolloutPackage } from './rollout-extension.js';
@@ -15,6 +16,7 @@
 /** The scheduler's side of rollouts: what is placed of the jobs, and what becomes of their replicas. */
 export class ServiceRollouts implements SchedulerPort, TermExtension {
   readonly rollouts: LeaderRollouts;
+  private readonly keys = new WeakMap<Placement, string>();
 
   constructor(
     private readonly host: ExtensionHost,
@@ -80,6 +82,7 @@
     const { task, attempt, machine, session, state, stage, stop } = placement;
     return {
       ...{ job: job.id, task, attempt, machine, session, image: job.spec.image },
+      key: this.keyOf(placement),
       address: this.host.machine(machine)?.address ?? null,
       running: this.runs(placement),
       starting: UNSENT.has(stage) || (stage === 'reported' && state === 'fetching'),
@@ -87,6 +90,16 @@
     };
   }
 
+  /** What names a start never changes, and is asked for often. */
+  private keyOf(placement: Placement): string {
+    const known = this.keys.get(placement);
+    if (known !== undefined) return known;
+    const { job, task, attempt, machine, session } = placement;
+    const key = `${startKey(job.id, task, attempt)}@${machine}#${session}`;
+    this.keys.set(placement, key);
+    return key;
+  }
+
   /**
    * Its worker has said so lately, to this leader. A worker that knows our token takes no order of a
    * former leader any more, so no stop that is still on its way from there can end the replica.
--- a/src/control/shares-extension.ts
+++ b/src/control/shares-extension.ts
@@ -7,6 +7,7 @@
   TeamAmounts,
   TermExtension,
 } from './extension.js';
+import { recordPorts } from './record-ports.js';
 import { TeamShares } from './team-shares.js';
 
 /** The package that moves shares, as it is loaded where it is switched on. */
@@ -19,9 +20,6 @@
   policy: Policy | null;
 }
 
-/** How often a leader looks whether a move can go on, as a share of a report interval. */
-const STEP_SHARE = 1 / 2;
-
 /** Moving shares between teams, in one controller. */
 export class SharesExtension implements Extension {
   readonly feature = 'shares';
@@ -37,17 +35,15 @@
     host: ControllerHost,
   ) {
     const { store, runtime, settings } = host;
-    const { clock, random, log } = runtime;
     this.ports = {
-      ...{ store, clock, random, log },
+      ...recordPorts(host),
       base: settings.teams,
       clockErrorMs: settings.clockErrorMs,
-      stepMs: settings.workers.reportMs * STEP_SHARE,
       transactionChanges: () => store.limits.effective().txnOps,
       allControllersKnowShares: (signal) => host.allHave(this.feature, signal),
     };
     const { package: shares } = switchedOn;
-    this.api = new shares.ShareApi(this.ports, random.unique(), () => {
+    this.api = new shares.ShareApi(this.ports, runtime.random.unique(), () => {
       const { term } = this;
       if (!term || !host.leading()) return null;
       return { shares: term.moves, scheduler: term, policyFailure: term.policyFailure };
--- a/test/fakes/model-servers.ts
+++ b/test/fakes/model-servers.ts
@@ -24,6 +24,9 @@
 /** Requests of users to all replicas of a service together, a second. */
 const REQUESTS_PER_SECOND = 400;
 
+/** For so long it is not counted again who shares them. */
+const LOAD_MS = 250;
+
 /** Where the stand-in model servers run: what the world knows of replicas. */
 export interface ModelHost {
   now(): number;
@@ -43,6 +46,7 @@
   /** Probes that were sent. */
   asked = 0;
   private readonly answeredAt = new Map<string, number>();
+  private load = { at: -Infinity, byJob: new Map<string, number>() };
 
   constructor(private readonly host: ModelHost) {}
 
@@ -114,15 +118,27 @@
     return {
       ...{ job, task, attempt, session: worker.shift, version: this.host.image(job) },
       ...{ requests, errors },
-      latencies: latenciesOf(requests - errors, latencyMs(this.serving(job))),
+      latencies: latenciesOf(requests - errors, latencyMs(this.lately.get(job) ?? 0)),
     };
   }
 
-  private ratePerReplica(): number {
-    let serving = 0;
+  /** How many replicas of each job serve, as it was counted lately. */
+  private get lately(): ReadonlyMap<string, number> {
+    const now = this.host.now();
+    if (now - this.load.at < LOAD_MS) return this.load.byJob;
+    const byJob = new Map<string, number>();
     for (const worker of this.host.workers()) {
-      for (const piece of worker.pieces) if (this.isServing(worker, piece)) serving++;
+      for (const piece of worker.pieces) {
+        if (!this.isServing(worker, piece)) continue;
+        byJob.set(piece.job, (byJob.get(piece.job) ?? 0) + 1);
+      }
     }
+    this.load = { at: now, byJob };
+    return byJob;
+  }
+
+  private ratePerReplica(): number {
+    const serving = [...this.lately.values()].reduce((a, b) => a + b, 0);
     return REQUESTS_PER_SECOND / Math.max(1, serving);
   }
 }
--- a/test/fakes/rollout-story.ts
+++ b/test/fakes/rollout-story.ts
@@ -3,6 +3,7 @@
 import type { RolloutApi } from '@leverhatch/rollout';
 import { machines } from './meeting.js';
 import type { ModelServers } from './model-servers.js';
+import { writes } from './observe.js';
 import { RolloutChecker, rolloutApi, rolloutStatus, withRollouts } from './rollout-checker.js';
 import { World, type JobWish, type MachineWish } from './world.js';
 
@@ -69,6 +70,10 @@
 export const phaseIs = (w: World, phase: string, seconds = 150, id = 'r1'): Promise<void> =>
   w.until(() => phaseOf(w, id) === phase, seconds, `${id} is ${phase}`);
 
+/** Whether a transaction writes the status of a rollout in this phase. */
+export const writesPhase = (body: unknown, phase: string): boolean =>
+  writes(body, 'rollouts/status/') && JSON.stringify(body).includes(`"phase":"${phase}"`);
+
 /** Three controllers, and the old version on all machines. */
 export async function begin(options: StoryOptions = {}): Promise<RolloutStory> {
   const wishes = options.machines ?? MACHINES;
--- a/test/measurements/rollout.ts
+++ b/test/measurements/rollout.ts
@@ -185,6 +185,7 @@
   for (let i = 0; i < 200; i++) histogram.recordValue(50_000 + i * 997);
   const latencies = encodeIntoCompressedBase64(histogram);
   const replicas = Array.from({ length: 1000 }, (_, task): Replica => ({
+    key: `j/${task}`,
     ...{ job: 'j', task, attempt: 1, machine: `m${task}`, session: 1, address: 'a:1', image: 'v' },
     ...{ running: true, starting: false, stopping: false },
   }));
--- a/test/rollout-failures.test.ts
+++ b/test/rollout-failures.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { begin, finish, phaseIs, REPLICAS, start } from './fakes/rollout-story.js';
+import { begin, finish, phaseIs, REPLICAS, start, writesPhase } from './fakes/rollout-story.js';
 import type { Fate } from './fakes/store.js';
 import type { World } from './fakes/world.js';
 
@@ -41,11 +41,6 @@
 const FORWARD = ['preparing', 'surging', 'judging', 'withdrawing', 'done'];
 const BACK = ['rolling-back', 'rolled-back'];
 
-const writesPhase = (body: unknown, phase: string): boolean => {
-  const text = JSON.stringify(body ?? null);
-  return text.includes('"write":"rollouts/status/') && text.includes(`"phase":"${phase}"`);
-};
-
 /** Lets the first write of a phase fail; answers whether it came to that. */
 function failAt(w: World, phase: string, fail: Failure): () => boolean {
   let failed = false;
--- a/test/rollout-guards.test.ts
+++ b/test/rollout-guards.test.ts
@@ -11,25 +11,12 @@
   REPLICAS,
   REQUEST,
   start,
+  writesPhase,
 } from './fakes/rollout-story.js';
-import type { World } from './fakes/world.js';
+import { mostOn, writes } from './fakes/observe.js';
 
 // What each guard is for: a story that fails without it (docs/rollout.md has the list).
 
-/** Whether a transaction writes a key that begins like this. */
-const writes = (body: unknown, key: string): boolean =>
-  JSON.stringify(body ?? null).includes(`"write":"${key}`);
-
-/** Lets time pass; answers the most replicas of a job that were on machines at once. */
-async function mostOn(w: World, job: string, seconds: number): Promise<number> {
-  let most = 0;
-  for (let i = 0; i < seconds * 4; i++) {
-    await w.pass(0.25);
-    most = Math.max(most, w.on(job).length);
-  }
-  return most;
-}
-
 test('no more of the new version comes than a rollout allows, though its leader has not heard of it', async () => {
   const story = await begin();
   const { w, from, to } = story;
@@ -97,11 +84,7 @@
     };
     w.trouble.storeFaults.add(({ body }) => {
       // The order is in the store before the step that is on its way.
-      if (
-        writes(body, 'rollouts/status/') &&
-        JSON.stringify(body).includes(`"${phase}"`) &&
-        !answered
-      ) {
+      if (writesPhase(body, phase) && !answered) {
         answered = true;
         const spec = w.store.get('rollouts/specs/r1') as object;
         w.store.write('rollouts/specs/r1', { ...spec, rollback: true });
--- a/test/rollout-machines.test.ts
+++ b/test/rollout-machines.test.ts
@@ -10,6 +10,7 @@
   phaseOf,
   REPLICAS,
   start,
+  writesPhase,
   type RolloutStory,
 } from './fakes/rollout-story.js';
 import type { ProbeFate } from './fakes/model-servers.js';
@@ -123,12 +124,6 @@
 const withdrawn = (w: World): number =>
   w.logged.filter(({ message }) => message === 'replica withdrawn').length;
 
-/** Whether a transaction writes this phase. */
-const writesPhase = (body: unknown, phase: string): boolean => {
-  const text = JSON.stringify(body ?? null);
-  return text.includes('"write":"rollouts/status/') && text.includes(`"phase":"${phase}"`);
-};
-
 test('new replicas die while the withdrawal of old ones is being written: none is withdrawn before they are made good', async () => {
   const story = await begin({ machines: EIGHT });
   const { w } = story;
@@ -198,6 +193,19 @@
   await finish(story, 'to');
 });
 
+test('every machine is full: the surge waits for machines that are rented for it', async () => {
+  const story = await begin({ machines: machines('ab') });
+  const { w, models, checker, to } = story;
+  w.cloud.capacity = 3;
+  await start(story);
+  await phaseIs(w, 'surging');
+  await w.pass(10);
+  assert.equal(models.serving(to), 0);
+  await phaseIs(w, 'done', 400);
+  assert.equal(checker.lowest, REPLICAS);
+  await finish(story, 'to');
+});
+
 test('the team has no room left for a surge: the rollout waits, and goes on when there is some', async () => {
   const story = await begin({ machines: EIGHT });
   const { w, models, from } = story;
--- a/test/rollout-orders.test.ts
+++ b/test/rollout-orders.test.ts
@@ -10,6 +10,7 @@
   REQUEST,
   start,
   submitNext,
+  writesPhase,
   type RolloutStory,
 } from './fakes/rollout-story.js';
 import { rolloutApi, rolloutStatus } from './fakes/rollout-checker.js';
@@ -25,9 +26,7 @@
 function whenWriting(story: RolloutStory, phase: string, act: () => void): () => boolean {
   let acted = false;
   story.w.trouble.storeFaults.add(({ body }) => {
-    const text = JSON.stringify(body ?? null);
-    const writes = text.includes('"write":"rollouts/status/') && text.includes(`"${phase}"`);
-    if (writes && !acted) {
+    if (writesPhase(body, phase) && !acted) {
       acted = true;
       act();
     }
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -1,6 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ask, begin, finish, phaseIs, phaseOf, REPLICAS, start } from './fakes/rollout-story.js';
+import {
+  ask,
+  begin,
+  finish,
+  MAX_SURGE,
+  phaseIs,
+  phaseOf,
+  REPLICAS,
+  start,
+} from './fakes/rollout-story.js';
 
 test('a good version takes over in steps, and never fewer replicas serve than before', async () => {
   const story = await begin();
@@ -53,5 +62,7 @@
   await phaseIs(w, 'rolled-back');
   assert.equal(w.starts.filter((s) => s.startsWith(from)).length, starts);
   assert.equal(phaseOf(w), 'rolled-back');
+  const tried = w.starts.filter((s) => s.startsWith(to)).length;
+  assert.equal(tried, MAX_SURGE, 'no new replica is started again on the way back');
   await finish(story, 'from');
 });
--- a/test/shares-guards.test.ts
+++ b/test/shares-guards.test.ts
@@ -9,6 +9,7 @@
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
 import { EIGHT, movePhase, shareApi, withShares } from './fakes/share-checker.js';
+import { mostOn, writes } from './fakes/observe.js';
 import { FakeStore } from './fakes/store.js';
 import { fakeRandom, settings, World } from './fakes/world.js';
 
@@ -29,20 +30,6 @@
   void answer.then(({ status }) => assert.equal(status, 201));
 };
 
-/** Lets time pass; answers the most tasks of a job that were on machines at once. */
-async function mostOn(w: World, job: string, seconds: number): Promise<number> {
-  let most = 0;
-  for (let i = 0; i < seconds * 4; i++) {
-    await w.pass(0.25);
-    most = Math.max(most, w.on(job).length);
-  }
-  return most;
-}
-
-/** Whether a transaction writes a key that begins like this. */
-const writes = (body: unknown, key: string): boolean =>
-  JSON.stringify(body ?? null).includes(`"write":"${key}`);
-
 test('starts that were decided on the former table are not recorded, however late they reach the store', async () => {
   const w = await begin();
   const until = w.clock.now() + 5000;
