--- a/packages/rollout/src/observer.ts
+++ b/packages/rollout/src/observer.ts
@@ -30,10 +30,8 @@
 const isBefore = (other: Rollout, spec: ReadableRollout['spec']): boolean =>
   other.spec.version < spec.version;
 
-/** A window of judging, for one step of one rollout. */
+/** A window of judging; it is forgotten as soon as the rollout is in another phase, also a paused one. */
 interface JudgedStep {
-  /** The transition with which it began. */
-  began: string;
   from: string;
   to: string;
   window: LoadWindow;
@@ -156,11 +154,11 @@
       this.windows.delete(id);
       return null;
     }
-    const { w: began, from, to } = status.record;
+    const { from, to } = status.record;
     const known = this.windows.get(id);
-    if (known?.began === began) return known.window;
+    if (known) return known.window;
     const window = new LoadWindow(this.ports.clock.now());
-    this.windows.set(id, { began, from, to, window });
+    this.windows.set(id, { from, to, window });
     return window;
   }
 
--- a/test/rollout-guards.test.ts
+++ b/test/rollout-guards.test.ts
@@ -116,6 +116,23 @@
   }
 });
 
+test('what was measured while the leader stood still is not judged by: the window begins anew', async () => {
+  const story = await begin();
+  const { w } = story;
+  await start(story);
+  await phaseIs(w, 'judging');
+  await w.pass(4);
+  const { leader } = w;
+  const standstillMs = 2400;
+  w.freeze(leader, standstillMs);
+  const wakesAt = w.clock.now() + standstillMs;
+  await phaseIs(w, 'withdrawing');
+  assert.equal(w.leader, leader, 'it kept its lease');
+  assert.ok(w.clock.now() - wakesAt >= REQUEST.judgeSeconds * 1000, 'a whole window after it woke');
+  await phaseIs(w, 'done');
+  await finish(story, 'to');
+});
+
 test('consolidation leaves the replicas of an open rollout where they are', async () => {
   const story = await begin();
   const { w, models, checker, from, to } = story;
