--- a/test/rollout-failures.test.ts
+++ b/test/rollout-failures.test.ts
@@ -41,9 +41,21 @@
 const FORWARD = ['preparing', 'surging', 'judging', 'withdrawing', 'done'];
 const BACK = ['rolling-back', 'rolled-back'];
 
-/** Lets the first write of a phase fail; answers whether it came to that. */
+/**
+ * Lets the first write of a phase fail; answers whether it came to that. No write may be carried out twice,
+ * also where an earlier copy of it comes late.
+ */
 function failAt(w: World, phase: string, fail: Failure): () => boolean {
   let failed = false;
+  const marks = new Set<string>();
+  const before = w.store.onWrite;
+  w.store.onWrite = (key) => {
+    before(key);
+    if (key !== 'rollouts/status/r1') return;
+    const { w: mark } = w.store.get(key) as { w: string };
+    assert.ok(!marks.has(mark), `${mark} is written once`);
+    marks.add(mark);
+  };
   w.trouble.storeFaults.add(({ node, path, body }) => {
     if (failed || path !== '/txn' || !writesPhase(body, phase)) return 'serve';
     failed = true;
--- a/test/rollout-guards.test.ts
+++ b/test/rollout-guards.test.ts
@@ -133,6 +133,23 @@
   await finish(story, 'to');
 });
 
+test('what was never ready is not started again on the way back, while old replicas are unproven', async () => {
+  const story = await begin();
+  const { w, models, from, to } = story;
+  models.models.set(to, { readyMs: Infinity, latencyMs: () => 100, errorRate: 0 });
+  await start(story);
+  await phaseIs(w, 'surging');
+  await w.pass(REQUEST.readySeconds - 2);
+  const silent = { until: w.clock.now() + 15_000 };
+  models.faults.add(({ job }) =>
+    job === from && w.clock.now() < silent.until ? 'silence' : 'answer',
+  );
+  await phaseIs(w, 'rolled-back');
+  const withdrawn = w.logged.filter(({ message }) => message === 'replica withdrawn');
+  assert.equal(withdrawn.length, MAX_SURGE);
+  await finish(story, 'from');
+});
+
 test('consolidation leaves the replicas of an open rollout where they are', async () => {
   const story = await begin();
   const { w, models, checker, from, to } = story;
