--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -10,7 +10,14 @@
 import type { LeaderRollouts } from './leader-rollouts.js';
 import type { RolloutPorts, ServiceJob } from './ports.js';
 import { FRESH_INTERVALS } from './proofs.js';
-import { isOpen, isReadable, RolloutBook, type ReadableRollout, type Rollout } from './records.js';
+import {
+  isOpen,
+  isReadable,
+  jobsOf,
+  RolloutBook,
+  type ReadableRollout,
+  type Rollout,
+} from './records.js';
 import { isRepeat, newSpec, parseRequest, type RolloutRequest } from './request.js';
 import { stepTarget, type SpecRecord } from './spec.js';
 import type { HeadRecord, StatusRecord } from './status.js';
@@ -87,12 +94,11 @@
     const open = book.rollouts.filter(isOpen);
     if (open.length >= MOST_OPEN_ROLLOUTS) return errorAnswer(503, 'too many rollouts are open');
     const jobs = [request.from, request.to];
-    for (const { id, spec, status } of open) {
-      const names = spec.record ?? status?.record;
-      const job = names && jobs.find((name) => name === names.from || name === names.to);
+    for (const other of open) {
+      const job = jobsOf(other).find((name) => jobs.includes(name));
       if (!job) continue;
       const field = job === request.from ? 'from' : 'to';
-      return errorAnswer(409, `${field}: job ${job} is named by rollout ${id}`);
+      return errorAnswer(409, `${field}: job ${job} is named by rollout ${other.id}`);
     }
     await this.checkJobs(request);
     return null;
--- a/packages/rollout/src/ceilings.ts
+++ b/packages/rollout/src/ceilings.ts
@@ -1,6 +1,5 @@
 /** How many replicas of each job may be placed, as it follows from the records of all rollouts. */
-import { isOpen, type Rollout } from './records.js';
-import type { StatusRecord } from './status.js';
+import { isOpen, jobsOf, type Rollout } from './records.js';
 
 /** By job; one that is not named has no limit. */
 export type Ceilings = ReadonlyMap<string, number>;
@@ -30,15 +29,15 @@
 
 /** Whether a rollout that began after `over` had ended names the job: what is so now is its to say. */
 function isNamedLater(job: string, over: Rollout, rollouts: readonly Rollout[]): boolean {
-  return rollouts.some(({ spec, status }) => {
-    if (!status?.record || status.record.phase === 'refused') return false;
-    return spec.version > over.spec.version && jobsOf(status.record).includes(job);
+  return rollouts.some((rollout) => {
+    const phase = rollout.status?.record?.phase;
+    if (phase === undefined || phase === 'refused') return false;
+    return rollout.spec.version > over.spec.version && jobsOf(rollout).includes(job);
   });
 }
 
-const jobsOf = ({ from, to }: Pick<StatusRecord, 'from' | 'to'>): [string, string] => [from, to];
-
-function limitsOf({ spec, status }: Rollout, placedBefore: PlacedBefore): [string, number][] {
+function limitsOf(rollout: Rollout, placedBefore: PlacedBefore): [string, number][] {
+  const { spec, status } = rollout;
   if (status?.record) {
     const { from, to, ceilings } = status.record;
     const limits: [string, number][] = [
@@ -49,7 +48,7 @@
   }
   if (!spec.record) return [];
   if (status === null) return [[spec.record.to, 0]];
-  return jobsOf(spec.record).map((job) => [job, placedBefore(job)]);
+  return jobsOf(rollout).map((job) => [job, placedBefore(job)]);
 }
 
 /** For each job the smaller ceiling of the two. */
--- a/packages/rollout/src/leader-rollouts.ts
+++ b/packages/rollout/src/leader-rollouts.ts
@@ -11,7 +11,7 @@
 import { ROLLOUT_KEYS } from './keys.js';
 import { conflictOf, RolloutObserver } from './observer.js';
 import type { RolloutPorts, SchedulerPort } from './ports.js';
-import { isOpen, isReadable, RolloutBook, type ReadableRollout } from './records.js';
+import { isOpen, isReadable, jobsOf, RolloutBook, type ReadableRollout } from './records.js';
 import type { SpecRecord } from './spec.js';
 import type { HeadRecord, StatusRecord } from './status.js';
 import { nextStatus } from './transitions.js';
@@ -42,7 +42,9 @@
   private readonly observer: RolloutObserver;
   /** How many replicas of each job may be placed now. */
   private ceilings: Ceilings = new Map();
-  /** The book as it will be once the write under way is applied; null: none is. */
+  /** Jobs that open rollouts name. */
+  private rolling: ReadonlySet<string> = new Set();
+  /** The ceilings as they will be once the write under way is applied; null: none is. */
   private nextCeilings: Ceilings | null = null;
   /** What was placed of the jobs of rollouts whose records cannot be read, when that was found. */
   private readonly placedBefore = new Map<string, number>();
@@ -99,7 +101,7 @@
 
   /** Whether a job is named by a rollout that is under way. */
   isRolling(job: string): boolean {
-    return this.open.some(({ spec }) => spec.record.from === job || spec.record.to === job);
+    return this.rolling.has(job);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -139,6 +141,7 @@
     const { rollouts, unreadable } = this.book;
     const now = ceilingsOf(rollouts, (job) => this.placedWhenFound(job));
     this.ceilings = smallerCeilings(now, this.nextCeilings ?? now);
+    this.rolling = new Set(rollouts.filter(isOpen).flatMap(jobsOf));
     for (const key of unreadable) {
       if (this.reported.has(key)) continue;
       this.reported.add(key);
--- a/packages/rollout/src/observer.ts
+++ b/packages/rollout/src/observer.ts
@@ -3,7 +3,7 @@
 import { Prober } from './prober.js';
 import { ReplicaProofs } from './proofs.js';
 import type { Replica, RolloutPorts, SchedulerPort } from './ports.js';
-import { isOpen, type ReadableRollout, type Rollout } from './records.js';
+import { isOpen, jobsOf, type ReadableRollout, type Rollout } from './records.js';
 import type { SpecRecord } from './spec.js';
 import type { Observation, VersionSeen } from './transitions.js';
 import { LoadWindow } from './verdict.js';
@@ -11,16 +11,16 @@
 
 /** Another rollout that names one of the jobs, and has begun or came first; null: there is none. */
 export function conflictOf(
-  { id, spec }: ReadableRollout,
+  rollout: ReadableRollout,
   rollouts: readonly Rollout[],
 ): Observation['conflict'] {
-  const jobs = [spec.record.from, spec.record.to];
+  const { id, spec } = rollout;
+  const jobs = jobsOf(rollout);
   for (const other of rollouts) {
     if (other.id === id || !isOpen(other)) continue;
-    const names = other.spec.record ?? other.status?.record;
     // Requests are in the order in which they came; none is refused for a later one.
     const first = other.status !== null || isBefore(other, spec);
-    const job = names && jobs.find((name) => name === names.from || name === names.to);
+    const job = jobsOf(other).find((name) => jobs.includes(name));
     if (job && first) return { job, rollout: other.id };
   }
   return null;
@@ -64,7 +64,7 @@
   }
 
   private probed(): Replica[] {
-    const jobs = new Set(this.open().flatMap(({ spec }) => [spec.record.from, spec.record.to]));
+    const jobs = new Set(this.open().flatMap(jobsOf));
     return [...jobs]
       .flatMap((job) => this.scheduler.replicas(job))
       .filter(({ running, stopping }) => running && !stopping);
--- a/packages/rollout/src/records.ts
+++ b/packages/rollout/src/records.ts
@@ -35,6 +35,12 @@
 export const isOpen = ({ status }: Rollout): boolean =>
   status === null || status.record === null || !isFinal(status.record.phase);
 
+/** The jobs that a rollout names, as far as that can be read. */
+export function jobsOf({ spec, status }: Rollout): string[] {
+  const names = spec.record ?? status?.record;
+  return names ? [names.from, names.to] : [];
+}
+
 /** All rollout records; the one place that knows which key holds what. */
 export class RolloutBook implements RecordBook {
   /** Version and revision of the head; both 0 before it was first written. */
