Rollout: measured at 8, 100 and 1,000 machines

The first runs at 1,000 machines did not end: the stand-ins shared 400 requests a second among 2,000 replicas, so verdicts stayed undecided and the rollouts went back, as they should. Requests now follow the number of replicas.

--- a/test/fakes/model-servers.ts
+++ b/test/fakes/model-servers.ts
@@ -21,9 +21,6 @@
 const US_PER_MS = 1000;
 const GOOD: Model = { readyMs: 500, latencyMs: () => 100, errorRate: 0 };
 
-/** Requests of users to all replicas of a service together, a second. */
-const REQUESTS_PER_SECOND = 400;
-
 /** For so long it is not counted again who shares them. */
 const LOAD_MS = 250;
 
@@ -45,6 +42,8 @@
   readonly faults = new Set<(replica: Replica) => ProbeFate>();
   /** Probes that were sent. */
   asked = 0;
+  /** Requests of users to all replicas together. */
+  requestsPerSecond = 400;
   private readonly answeredAt = new Map<string, number>();
   private load = { at: -Infinity, byJob: new Map<string, number>() };
 
@@ -139,7 +138,7 @@
 
   private ratePerReplica(): number {
     const serving = [...this.lately.values()].reduce((a, b) => a + b, 0);
-    return REQUESTS_PER_SECOND / Math.max(1, serving);
+    return this.requestsPerSecond / Math.max(1, serving);
   }
 }
 
--- a/test/measurements/rollout.ts
+++ b/test/measurements/rollout.ts
@@ -22,6 +22,7 @@
 const JUDGE_S = 20;
 const FETCH_MS = 2000;
 const MOST_S = 3600;
+const REQUESTS_PER_REPLICA = 25;
 
 type Way = 'rollout' | 'new beside old' | 'new after old';
 
@@ -60,6 +61,7 @@
   const replicas = machines * REPLICAS_PER_MACHINE;
   const perSecond = (replicas * 2000) / PROBE_MS;
   const models = withRollouts(w, { intervalMs: PROBE_MS, perSecond });
+  models.requestsPerSecond = replicas * REQUESTS_PER_REPLICA;
   await w.start();
   const service: JobWish = {
     ...{ shape: 'service', pieces: replicas, gpus: 2, runMs: 0, crew: 'speech' },
