--- a/src/control/task-stops.ts
+++ b/src/control/task-stops.ts
@@ -6,7 +6,10 @@
 import type { LongPoll } from './long-poll.js';
 
 /** Work is little that is done again in this many times what saving it takes. */
-const LITTLE_LOSS_SAVES = 3;
+const LITTLE_LOSS_SAVES = 2;
+
+/** A task that is stopped at any moment has lost on average this share of what it does between checkpoints. */
+const MEAN_LOSS_SHARE = 0.5;
 
 /** Stops tasks, with or without time to save, by the shortest way there is to their machines. */
 export class TaskStops {
@@ -54,6 +57,7 @@
    */
   graceToMakeWay(job: Job): number {
     const { checkpointMs, saveMs } = job.spec;
-    return checkpointMs <= saveMs * LITTLE_LOSS_SAVES ? 0 : this.graceFor(job);
+    const meanLossMs = checkpointMs * MEAN_LOSS_SHARE;
+    return meanLossMs <= saveMs * LITTLE_LOSS_SAVES ? 0 : this.graceFor(job);
   }
 }
--- a/src/scheduler/gang-reservations.ts
+++ b/src/scheduler/gang-reservations.ts
@@ -45,18 +45,28 @@
     return false;
   }
 
-  /** The zone in which the fewest tasks would need a machine to be rented; null: there is none. */
+  /**
+   * The zone in which the fewest tasks would need a machine to be rented; null: there is none. Among
+   * equals the one with the fewest machines: what the cloud has to give in a zone is limited, and
+   * gangs that all went to one zone would use it up while other zones have plenty.
+   */
   private bestZone(job: JobView): { zone: string | null } | null {
     const { spec } = job;
     const { coming } = this.reservations;
     const zones = spec.oneZone
       ? [...new Set([...this.machines.map((m) => m.zone), ...this.rentals.zones])]
       : [null];
-    let best: { zone: string | null; missing: number } | null = null;
+    let best: { zone: string | null; missing: number; machines: number } | null = null;
     for (const zone of zones) {
       const missing = this.missingIn(job, zone, coming);
       if (missing > 0 && !this.rentals.offersFor(spec, zone)) continue;
-      if (!best || missing < best.missing) best = { zone, missing };
+      // Where nothing is missing the first will do: its choice has to stand until the gang starts.
+      const machines = missing > 0 && zone !== null ? this.rentals.machinesInZone(zone) : 0;
+      const better =
+        best === null ||
+        missing < best.missing ||
+        (missing === best.missing && machines < best.machines);
+      if (better) best = { zone, missing, machines };
     }
     return best;
   }
--- a/src/scheduler/rental-plan.ts
+++ b/src/scheduler/rental-plan.ts
@@ -65,13 +65,18 @@
       const most = Math.min(howMany(spec.need, offer.type.room), rules.room(offer.zone));
       if (most <= 0) continue;
       // Between offers of one price the emptier zone is taken.
-      const machines = this.machinesIn.get(offer.zone) ?? 0;
+      const machines = this.machinesInZone(offer.zone);
       const cost = offer.price / Math.min(most, count) + machines * COST_PER_MACHINE;
       if (!best || cost < best.cost) best = { offer, cost };
     }
     return best?.offer ?? null;
   }
 
+  /** How many machines there are in a zone, with those that will be rented. */
+  machinesInZone(zone: string): number {
+    return this.machinesIn.get(zone) ?? 0;
+  }
+
   private addTo(zone: string): void {
     this.machinesIn.set(zone, (this.machinesIn.get(zone) ?? 0) + 1);
   }
