Rent ahead for classes whose work cannot wait for a boot, as far as they grow

Change: the open tasks of each class with an aim to begin below two boots and no cheap machines are counted once a boot; the lower median of their growth over four boots is expected to come again within the next, and what of it finds no free, booting or displaceable room is rented.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -21,6 +21,7 @@
 import type { CancellationQuery } from '../peer/cancellation-query.js';
 import { CancellationView, cancellationViewLimitMs } from './cancellation-view.js';
 import { DependencyTracker } from './dependency-tracker.js';
+import { ExpectedDemand } from './expected-demand.js';
 import { DecisionRounds } from './decision-rounds.js';
 import type { Extension, TeamAmounts } from './extension.js';
 import { GangGate } from './gang-gate.js';
@@ -97,6 +98,7 @@
   readonly reports = new ReportHandler(this);
   readonly progress = new TaskProgress(this);
   readonly rounds = new DecisionRounds(this);
+  readonly expectedDemand: ExpectedDemand;
   /** True once the cloud has listed its machines in this term. */
   listedOnce = false;
 
@@ -148,6 +150,7 @@
     this.ledger = this.createLedger(layouts);
     this.rewriter = new RunRewriter(store, runtime, this.ledger, this.jobs, layouts);
     this.rentals = this.createRentals();
+    this.expectedDemand = new ExpectedDemand(this.jobs, settings);
     this.gate = new GangGate(parts.operator);
     this.reconciler = new MachineReconciler(
       this.fleet,
--- a/src/control/round-size.ts
+++ b/src/control/round-size.ts
@@ -44,7 +44,7 @@
     const guaranteed = withinGuarantee(snapshot.jobs, snapshot.teams);
     const late = new Set(inOrder(waiting, guaranteed).slice(this.most));
     const jobs = snapshot.jobs.map((job) => (late.has(job) ? { ...job, waiting: 0 } : job));
-    return { ...snapshot, jobs };
+    return { ...snapshot, jobs, expected: [] };
   }
 
   /**
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -54,6 +54,7 @@
     machines: machineViews(leader, now),
     jobs: jobViews(context),
     upcoming: upcoming(context),
+    expected: leader.expectedDemand.observe(now, context.longestBootMs),
     leavingCpus: leavingCpus(leader),
     teams: teamViews(leader),
     types,
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -1,5 +1,6 @@
 import type { MachineType, Need } from '../fleet/types.js';
 import type { JobSpec, Priority } from '../jobs/job.js';
+import type { ExpectedTasks } from './demand-forecast.js';
 
 /** A machine as a round of decisions sees it; the round works on its own copy of `free`. */
 export interface MachineView {
@@ -114,6 +115,8 @@
   jobs: JobView[];
   /** Work without GPUs that waits for other jobs, but not for longer than a machine boots. */
   upcoming: JobView[];
+  /** Work that nobody has submitted yet, but that is expected to need room before a machine could boot. */
+  expected: ExpectedTasks[];
   /** Processors that running work without GPUs holds; most of it ends before a machine could boot. */
   leavingCpus: number;
   teams: ReadonlyMap<string, TeamView>;
--- a/src/scheduler/plan.ts
+++ b/src/scheduler/plan.ts
@@ -11,6 +11,7 @@
   ContendedTypes,
   ZoneRules,
 } from './placement.js';
+import { rentHeadroom } from './headroom.js';
 import { clearable, holdsOnly } from './opportunistic.js';
 import { Preemption } from './preemption.js';
 import { RentalPlan } from './rental-plan.js';
@@ -126,6 +127,7 @@
     }
     this.servePatient();
     this.serveOpportunistic(waiting.filter((j) => isOpportunistic(j) && !j.onTrial));
+    rentHeadroom(this.s, this.up, this.preemption, this.rentals);
     // Moves only while nothing waits: what is stopped has to start again at once.
     this.result.stops =
       claims.length === 0
