Rent ahead for two boots of growth, not one

Need: a machine rented now is up a boot later, and what comes meanwhile is counted only at the next sample.

--- a/src/scheduler/demand-forecast.ts
+++ b/src/scheduler/demand-forecast.ts
@@ -6,6 +6,12 @@
 /** With fewer there is no telling growth from the load that was there when the term began. */
 const LEAST_INTERVALS = 2;
 
+/**
+ * For how many intervals ahead room is wanted: one until a machine that is rented now is up, and one
+ * until what comes meanwhile has been counted.
+ */
+const HORIZON_INTERVALS = 2;
+
 /** What is open of one job class. */
 export interface ClassDemand {
   /** That of its newest job: what comes next will most likely look like it. */
@@ -14,7 +20,7 @@
   tasks: number;
 }
 
-/** Tasks of a class that are expected to come before a machine that is rented now is up. */
+/** Tasks of a class that are expected to come before more could be rented for them. */
 export interface ExpectedTasks {
   spec: JobSpec;
   count: number;
@@ -26,9 +32,9 @@
 }
 
 /**
- * Tells how many tasks of each job class will come within the time that a machine needs to boot. It is
- * the typical growth over the last intervals of that length, so that a single burst, or the load that
- * was there when the term began, is not taken for growth that goes on.
+ * Tells how many tasks of each job class will come before more machines could be rented for them. It
+ * goes by the typical growth over the last intervals as long as a boot, so that a single burst, or the
+ * load that was there when the term began, is not taken for growth that goes on.
  */
 export class DemandForecast {
   private readonly samples: Sample[] = [];
@@ -46,7 +52,7 @@
   expected(demand: ReadonlyMap<string, ClassDemand>): ExpectedTasks[] {
     const expected: ExpectedTasks[] = [];
     for (const [name, { spec }] of demand) {
-      const count = this.growth(name);
+      const count = this.growth(name) * HORIZON_INTERVALS;
       if (count > 0) expected.push({ spec, count });
     }
     return expected;
