--- /dev/null
+++ b/test/headroom.test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Priority, type JobSpec } from '../src/jobs/job.js';
+import type {
+  JobView,
+  MachineView,
+  Offer,
+  Rent,
+  Snapshot,
+  VictimView,
+} from '../src/scheduler/model.js';
+import { plan } from '../src/scheduler/plan.js';
+import { SPEC, TYPE } from './fakes/samples.js';
+
+/** Replicas of 2 GPUs each: four of them fill a machine. */
+const REPLICA: JobSpec = {
+  ...SPEC,
+  jobClass: 'replicas',
+  kind: 'service',
+  priority: Priority.Production,
+  need: { cpus: 8, gpus: 2, memoryGb: 40 },
+};
+
+/** A gang of two whole machines in one zone. */
+const PAIR: JobSpec = {
+  ...SPEC,
+  kind: 'gang',
+  priority: Priority.High,
+  tasks: 2,
+  oneZone: true,
+  need: { cpus: 40, gpus: 8, memoryGb: 200 },
+};
+
+const OFFERS: Offer[] = ['a', 'b', 'c'].map((zone) => ({
+  type: { ...TYPE, zones: ['a', 'b', 'c'] },
+  zone,
+  spot: false,
+  price: TYPE.price,
+}));
+
+function machine(id: string, view: Partial<MachineView> = {}): MachineView {
+  return {
+    id,
+    type: TYPE,
+    zone: 'a',
+    spot: false,
+    free: { ...TYPE.room },
+    up: true,
+    images: new Set(),
+    incomingGb: 0,
+    tasksOf: new Map(),
+    replicas: 0,
+    keepMs: 40_000,
+    ...view,
+  };
+}
+
+function waitingGang(id: string, readyAt: number): JobView {
+  return {
+    id,
+    spec: PAIR,
+    priority: PAIR.priority,
+    readyAt,
+    dueAt: readyAt,
+    patient: false,
+    opportunistic: null,
+    waiting: PAIR.tasks,
+    unfinished: PAIR.tasks,
+    zones: new Map(),
+    avoid: new Set(),
+    gang: { holdsGate: false, suspensions: 0 },
+    admissible: true,
+    onTrial: false,
+  };
+}
+
+function snapshot(s: Partial<Snapshot>): Snapshot {
+  const limit = { cpus: Infinity, gpus: Infinity };
+  const team = { guarantee: { cpus: 0, gpus: 100 }, limit, used: { cpus: 0, gpus: 0 } };
+  return {
+    machines: [],
+    jobs: [],
+    upcoming: [],
+    expected: [],
+    leavingCpus: 0,
+    teams: new Map([['vision', team]]),
+    types: [TYPE],
+    offers: OFFERS,
+    victims: [],
+    movable: [],
+    gateShut: false,
+    ...s,
+  };
+}
+
+const rented = (rents: Rent[]): number => rents.reduce((sum, rent) => sum + rent.count, 0);
+
+test('what is expected and finds no room is rented ahead, and nothing is stopped for it', () => {
+  const result = plan(snapshot({ expected: [{ spec: REPLICA, count: 6 }] }));
+  assert.equal(rented(result.rents), 2);
+  assert.deepEqual([result.starts, result.stops], [[], []]);
+});
+
+test('room that is free, that boots, or that lesser work would leave is enough', () => {
+  const batch: VictimView = {
+    job: 'req-1',
+    task: 0,
+    machine: 'm1',
+    spec: { ...SPEC, priority: Priority.Low, need: { cpus: 8, gpus: 8, memoryGb: 40 } },
+    priority: Priority.Low,
+    lossMs: 0,
+    unsavedStops: 0,
+    remainingMs: 10_000,
+    wholeGang: false,
+    stopping: false,
+  };
+  const full = { cpus: 40, gpus: 0, memoryGb: 248 };
+  const withBatch = machine('m1', { free: full, tasksOf: new Map([['req-1', 1]]) });
+  const booting = machine('m2', { up: false });
+  const free = machine('m3');
+  for (const room of [[withBatch], [booting], [free]]) {
+    const four = snapshot({
+      machines: room,
+      victims: room[0] === withBatch ? [batch] : [],
+      expected: [{ spec: REPLICA, count: 4 }],
+    });
+    assert.equal(rented(plan(four).rents), 0);
+    assert.deepEqual(plan(four).stops, []);
+    const five = { ...four, expected: [{ spec: REPLICA, count: 5 }] };
+    assert.equal(rented(plan(five).rents), 1);
+  }
+});
+
+test('two classes do not count on the same room', () => {
+  const other = { ...REPLICA, jobClass: 'others' };
+  const both = snapshot({
+    machines: [machine('m1')],
+    expected: [
+      { spec: REPLICA, count: 4 },
+      { spec: other, count: 4 },
+    ],
+  });
+  assert.equal(rented(plan(both).rents), 1);
+});
+
+test('gangs that all have to rent go to different zones, or the first zone is used up', () => {
+  const gangs = [1, 2, 3].map((i) => waitingGang(`req-${i}`, i));
+  const { rents } = plan(snapshot({ jobs: gangs }));
+  assert.deepEqual(
+    rents.map(({ zone, count }) => [zone, count]),
+    [
+      ['a', 2],
+      ['b', 2],
+      ['c', 2],
+    ],
+  );
+});
+
+test('a gang stays in the zone that is nearest to having room for it, however many machines are there', () => {
+  const machines = [1, 2, 3].map((i) => machine(`m${i}`, { zone: 'b', up: i === 1 }));
+  const other = machine('m4', { zone: 'c' });
+  const { rents } = plan(snapshot({ machines: [...machines, other], jobs: [waitingGang('r', 1)] }));
+  assert.deepEqual(rents, []);
+});
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -62,6 +62,7 @@
     machines: [],
     jobs: [],
     upcoming: [],
+    expected: [],
     leavingCpus: 0,
     teams: new Map([
       ['vision', team(0)],
--- a/test/round-size.test.ts
+++ b/test/round-size.test.ts
@@ -18,7 +18,14 @@
   const guarantee = { cpus: 0, gpus: count * 10 };
   const limit = { cpus: Infinity, gpus: Infinity };
   const teams = new Map([[SPEC.team, { guarantee, limit, used: { cpus: 0, gpus: 0 } }]]);
-  const nothing = { machines: [], upcoming: [], offers: [], victims: [], movable: [] };
+  const nothing = {
+    machines: [],
+    upcoming: [],
+    expected: [],
+    offers: [],
+    victims: [],
+    movable: [],
+  };
   return { ...nothing, jobs, teams, types: [TYPE], leavingCpus: 0, gateShut: false };
 }
 
