--- a/src/control/term-extensions.ts
+++ b/src/control/term-extensions.ts
@@ -32,12 +32,8 @@
 
   /** How many tasks of a job may be started now, whatever room there is. */
   startable(job: Job): number {
-    let most = job.startable;
-    for (const extension of this.all) {
-      const limit = extension.placementLimit?.(job.id) ?? Infinity;
-      most = Math.min(most, Math.max(0, limit - job.placements.size));
-    }
-    return most;
+    const roomUnderLimit = Math.max(0, this.placementLimit(job.id) - job.placements.size);
+    return Math.min(job.startable, roomUnderLimit);
   }
 
   /** How many tasks of a job may be placed at once. */
