--- a/packages/rollout/src/ports.ts
+++ b/packages/rollout/src/ports.ts
@@ -19,8 +19,6 @@
   placed: number;
   /** It has failed on every machine that was tried. */
   failing: boolean;
-  /** A record of it cannot be read: what runs of it is not known. */
-  unreadable: boolean;
 }
 
 /** One start of one replica. */
--- a/src/control/service-rollouts.ts
+++ b/src/control/service-rollouts.ts
@@ -69,7 +69,6 @@
       need: { cpus: need.cpus, gpus: need.gpus },
       placed: job.unreadable ? tasks : job.placements.size,
       failing: job.failures.suspected,
-      unreadable: job.unreadable,
     };
   }
 
