--- a/packages/rollout/src/observer.ts
+++ b/packages/rollout/src/observer.ts
@@ -91,10 +91,15 @@
 
   /** How many replicas of each job are placed and proven. */
   counts(spec: SpecRecord): { from: VersionSeen; to: VersionSeen } {
-    return {
-      from: this.countsOf(spec.from, this.judged(spec.from, spec)),
-      to: this.countsOf(spec.to, this.judged(spec.to, spec)),
-    };
+    return this.countsAmong(spec, this.judged(spec.from, spec), this.judged(spec.to, spec));
+  }
+
+  private countsAmong(
+    spec: SpecRecord,
+    old: readonly JudgedReplica[],
+    fresh: readonly JudgedReplica[],
+  ): { from: VersionSeen; to: VersionSeen } {
+    return { from: this.countsOf(spec.from, old), to: this.countsOf(spec.to, fresh) };
   }
 
   private countsOf(job: string, judged: readonly JudgedReplica[]): VersionSeen {
@@ -119,14 +124,14 @@
     const spec = rollout.spec.record;
     const old = this.judged(spec.from, spec);
     const fresh = this.judged(spec.to, spec);
-    const to = this.countsOf(spec.to, fresh);
+    const counts = this.countsAmong(spec, old, fresh);
     return {
       wall: this.ports.clock.wall(),
       jobs: { from: this.scheduler.job(spec.from), to: this.scheduler.job(spec.to) },
       isNewJobOver: this.isOver(spec.to),
-      ...{ from: this.countsOf(spec.from, old), to },
+      ...counts,
       neverReady: this.whyNeverReady(spec, fresh),
-      evidence: this.evidence(rollout, to.proven),
+      evidence: this.evidence(rollout, counts.to.proven),
       conflict,
     };
   }
