--- a/packages/rollout/src/ceilings.ts
+++ b/packages/rollout/src/ceilings.ts
@@ -5,7 +5,7 @@
 export type Ceilings = ReadonlyMap<string, number>;
 
 /** A limit, with null for none, as a number. */
-export const asNumber = (ceiling: number | null): number => ceiling ?? Infinity;
+const asNumber = (ceiling: number | null): number => ceiling ?? Infinity;
 
 /** What is placed of a job, as it stood when the status of its rollout was found to be unreadable. */
 export type PlacedBefore = (job: string) => number;
