--- a/packages/rollout/test/transitions.test.ts
+++ b/packages/rollout/test/transitions.test.ts
@@ -16,7 +16,7 @@
 
 const jobOf = (id: string, change: Partial<ScheduledJob> = {}): ScheduledJob => ({
   ...{ id, state: 'open', isService: true, team: 't', replicas: REPLICAS, image: `${id}-image` },
-  ...{ need: { cpus: 1, gpus: 1 }, placed: 0, failing: false, unreadable: false },
+  ...{ need: { cpus: 1, gpus: 1 }, placed: 0, failing: false },
   ...change,
 });
 
