A rollout's surge is judged by the limit that moved shares have left its team

Before, by the settings' limit: a rollout was accepted that could never surge, or refused though there was room. Taking the change out fails the new test.

--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -116,7 +116,7 @@
     const why = whyNotVersions(request, from, await this.ports.readJob(request.to));
     if (why !== null) throw new BadRequest(422, why.field, why.message);
     this.checkProbes(from);
-    const limit = this.ports.teamLimit(from.team);
+    const limit = await this.ports.teamLimit(from.team);
     for (const resource of ['cpus', 'gpus'] as const) {
       const least = from.need[resource] * (from.replicas + 1);
       if (limit === null || least <= limit[resource] + 1e-6) continue;
--- a/packages/rollout/src/ports.ts
+++ b/packages/rollout/src/ports.ts
@@ -69,8 +69,8 @@
   probing: ProbeSettings;
   /** A job as the state service has it; null: it was never accepted. */
   readJob(id: string): Promise<ServiceJob | null>;
-  /** How much a team may use now; null: there is no such team. */
-  teamLimit(team: string): { cpus: number; gpus: number } | null;
+  /** How much a team may use, with the shares that were moved; null: there is no such team. */
+  teamLimit(team: string): Promise<{ cpus: number; gpus: number } | null>;
   /** Whether every controller has rollouts switched on, as the store says now. */
   allControllersHaveIt(signal: AbortSignal): Promise<boolean>;
 }
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -28,7 +28,7 @@
 import { Store } from '../state/store.js';
 import type { Order, Report } from '../wire/report.js';
 import { cancellationViewLimitMs } from './cancellation-view.js';
-import type { CreateExtension, Extension } from './extension.js';
+import type { CreateExtension, Extension, TeamAmounts } from './extension.js';
 import { Leader } from './leader.js';
 import { MOST_HOLD_MS } from './report-handler.js';
 import { SelfWatch } from './self-watch.js';
@@ -185,7 +185,9 @@
     const leading = (): boolean => this.leader?.records.ready ?? false;
     const allHave = (feature: string, signal: AbortSignal): Promise<boolean> =>
       this.membership.allHave(feature, signal);
-    const host = { store, runtime, settings, leading, allHave };
+    const promisedShares = async (): Promise<TeamAmounts> =>
+      (await this.extensionWithShares?.promisedShares!()) ?? settings.teams;
+    const host = { store, runtime, settings, leading, allHave, promisedShares };
     return (this.links.extensions ?? []).map((create) => create(host));
   }
 
@@ -195,8 +197,13 @@
     return features.length > 0 ? { ...OWN_FORMATS, features } : OWN_FORMATS;
   }
 
+  /** The part that says what teams have or will have; undefined: the settings do. */
+  private get extensionWithShares(): Extension | undefined {
+    return this.extensions.find((extension) => extension.promisedShares);
+  }
+
   private viewForUsers(): ControllerView {
-    const shares = this.extensions.find((extension) => extension.promisedShares);
+    const shares = this.extensionWithShares;
     return {
       counts: (id) => (this.leader ? this.leader.counts(id) : this.shown.of(id)),
       openJobs: () => this.leader?.jobs.size ?? this.shown.size,
--- a/src/control/extension.ts
+++ b/src/control/extension.ts
@@ -25,6 +25,8 @@
   leading(): boolean;
   /** Whether every controller has a part switched on, as the store says now. */
   allHave(feature: string, signal: AbortSignal): Promise<boolean>;
+  /** What teams have or will have, with the shares that were moved. */
+  promisedShares(): Promise<TeamAmounts>;
 }
 
 /** What a part sees of the leader in one term. */
--- a/src/control/rollout-extension.ts
+++ b/src/control/rollout-extension.ts
@@ -40,13 +40,13 @@
     private readonly switchedOn: RolloutSwitch,
     host: ControllerHost,
   ) {
-    const { store, runtime, settings } = host;
+    const { store, runtime } = host;
     const { package: rollout, probe, probing } = switchedOn;
     this.ports = {
       ...recordPorts(host),
       ...{ probe, probing },
       readJob: (id) => readServiceJob(store, id),
-      teamLimit: (team) => settings.teams.get(team)?.limit ?? null,
+      teamLimit: async (team) => (await host.promisedShares()).get(team)?.limit ?? null,
       allControllersHaveIt: (signal) => host.allHave(this.feature, signal),
     };
     this.api = new rollout.RolloutApi(this.ports, runtime.random.unique(), () =>
--- /dev/null
+++ b/test/rollout-with-shares.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ApiAnswer } from '@leverhatch/operators/answer';
+import { ask, begin, REQUEST, type RolloutStory } from './fakes/rollout-story.js';
+import { movePhase, shareApi, withShares } from './fakes/share-checker.js';
+
+// A service of 8 replicas with 2 GPUs each, of a team that may use 64, on 4 machines; three controllers.
+
+const SURPLUS = { gpus: 48 };
+
+const errorOf = ({ body }: ApiAnswer): string => (body as { error: string }).error;
+
+function planRollout({ w, from, to }: RolloutStory, node: number): Promise<ApiAnswer> {
+  return ask(w, node, (api) => api.plan({ ...REQUEST, from, to }));
+}
+
+/** Moves what a team may use beyond the 16 GPUs that the service holds. */
+async function moveSurplus({ w }: RolloutStory, id: string, from: string, to: string) {
+  const answer = await w.drive(shareApi(w, 0)!.submit({ id, from, to, limit: SURPLUS }));
+  assert.equal(answer.status, 201, errorOf(answer));
+  await w.until(() => movePhase(w, id) === 'done', 60, `${id} is done`);
+  await w.pass(5);
+}
+
+test('a rollout is judged by the limit that moved shares have left its team, also after a change of leader', async () => {
+  const story = await begin({ before: (w) => void withShares(w) });
+  const { w } = story;
+  assert.equal((await planRollout(story, 0)).status, 200);
+  await moveSurplus(story, 'm1', 'speech', 'vision');
+  for (const node of w.nodes.keys()) {
+    const refused = await planRollout(story, node);
+    assert.equal(refused.status, 422);
+    assert.match(errorOf(refused), /^maxSurge: team speech may use 16 gpus, 18 are needed/);
+  }
+  const old = w.leader;
+  w.crash(old);
+  await w.until(() => w.leader >= 0 && w.leader !== old, 20, 'takeover');
+  assert.equal((await planRollout(story, w.leader)).status, 422);
+  w.restart(old);
+  await w.pass(10);
+  await moveSurplus(story, 'm2', 'vision', 'speech');
+  for (const node of w.nodes.keys()) assert.equal((await planRollout(story, node)).status, 200);
+  await w.settle();
+  await w.close();
+});
