--- a/src/settings/deploy.ts
+++ b/src/settings/deploy.ts
@@ -8,6 +8,9 @@
 const amount = z.number().check(z.nonnegative());
 const address = z.string().check(z.regex(/^[^:\s]+:\d{1,5}$/, 'must be HOST:PORT'));
 
+/** The record of a job is one value: some 350 bytes with short names. Lists in it are split over several. */
+const LEAST_VALUE_KB = 1;
+
 const schema = z.object({
   member: z.string().check(z.minLength(1)),
   site: z.string(),
@@ -58,8 +61,8 @@
     state: z.object({
       rps: positive,
       write_rps: positive,
-      value_kb: positive,
-      txn_ops: z.int().check(z.minimum(2)),
+      value_kb: z.number().check(z.minimum(LEAST_VALUE_KB, 'is too small for the record of a job')),
+      txn_ops: z.int().check(z.minimum(2, 'is too small for a job and its start')),
       next: z.optional(
         z.object({
           rps: z.optional(positive),
@@ -129,9 +132,19 @@
     const issue = result.error.issues[0];
     throw new SettingsError(file, issue?.path.join('.') ?? null, issue?.message ?? 'is invalid');
   }
+  assertZonesKnown(result.data, file);
   return toSettings(result.data);
 }
 
+/** A zone that is misspelt for one controller would put it into a zone of its own, without any worker. */
+function assertZonesKnown({ site, known, facts }: z.infer<typeof schema>, file: string): void {
+  const sites = [site, ...known.map((peer) => peer.site)];
+  const fields = ['site', ...known.map((_, i) => `known.${i}.site`)];
+  const unknown = sites.findIndex((name) => !facts.zones.includes(name));
+  if (unknown === -1) return;
+  throw new SettingsError(file, fields[unknown]!, `zone ${sites[unknown]} is not in facts.zones`);
+}
+
 export function loadDeploy(file: string): Settings {
   let text: string;
   try {
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -46,6 +46,10 @@
     ['lease_s = 10.0', 'lease_s = 1.9', /^file\.toml: facts\.workers\.lease_s: .*two reports/],
     ['zones = ["a", "b"]', 'zones = []', /^file\.toml: facts\.zones: /],
     ['size = 2', 'size = 0', /^file\.toml: facts\.size: /],
+    ['lease_s = 10.0', 'lease_s = 1.0', /^file\.toml: facts\.workers\.lease_s: /],
+    ['site = "a"', 'site = "c"', /^file\.toml: site: zone c is not in facts\.zones/],
+    ['value_kb = 16.0', 'value_kb = 0.5', /^file\.toml: facts\.state\.value_kb: .*record of a job/],
+    ['txn_ops = 20', 'txn_ops = 1', /^file\.toml: facts\.state\.txn_ops: .*job and its start/],
     ['sockets = 500', 'sockets = 0', /^file\.toml: facts\.resources\.sockets: /],
   ];
   for (const [sound, wrong, what] of lines) {
@@ -62,6 +66,18 @@
   assert.equal(parseDeploy(large, 'file.toml').size, 90);
 });
 
+test('a peer in a zone that the settings do not name is told with its place in the list', () => {
+  const peers = ['b', 'nowhere'].map(
+    (site, i) =>
+      `[[known]]\nmember = "berth-${i + 1}"\nsite = "${site}"\naddress = "127.0.0.1:${9000 + i}"\n`,
+  );
+  const text = SETTINGS.replace('[external]', `${peers.join('')}[external]`);
+  assert.match(
+    complaint(() => parseDeploy(text, 'file.toml')),
+    /^file\.toml: known\.1\.site: zone nowhere is not in facts\.zones/,
+  );
+});
+
 test('limits announced for the store are read, and told apart where they cannot work', () => {
   const withNext = (next: string): string =>
     SETTINGS.replace('[facts.cloud]', `[facts.state.next]\n${next}\n[facts.cloud]`);
