--- a/test/fakes/cloud.ts
+++ b/test/fakes/cloud.ts
@@ -62,6 +62,11 @@
     private readonly onGone: (id: string) => void,
   ) {}
 
+  /** The usual type is to be had in these zones. */
+  offerIn(zones: readonly string[]): void {
+    this.hulls[0] = { ...G8, yards: [...zones] };
+  }
+
   add(yard: string, bootMs: number, driftwood = false, hull = 'g8'): Host {
     const ref = `host-${String(this.next++).padStart(6, '0')}`;
     const now = this.clock.now();
--- a/test/fakes/controllers.ts
+++ b/test/fakes/controllers.ts
@@ -4,10 +4,10 @@
 import { NoAnswer, type Reply, type Transport } from '../../src/http/client.js';
 import type { Clock } from '@leverhatch/core/clock';
 import type { Logger } from '@leverhatch/core/log';
-import type { Settings } from '../../src/settings/deploy.js';
 import { CURRENT, type Program } from './program.js';
 import { fakeRandom } from './random.js';
-import { settings, settingsAmong } from './sample-settings.js';
+import type { DeploymentShape } from './deployment-shape.js';
+import { settingsAmong } from './sample-settings.js';
 import type { Fate } from './store.js';
 import type { Front } from './users.js';
 import type { Answered, FakeWorker } from './worker.js';
@@ -23,6 +23,7 @@
 
 export interface Node {
   name: string;
+  zone: string;
   /** The version that its next process runs. */
   program: Program;
   controller: Controller | null;
@@ -53,13 +54,12 @@
 
   constructor(
     private readonly world: World,
-    count: 2 | 3,
-    /** What the settings say of the store, where it differs from the sample. */
-    private readonly state: Partial<Settings['state']>,
+    private readonly shape: DeploymentShape,
   ) {
-    for (const name of ['berth-0', 'berth-1', 'berth-2'].slice(0, count)) {
+    for (const [i, zone] of shape.controllers.entries()) {
       this.nodes.push({
-        name,
+        name: `berth-${i}`,
+        zone,
         program: CURRENT,
         controller: null,
         stop: new AbortController(),
@@ -106,11 +106,7 @@
     node.stop = stop;
     const controller = node.program.create(
       {
-        ...settingsAmong(
-          node.name,
-          this.nodes.map((n) => n.name),
-          this.state,
-        ),
+        ...settingsAmong(node.name, this.nodes, this.shape),
         teams: new Map(this.world.teams),
       },
       {
@@ -181,7 +177,11 @@
   }
 
   zoneOf(node: Node): string {
-    return settings(node.name).zone;
+    return node.zone;
+  }
+
+  private zoneNamed(name: string): string | undefined {
+    return this.nodes.find((node) => node.name === name)?.zone;
   }
 
   /** It stands still from now on: what comes to it meanwhile it sees afterwards. */
@@ -244,7 +244,7 @@
 
   /** Whether two controllers are in zones that cannot reach each other now. */
   separated(from: string, to: string): boolean {
-    return this.apart && settings(from).zone !== settings(to).zone;
+    return this.apart && this.zoneNamed(from) !== this.zoneNamed(to);
   }
 
   get leader(): number {
--- a/test/fakes/loopback.ts
+++ b/test/fakes/loopback.ts
@@ -14,6 +14,7 @@
 import { FakeWorker } from './worker.js';
 
 const LEASE_MS = 10_000;
+const REPORT_MS = 1000;
 const HOST = '127.0.0.1';
 
 /** What the operators' file switches on, beside the listener. */
@@ -205,7 +206,15 @@
     });
     const worker = new FakeWorker(
       {
-        ...{ id: host.ref, hull: host.hull, yard, driftwood: false, leaseMs: LEASE_MS, address },
+        ...{
+          id: host.ref,
+          hull: host.hull,
+          yard,
+          driftwood: false,
+          leaseMs: LEASE_MS,
+          reportMs: REPORT_MS,
+          address,
+        },
         room: { vcpus, gpus, memoryGb },
         nodes: this.controllers.map(({ name }) => name),
       },
--- a/test/fakes/machines.ts
+++ b/test/fakes/machines.ts
@@ -1,7 +1,6 @@
 import { FakeWorker, type Piece } from './worker.js';
 import type { Host } from './cloud.js';
 import type { MachineSeen, TaskSeen } from './rule-checker.js';
-import { settings } from './sample-settings.js';
 import type { World } from './world.js';
 
 /** The machines of a story, and what really is on them. */
@@ -59,7 +58,8 @@
         yard: host.yard,
         driftwood: host.driftwood,
         room: { vcpus, gpus, memoryGb },
-        leaseMs: settings().workers.leaseMs,
+        leaseMs: this.world.shape.workers.leaseMs,
+        reportMs: this.world.shape.workers.reportMs,
         nodes: this.world.nodes.map((n) => n.name),
       },
       this.world.clock,
--- a/test/fakes/sample-settings.ts
+++ b/test/fakes/sample-settings.ts
@@ -79,12 +79,20 @@
 /** The settings of one of several controllers that know each other. */
 export function settingsAmong(
   member: string,
-  all: string[],
-  state: Partial<Settings['state']>,
+  all: { name: string; zone: string }[],
+  shape: Pick<Settings, 'workers' | 'machine'> & { zones: readonly string[] } & {
+    state: Partial<Settings['state']>;
+  },
 ): Settings {
   const own = settings(member);
   const peers = all
-    .filter((name) => name !== member)
-    .map((name) => ({ member: name, zone: settings(name).zone, address: `${name}:1` }));
-  return { ...own, peers, size: all.length, state: { ...own.state, ...state } };
+    .filter(({ name }) => name !== member)
+    .map(({ name, zone }) => ({ member: name, zone, address: `${name}:1` }));
+  const { workers, machine } = shape;
+  return {
+    ...own,
+    ...{ peers, workers, machine, zones: [...shape.zones], size: all.length },
+    zone: all.find(({ name }) => name === member)?.zone ?? own.zone,
+    state: { ...own.state, ...shape.state },
+  };
 }
--- a/test/fakes/trouble-search.ts
+++ b/test/fakes/trouble-search.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { THREE_ZONES } from './deployment-shape.js';
 import { machines } from './meeting.js';
 import type { Model } from './model-servers.js';
 import { SeededRandom } from './random.js';
@@ -363,19 +364,23 @@
   moving?: boolean;
   /** A version is rolled out. */
   rolling?: boolean;
+  /** Five controllers in three zones with slow reports, in place of the sample's. */
+  threeZones?: boolean;
 }
 
 /** Plays one short world; throws what went wrong, with its plan. */
 export async function playSeed(
   seed: number,
-  { moving = false, rolling = false }: Beside = {},
+  { moving = false, rolling = false, threeZones = false }: Beside = {},
 ): Promise<void> {
   const random = new SeededRandom(seed * 2654435761);
   const zones = random.pick(['aabb', 'aabb', 'aaabb', 'ab']);
   const controllers = random.next() < 0.8 ? 3 : 2;
   const full = random.next() < 0.4;
   const troubles = plan(random);
-  const w = new World(machines(zones), controllers, seed);
+  const w = threeZones
+    ? new World(machines('aabbcc'), THREE_ZONES, seed)
+    : new World(machines(zones), controllers, seed);
   w.balanced = random.next() < 0.5;
   if (moving) withShares(w);
   const rollout = rolling ? new Rolling(w, random) : null;
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -38,6 +38,8 @@
   driftwood: boolean;
   room: Room;
   leaseMs: number;
+  /** It reports about so often. */
+  reportMs: number;
   nodes: string[];
   /** Where direct commands reach it; without it as its name says. */
   address?: string;
@@ -60,6 +62,12 @@
 
 export type Answered = { status: number; body: unknown };
 
+/** After how long a worker tries the next controller. */
+const RETRY_MS = 1000;
+
+/** How often a machine that hangs looks whether it may go on. */
+const HUNG_LOOK_MS = 100;
+
 /** A worker, written from the protocol: one report in flight, a lease, sessions and tokens. */
 export class FakeWorker {
   shift = 1;
@@ -120,7 +128,8 @@
       }
       const lost = this.node !== to;
       const took = this.clock.now() - began;
-      await this.clock.sleep(this.hung ? 100 : lost ? 1000 : Math.max(1, 1000 - took), signal);
+      const pause = lost ? RETRY_MS : Math.max(1, this.site.reportMs - took);
+      await this.clock.sleep(this.hung ? HUNG_LOOK_MS : pause, signal);
     }
   }
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -10,7 +10,8 @@
 import { PERSIST_MS, PersistentUsers } from './persistent-users.js';
 import { SeededRandom } from './random.js';
 import { RuleChecker } from './rule-checker.js';
-import { settings, teamsTimes } from './sample-settings.js';
+import { sampleShape, type DeploymentShape } from './deployment-shape.js';
+import { teamsTimes } from './sample-settings.js';
 import { FakeStore } from './store.js';
 import { Troubles } from './troubles.js';
 import { Users } from './users.js';
@@ -51,6 +52,8 @@
   /** The submissions that users were told are accepted. */
   readonly accepted = new Map<string, object>();
   readonly random: SeededRandom;
+  /** The controllers, zones and timing of the deployment. */
+  readonly shape: DeploymentShape;
   /** What the settings say of the teams, of controllers that start from now on. */
   teams: ReadonlyMap<string, Team>;
   /** What each team may use at most, as the checker judges it. */
@@ -75,7 +78,7 @@
 
   constructor(
     machines: MachineWish[],
-    controllers: 2 | 3 = 2,
+    controllers: 2 | 3 | DeploymentShape = 2,
     readonly seed = 0,
     /** What the settings say of the store, where it differs from the sample. */
     state: Partial<Settings['state']> = {},
@@ -85,12 +88,13 @@
     this.teams = teamsTimes(teamScale);
     this.random = new SeededRandom(seed);
     for (const m of machines) this.cloud.add(m.yard, 0, m.spot ?? false, m.hull);
-    this.controllers = new Controllers(this, controllers, state);
-    const { workers } = settings();
+    this.shape = typeof controllers === 'number' ? sampleShape(controllers, state) : controllers;
+    this.controllers = new Controllers(this, this.shape);
+    this.cloud.offerIn(this.shape.zones);
     for (const [name, { limit }] of this.teams) this.teamLimits.set(name, limit);
     this.checker = new RuleChecker({
       fleet: { types: this.types(), teams: this.teamLimits },
-      cancelMs: workers.cancelMs,
+      cancelMs: this.shape.workers.cancelMs,
       now: () => this.clock.now(),
       machines: () => this.machines.seen(),
     });
--- a/test/trouble-search.test.ts
+++ b/test/trouble-search.test.ts
@@ -22,3 +22,11 @@
   test(`two or three troubles meet while a version is rolled out (seed ${seed})`, () =>
     playSeed(seed, { rolling: true }));
 }
+
+/** Fewer of these: with five controllers each takes longer. */
+const THREE_ZONES_TO = Math.min(TO, FROM + 11);
+
+for (let seed = FROM; seed <= THREE_ZONES_TO; seed++) {
+  test(`two or three troubles meet among five controllers in three zones (seed ${seed})`, () =>
+    playSeed(seed, { threeZones: true }));
+}
