Loopback tests: controllers' ports are kept until the processes listen on them

A controller's port was chosen by listening on port 0 and was free again until the process had started; a worker that listened on port 0 meanwhile got the same one. Ports now come from blocks below those that the system hands out, and a block belongs to whoever listens on its first port.

--- a/test/fakes/loopback.ts
+++ b/test/fakes/loopback.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { setMaxListeners } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import { createServer as createNetServer, type AddressInfo } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { systemClock } from '@leverhatch/core/clock';
@@ -11,6 +11,7 @@
 import { JobWishes, type JobWish } from './job-wishes.js';
 import { FakeStore } from './store.js';
 import { ModelServers } from './model-servers.js';
+import { PortBlock } from './ports.js';
 import { FakeWorker } from './worker.js';
 
 const LEASE_MS = 10_000;
@@ -40,14 +41,6 @@
   child: ChildProcess | null;
 }
 
-async function freePort(): Promise<number> {
-  const server = createNetServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
-}
-
 /**
  * A small fleet of real processes: controllers as operators start them, over TCP, with this
  * repository's stand-ins for the state service, the cloud and the workers, in real time.
@@ -70,6 +63,7 @@
   private readonly directory = mkdtempSync(join(tmpdir(), 'loopback-'));
   private readonly end = new AbortController();
   private readonly reportsTo: Transport[] = [];
+  private ports: PortBlock | null = null;
 
   constructor(
     private readonly machines: number,
@@ -85,8 +79,9 @@
   async start(controllers: number): Promise<void> {
     const state = await this.serve(this.store.link(() => 'serve'));
     const cloud = await this.serve(this.cloud.link());
+    const ports = (this.ports = await PortBlock.take());
     for (let i = 0; i < controllers; i++) {
-      const [own, peer, operators] = [await freePort(), await freePort(), await freePort()];
+      const [own, peer, operators] = [await ports.port(), await ports.port(), await ports.port()];
       this.controllers.push({
         name: `berth-${i}`,
         address: `${HOST}:${own}`,
@@ -300,6 +295,7 @@
       server.close();
       server.closeAllConnections();
     }
+    this.ports?.release();
     await systemClock.sleep(0);
     rmSync(this.directory, { recursive: true });
   }
