--- a/src/control/team-shares.ts
+++ b/src/control/team-shares.ts
@@ -26,6 +26,19 @@
   api: ShareApi;
 }
 
+function candidate(placement: Placement, now: number): DrainCandidate {
+  const { job, task } = placement;
+  const { cpus, gpus } = job.spec.need;
+  return {
+    job: job.id,
+    task,
+    priority: job.spec.priority,
+    lossMs: lossMs(placement, now),
+    wholeGang: job.gang !== null,
+    need: { cpus, gpus },
+  };
+}
+
 /** The scheduler's side of moving shares: what the teams use, want and would have to stop. */
 export class TeamShares implements SchedulerPort, TermExtension {
   readonly moves: LeaderShares;
@@ -80,7 +93,7 @@
     const stops = this.moves.toStop(
       this.demands(heldBack),
       this.used(),
-      (team) => this.candidates(team),
+      (team) => this.stoppableNow(team),
       (team) => this.stopping(team),
     );
     for (const { job, task } of stops) this.stop(job, task);
@@ -126,24 +139,43 @@
     return waiting;
   }
 
-  /** Replicas of services are not stopped: what they answer can't be made up for. */
   candidates(team: string): DrainCandidate[] {
     const now = this.host.now();
-    const list: DrainCandidate[] = [];
-    for (const placement of this.placementsOf(team)) {
-      const { job, task } = placement;
-      if (job.spec.kind === 'service' || placement.stop) continue;
-      const { cpus, gpus } = job.spec.need;
-      list.push({
-        job: job.id,
-        task,
-        priority: job.spec.priority,
-        lossMs: lossMs(placement, now),
-        wholeGang: job.gang !== null,
-        need: { cpus, gpus },
-      });
+    return this.drainable(team).map((placement) => candidate(placement, now));
+  }
+
+  /**
+   * The candidates on machines that are heard. Room that others leave cannot be used yet or even seen
+   * by the round of decisions, which would stop as much again on machines that are heard.
+   */
+  private stoppableNow(team: string): DrainCandidate[] {
+    const now = this.host.now();
+    if (this.mayBeStopping(team, now)) return [];
+    const silentMs = this.host.settings.workers.leaseMs / 3;
+    const isHeard = ({ machine }: Placement): boolean =>
+      this.host.machine(machine)?.usable(now, silentMs) ?? false;
+    return this.drainable(team)
+      .filter(isHeard)
+      .map((placement) => candidate(placement, now));
+  }
+
+  /**
+   * Whether a former leader may have told tasks to stop of which this one has not heard: that is known
+   * from reports alone. No machine that will still report with its tasks does so after a lease.
+   */
+  private mayBeStopping(team: string, now: number): boolean {
+    const { term, settings } = this.host;
+    if (now - term.startedAt > settings.workers.leaseMs) return false;
+    for (const { machine } of this.placementsOf(team)) {
+      if (this.host.machine(machine)?.heardAt === null) return true;
     }
-    return list;
+    return false;
+  }
+
+  /** Replicas of services are not stopped: what they answer can't be made up for. */
+  private drainable(team: string): Placement[] {
+    const isDrainable = ({ job, stop }: Placement): boolean => job.spec.kind !== 'service' && !stop;
+    return [...this.placementsOf(team)].filter(isDrainable);
   }
 
   private stopping(team: string): Amounts {
--- /dev/null
+++ b/test/shares-unheard-machines.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EIGHT, movePhase, shareApi, withShares } from './fakes/share-checker.js';
+import type { FakeWorker, Piece } from './fakes/worker.js';
+import { World } from './fakes/world.js';
+
+/** As many GPUs as the limits of both teams add up to. */
+const TWELVE = [...EIGHT, ...EIGHT.slice(2, 6)];
+const TUNING_TASKS = 80;
+const SERVICE_TASKS = 16;
+const MORE_REPLICAS = 8;
+
+/** Machines that are not heard for a part of their lease. */
+const SILENT = 5;
+
+/** Gives the team of the service a limit that its first replicas use up. */
+const LOWER_LIMIT = { id: 'm0', from: 'vision', to: 'speech', limit: { gpus: 16 } };
+const MOVE = {
+  id: 'm1',
+  from: 'speech',
+  to: 'vision',
+  guarantee: { gpus: MORE_REPLICAS },
+  limit: { gpus: MORE_REPLICAS },
+};
+
+interface Story {
+  w: World;
+  tuning: string;
+}
+
+/** A tuning run and a service hold all machines, both teams at their limits. */
+async function begin(): Promise<Story> {
+  const w = new World(TWELVE, 3);
+  w.cloud.capacity = TWELVE.length;
+  withShares(w);
+  await w.start();
+  await move(w, LOWER_LIMIT);
+  await w.until(() => movePhase(w, 'm0') === 'done', 60, 'the limit is lower');
+  const service = await w.submit({ shape: 'service', pieces: SERVICE_TASKS, runMs: 0 });
+  const tuning = await w.submit({ pieces: TUNING_TASKS, crew: 'speech', runMs: 600_000 });
+  const full = (): boolean =>
+    w.running(service) === SERVICE_TASKS && w.running(tuning) === TUNING_TASKS;
+  await w.until(full, 20, 'every machine is full');
+  // By now all tasks lose as much as between two checkpoints: the first ones would be stopped.
+  await w.pass(12);
+  return { w, tuning };
+}
+
+function silence({ w, tuning }: Story): void {
+  w.trouble.mute(w.holding(tuning).slice(0, SILENT));
+}
+
+const isBeingStopped = ({ phase }: Piece): boolean => phase === 'flushing' || phase === 'ended';
+
+/** Asks the leader, and again while none serves. */
+async function move(w: World, wanted: object): Promise<void> {
+  for (let i = 0; i < 50; i++) {
+    const api = w.leader < 0 ? null : shareApi(w, w.leader);
+    const answer = api && (await w.drive(api.submit(wanted)));
+    if (answer?.status === 201) return;
+    await w.pass(0.1);
+  }
+  assert.fail('the move is not accepted');
+}
+
+function runningOn(workers: FakeWorker[], wanted: string): number {
+  const pieces = workers.flatMap((worker) => worker.pieces);
+  return pieces.filter(({ job, phase }) => job === wanted && phase === 'running').length;
+}
+
+/** More replicas, beyond the limit of their team until the move has given it more. */
+async function askForMore(w: World): Promise<string> {
+  const replicas = await w.submit({ shape: 'service', pieces: MORE_REPLICAS, runMs: 0 }, w.leader);
+  await move(w, MOVE);
+  return replicas;
+}
+
+/** The replicas get what they need and no more: no task of the run is stopped to start again. */
+async function enoughIsStopped({ w, tuning }: Story, replicas: string): Promise<void> {
+  await w.until(() => w.running(replicas) === MORE_REPLICAS, 60, 'the replicas run');
+  await w.pass(5);
+  const starts = w.starts.filter((start) => start.startsWith(tuning));
+  assert.deepEqual(
+    [w.running(tuning), starts.length],
+    [TUNING_TASKS - MORE_REPLICAS, TUNING_TASKS],
+  );
+  await w.close();
+}
+
+/** The replicas take the place of tasks on machines that are heard. */
+async function silentOnesGoOn(story: Story): Promise<void> {
+  const { w, tuning } = story;
+  const silent = w.holding(tuning).slice(0, SILENT);
+  const before = runningOn(silent, tuning);
+  const replicas = await askForMore(w);
+  await w.until(() => w.running(tuning) < TUNING_TASKS, 20, 'tasks are stopped');
+  for (const worker of silent) worker.mute = false;
+  assert.equal(runningOn(silent, tuning), before);
+  await enoughIsStopped(story, replicas);
+}
+
+async function changeLeader(w: World): Promise<void> {
+  const former = w.leader;
+  w.crash(former);
+  await w.until(() => w.leader >= 0 && w.leader !== former, 20, 'another leads');
+}
+
+// Guards that a drain stops only what runs on machines that are heard: tasks of others were stopped,
+// and as many beside them on those that were.
+test(`${SILENT} of ${TWELVE.length} machines are silent for seconds: a drain takes none of their tasks`, async () => {
+  const story = await begin();
+  silence(story);
+  await story.w.pass(4);
+  await silentOnesGoOn(story);
+});
+
+// Guards that a drain waits until a new leader has heard the machines: what the former one told to stop
+// is written nowhere else.
+test(`the leader ends in the middle of a drain on ${TWELVE.length} machines: the next one stops no more`, async () => {
+  const story = await begin();
+  const { w, tuning } = story;
+  const replicas = await askForMore(w);
+  await w.until(() => w.running(tuning) < TUNING_TASKS, 20, 'tasks are stopped');
+  const stopped = w.holding(tuning).filter(({ pieces }) => pieces.some(isBeingStopped));
+  w.trouble.mute(stopped);
+  await changeLeader(w);
+  await w.pass(1.8);
+  for (const worker of stopped) worker.mute = false;
+  await enoughIsStopped(story, replicas);
+});
