Forecast: open jobs are counted once a boot, not in every round

The forecast takes a sample once a boot, yet all open jobs were counted for it in every round. What a class looks like is taken from the job that became ready last, as the comment said.

--- a/src/control/expected-demand.ts
+++ b/src/control/expected-demand.ts
@@ -18,21 +18,20 @@
 
   /** Notes what is open now, and answers what is expected. */
   observe(now: number, bootMs: number): ExpectedTasks[] {
-    const demand = this.demand(bootMs);
-    this.forecast.observe(now, bootMs, demand);
-    return this.forecast.expected(demand);
+    this.forecast.observe(now, bootMs, () => this.demand(bootMs));
+    return this.forecast.expected();
   }
 
   /** Open tasks of the classes that cannot wait for a boot, nor begin on a cheap machine. */
   private demand(bootMs: number): Map<string, ClassDemand> {
-    const classes = new Map<string, ClassDemand>();
+    const classes = new Map<string, ClassDemand & { readyAt: number }>();
     for (const job of this.jobs.values()) {
-      const { spec } = job;
-      if (job.phase !== 'open' || job.readyAt === null || !this.isPressing(job, bootMs)) continue;
-      const tasks = spec.tasks - job.doneCount;
+      const { spec, readyAt } = job;
+      if (job.phase !== 'open' || readyAt === null || !this.isPressing(job, bootMs)) continue;
       const known = classes.get(spec.jobClass);
-      if (known) known.tasks += tasks;
-      else classes.set(spec.jobClass, { spec, tasks });
+      const tasks = (known?.tasks ?? 0) + spec.tasks - job.doneCount;
+      const newest = known && known.readyAt >= readyAt ? known : { spec, readyAt };
+      classes.set(spec.jobClass, { ...newest, tasks });
     }
     return classes;
   }
--- a/src/scheduler/demand-forecast.ts
+++ b/src/scheduler/demand-forecast.ts
@@ -14,7 +14,7 @@
 
 /** What is open of one job class. */
 export interface ClassDemand {
-  /** That of its newest job: what comes next will most likely look like it. */
+  /** That of the job that became ready last: what comes next will most likely look like it. */
   spec: JobSpec;
   /** Tasks that run or wait. */
   tasks: number;
@@ -28,7 +28,7 @@
 
 interface Sample {
   at: number;
-  tasks: ReadonlyMap<string, number>;
+  demand: ReadonlyMap<string, ClassDemand>;
 }
 
 /**
@@ -39,19 +39,21 @@
 export class DemandForecast {
   private readonly samples: Sample[] = [];
 
-  /** Notes what is open at `now`. Calls within a `bootMs` of the last sample change nothing. */
-  observe(now: number, bootMs: number, demand: ReadonlyMap<string, ClassDemand>): void {
+  /**
+   * Notes what is open at `now`. `count` is asked no more than once in `bootMs`: it looks at every job.
+   */
+  observe(now: number, bootMs: number, count: () => ReadonlyMap<string, ClassDemand>): void {
     const last = this.samples[this.samples.length - 1];
     if (last && now - last.at < bootMs) return;
-    const tasks = new Map([...demand].map(([name, { tasks: open }]) => [name, open]));
-    this.samples.push({ at: now, tasks });
+    this.samples.push({ at: now, demand: count() });
     if (this.samples.length > INTERVALS + 1) this.samples.shift();
   }
 
-  /** What is expected of each class; classes that do not grow are left out. */
-  expected(demand: ReadonlyMap<string, ClassDemand>): ExpectedTasks[] {
+  /** What is expected of each class by the last sample; classes that do not grow are left out. */
+  expected(): ExpectedTasks[] {
     const expected: ExpectedTasks[] = [];
-    for (const [name, { spec }] of demand) {
+    const last = this.samples[this.samples.length - 1];
+    for (const [name, { spec }] of last?.demand ?? []) {
       const count = this.growth(name) * HORIZON_INTERVALS;
       if (count > 0) expected.push({ spec, count });
     }
@@ -62,11 +64,15 @@
   private growth(name: string): number {
     const growths: number[] = [];
     for (let i = 1; i < this.samples.length; i++) {
-      const before = this.samples[i - 1]!.tasks.get(name) ?? 0;
-      growths.push((this.samples[i]!.tasks.get(name) ?? 0) - before);
+      growths.push(this.open(i, name) - this.open(i - 1, name));
     }
     if (growths.length < LEAST_INTERVALS) return 0;
     growths.sort((a, b) => a - b);
     return growths[(growths.length - 1) >> 1]!;
   }
+
+  /** How many tasks of a class were open at a sample. */
+  private open(sample: number, name: string): number {
+    return this.samples[sample]!.demand.get(name)?.tasks ?? 0;
+  }
 }
--- a/test/demand-forecast.test.ts
+++ b/test/demand-forecast.test.ts
@@ -5,14 +5,14 @@
 
 const BOOT_MS = 40_000;
 
-const demand = (tasks: number): Map<string, ClassDemand> =>
+const demand = (tasks: number) => (): Map<string, ClassDemand> =>
   new Map([[SPEC.jobClass, { spec: SPEC, tasks }]]);
 
 /** What is expected after the open tasks of one class were counted once a boot. */
 function expectedAfter(counts: number[]): number {
   const forecast = new DemandForecast();
   counts.forEach((tasks, i) => forecast.observe(i * BOOT_MS, BOOT_MS, demand(tasks)));
-  return forecast.expected(demand(counts[counts.length - 1]!))[0]?.count ?? 0;
+  return forecast.expected()[0]?.count ?? 0;
 }
 
 test('growth that goes on is expected for two boots: one to boot, one until the next count', () => {
@@ -36,10 +36,15 @@
   assert.equal(expectedAfter([10, 20, 30, 40, 50, 50, 50, 50]), 0);
 });
 
-test('counts that come sooner than a boot after the last change nothing', () => {
+test('counts that come sooner than a boot after the last change nothing, and are not made', () => {
   const forecast = new DemandForecast();
+  let counts = 0;
   for (let second = 0; second < 39; second++) {
-    forecast.observe(second * 1000, BOOT_MS, demand(second));
+    forecast.observe(second * 1000, BOOT_MS, () => {
+      counts++;
+      return demand(second)();
+    });
   }
-  assert.deepEqual(forecast.expected(demand(39)), []);
+  assert.equal(counts, 1);
+  assert.deepEqual(forecast.expected(), []);
 });
