--- a/src/settings/deploy.ts
+++ b/src/settings/deploy.ts
@@ -10,6 +10,12 @@
 
 /** The record of a job is one value: some 350 bytes with short names. Lists in it are split over several. */
 const LEAST_VALUE_KB = 1;
+const valueKb = z.number().check(z.minimum(LEAST_VALUE_KB, 'is too small for the record of a job'));
+
+const LEAST_CHANGES = 2;
+const transactionChanges = z
+  .int()
+  .check(z.minimum(LEAST_CHANGES, 'is too small for a job and its start'));
 
 const schema = z.object({
   member: z.string().check(z.minLength(1)),
@@ -61,14 +67,14 @@
     state: z.object({
       rps: positive,
       write_rps: positive,
-      value_kb: z.number().check(z.minimum(LEAST_VALUE_KB, 'is too small for the record of a job')),
-      txn_ops: z.int().check(z.minimum(2, 'is too small for a job and its start')),
+      value_kb: valueKb,
+      txn_ops: transactionChanges,
       next: z.optional(
         z.object({
           rps: z.optional(positive),
           write_rps: z.optional(positive),
-          value_kb: z.optional(positive),
-          txn_ops: z.optional(z.int().check(z.minimum(2))),
+          value_kb: z.optional(valueKb),
+          txn_ops: z.optional(transactionChanges),
         }),
       ),
     }),
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -88,7 +88,8 @@
   assert.deepEqual(all.state.next, { rps: 50, writeRps: 9, valueBytes: 4096, txnOps: 4 });
   for (const [wrong, what] of [
     ['value_kb = 0', /^file\.toml: facts\.state\.next\.value_kb: /],
-    ['txn_ops = 1', /^file\.toml: facts\.state\.next\.txn_ops: /],
+    ['value_kb = 0.5', /^file\.toml: facts\.state\.next\.value_kb: .*record of a job/],
+    ['txn_ops = 1', /^file\.toml: facts\.state\.next\.txn_ops: .*a job and its start/],
     ['txn_ops = 4.5', /^file\.toml: facts\.state\.next\.txn_ops: /],
     ['write_rps = "few"', /^file\.toml: facts\.state\.next\.write_rps: /],
     ['rps = -1', /^file\.toml: facts\.state\.next\.rps: /],
