--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -2,7 +2,13 @@
  * What operators may ask of any controller, leading or not: everything rests on the state service. Orders
  * are stored here; the leader alone carries them out.
  */
-import { answering, errorAnswer, type ApiAnswer } from '@leverhatch/operators/answer';
+import {
+  answering,
+  errorAnswer,
+  RequestMarks,
+  retryingConflicts,
+  type ApiAnswer,
+} from '@leverhatch/operators/answer';
 import { BadRequest } from '@leverhatch/operators/request';
 import { whyNotVersions } from './fitness.js';
 import { historyOf, loserOf } from './history.js';
@@ -25,9 +31,6 @@
 /** So many rollouts may be open at once. */
 export const MOST_OPEN_ROLLOUTS = 50;
 
-/** Two controllers may change one record at the same moment; each tries again this many times. */
-const MOST_TRIES = 5;
-
 /** Probes may come so many times less often than they should, well within what a proof is good for. */
 const MOST_STRETCH = FRESH_INTERVALS / 2;
 
@@ -42,40 +45,41 @@
 
 /** Answers operators. */
 export class RolloutApi {
-  private requests = 0;
+  private readonly marks: RequestMarks;
 
   constructor(
     private readonly ports: RolloutPorts,
     /** Names this process in its writes. */
-    private readonly processId: string,
+    processId: string,
     /** What this controller knows while it leads; null: another one does. */
     private readonly leading: () => LeadingRollouts | null,
-  ) {}
+  ) {
+    this.marks = new RequestMarks(processId, 'o');
+  }
 
   /** Stores a request; the same one again gets the state of the first. */
   start(body: unknown): Promise<ApiAnswer> {
-    return this.answering(async () => {
+    return this.answering(() => {
       const request = parseRequest(body);
-      for (let tries = 0; tries < MOST_TRIES; tries++) {
-        const book = await this.read();
-        const known = book.rollout(request.id);
-        if (known) return this.repeated(known, request);
-        const refusal = await this.whyRefused(request, book);
-        if (refusal) return refusal;
-        const spec = newSpec(request, this.mark(), this.ports.clock.wall());
-        if (await this.store(spec, book)) {
-          const { id, from, to } = spec;
-          this.ports.log.info({ rollout: id, from, to }, 'rollout accepted');
-          return {
-            status: 201,
-            body: this.shown({ id, spec: { record: spec, version: 0 }, status: null }),
-          };
-        }
-      }
-      return errorAnswer(503, 'changed at the same time');
+      return retryingConflicts(() => this.tryToStart(request));
     });
   }
 
+  /** The answer; null: the records have changed meanwhile. */
+  private async tryToStart(request: RolloutRequest): Promise<ApiAnswer | null> {
+    const book = await this.read();
+    const known = book.rollout(request.id);
+    if (known) return this.repeated(known, request);
+    const refusal = await this.whyRefused(request, book);
+    if (refusal) return refusal;
+    const spec = newSpec(request, this.marks.next(), this.ports.clock.wall());
+    if (!(await this.store(spec, book))) return null;
+    const { id, from, to } = spec;
+    this.ports.log.info({ rollout: id, from, to }, 'rollout accepted');
+    const rollout = { id, spec: { record: spec, version: 0 }, status: null };
+    return { status: 201, body: this.shown(rollout) };
+  }
+
   /** Says what a rollout would do, without doing anything. */
   plan(body: unknown): Promise<ApiAnswer> {
     return this.answering(async () => {
@@ -162,28 +166,28 @@
 
   /** Stores an order; one that was given already is answered as before. */
   order(id: string, order: Order): Promise<ApiAnswer> {
-    return this.answering(async () => {
-      for (let tries = 0; tries < MOST_TRIES; tries++) {
-        const rollout = (await this.read()).rollout(id);
-        if (!rollout) return errorAnswer(404, `id: no rollout ${id}`);
-        if (!isReadable(rollout)) return errorAnswer(409, `id: the record of ${id} cannot be read`);
-        const refusal = whyNot(order, rollout);
-        if (refusal !== null) return errorAnswer(409, `id: rollout ${id} ${refusal}`);
-        const { record, version } = rollout.spec;
-        const next = { ...record, ...CHANGES[order] };
-        if (next.paused === record.paused && next.rollback === record.rollback) {
-          return { status: 200, body: this.shown(rollout) };
-        }
-        const spec = { ...next, w: this.mark() };
-        const key = ROLLOUT_KEYS.spec(id);
-        const put = [{ put: key, value: spec }];
-        const outcome = await this.ports.store.txn([{ key, version }], put, URGENCY);
-        if (!outcome.ok) continue;
-        this.ports.log.info({ rollout: id, order }, 'rollout order accepted');
-        return { status: 200, body: this.shown({ ...rollout, spec: { record: spec, version } }) };
-      }
-      return errorAnswer(503, 'changed at the same time');
-    });
+    return this.answering(() => retryingConflicts(() => this.tryToOrder(id, order)));
+  }
+
+  /** The answer; null: the record has changed meanwhile. */
+  private async tryToOrder(id: string, order: Order): Promise<ApiAnswer | null> {
+    const rollout = (await this.read()).rollout(id);
+    if (!rollout) return errorAnswer(404, `id: no rollout ${id}`);
+    if (!isReadable(rollout)) return errorAnswer(409, `id: the record of ${id} cannot be read`);
+    const refusal = whyNot(order, rollout);
+    if (refusal !== null) return errorAnswer(409, `id: rollout ${id} ${refusal}`);
+    const { record, version } = rollout.spec;
+    const next = { ...record, ...CHANGES[order] };
+    if (next.paused === record.paused && next.rollback === record.rollback) {
+      return { status: 200, body: this.shown(rollout) };
+    }
+    const spec = { ...next, w: this.marks.next() };
+    const key = ROLLOUT_KEYS.spec(id);
+    const put = [{ put: key, value: spec }];
+    const outcome = await this.ports.store.txn([{ key, version }], put, URGENCY);
+    if (!outcome.ok) return null;
+    this.ports.log.info({ rollout: id, order }, 'rollout order accepted');
+    return { status: 200, body: this.shown({ ...rollout, spec: { record: spec, version } }) };
   }
 
   /** All rollouts that are open, or whose losing job its user has not cancelled. */
@@ -228,10 +232,6 @@
     };
   }
 
-  private mark(): string {
-    return `${this.processId}/o${++this.requests}`;
-  }
-
   private async read(): Promise<RolloutBook> {
     const { items } = await this.ports.store.range(ROLLOUT_KEYS.all);
     return RolloutBook.of(items);
--- a/packages/shares/src/api.ts
+++ b/packages/shares/src/api.ts
@@ -3,7 +3,14 @@
  * the leader changes the table; here requests are stored, and what the records say is shown.
  */
 import type { Entry } from '@leverhatch/core/store';
-import { answering, errorAnswer, type ApiAnswer } from '@leverhatch/operators/answer';
+import {
+  answering,
+  conflictAnswer,
+  errorAnswer,
+  RequestMarks,
+  retryingConflicts,
+  type ApiAnswer,
+} from '@leverhatch/operators/answer';
 import { finite, NOTHING, subtract } from './amounts.js';
 import { chooseToStop } from './drain.js';
 import { SHARE_KEYS } from './keys.js';
@@ -17,9 +24,6 @@
 /** So many moves may be under way or wait at once. */
 export const MOST_OPEN_MOVES = 1000;
 
-/** Two controllers may change one record at the same moment; each tries again this many times. */
-const MOST_TRIES = 5;
-
 /** Requests of operators go with users' other writes. */
 const URGENCY = 1;
 
@@ -36,20 +40,18 @@
 
 /** Answers operators. */
 export class ShareApi {
-  private requests = 0;
+  private readonly marks: RequestMarks;
   /** What the teams are promised, as it was last read. */
   private promised: { readAt: number; shares: ReadonlyMap<string, TeamShare> } | null = null;
 
   constructor(
     private readonly ports: SharePorts,
     /** Names this process in its writes. */
-    private readonly processId: string,
+    processId: string,
     /** What this controller knows while it leads; null: another one does. */
     private readonly leading: () => LeadingTerm | null,
-  ) {}
-
-  private mark(): string {
-    return `${this.processId}/r${++this.requests}`;
+  ) {
+    this.marks = new RequestMarks(processId, 'r');
   }
 
   /** Stores a request; the same one again gets the state of the first. */
@@ -63,14 +65,14 @@
       const book = await this.read();
       if (book.openMoves >= MOST_OPEN_MOVES)
         return errorAnswer(503, 'too many moves are under way');
-      const move = newMove(request, this.mark(), clock.wall());
+      const move = newMove(request, this.marks.next(), clock.wall());
       const outcome = await store.txn([{ key, version: 0 }], [{ put: key, value: move }], URGENCY);
       if (outcome.ok) {
         this.ports.log.info({ move: move.id, from: move.from, to: move.to }, 'share move accepted');
         return { status: 201, body: move };
       }
       const first = await store.get(key, URGENCY);
-      return first ? this.repeated(first, request) : errorAnswer(503, 'changed at the same time');
+      return first ? this.repeated(first, request) : conflictAnswer();
     });
   }
 
@@ -83,23 +85,23 @@
 
   /** Asks the leader to take a move back; a move that is over stays as it is. */
   cancel(id: string): Promise<ApiAnswer> {
-    return this.answering(async () => {
-      const { store } = this.ports;
-      const key = SHARE_KEYS.move(id);
-      for (let tries = 0; tries < MOST_TRIES; tries++) {
-        const entry = await store.get(key, URGENCY);
-        if (!entry) return errorAnswer(404, `id: no move ${id}`);
-        const move = parseMove(entry.value);
-        if (!move) return errorAnswer(409, `id: the record of ${id} cannot be read`);
-        if (move.cancelRequested) return { status: 200, body: move };
-        if (isFinal(move.phase)) return errorAnswer(409, `id: move ${id} is over (${move.phase})`);
-        const next: MoveRecord = { ...move, cancelRequested: true, w: this.mark() };
-        const when = [{ key, version: entry.version }];
-        const outcome = await store.txn(when, [{ put: key, value: next }], URGENCY);
-        if (outcome.ok) return { status: 200, body: next };
-      }
-      return errorAnswer(503, 'changed at the same time');
-    });
+    return this.answering(() => retryingConflicts(() => this.tryToCancel(id)));
+  }
+
+  /** The answer; null: the record has changed meanwhile. */
+  private async tryToCancel(id: string): Promise<ApiAnswer | null> {
+    const { store } = this.ports;
+    const key = SHARE_KEYS.move(id);
+    const entry = await store.get(key, URGENCY);
+    if (!entry) return errorAnswer(404, `id: no move ${id}`);
+    const move = parseMove(entry.value);
+    if (!move) return errorAnswer(409, `id: the record of ${id} cannot be read`);
+    if (move.cancelRequested) return { status: 200, body: move };
+    if (isFinal(move.phase)) return errorAnswer(409, `id: move ${id} is over (${move.phase})`);
+    const next: MoveRecord = { ...move, cancelRequested: true, w: this.marks.next() };
+    const when = [{ key, version: entry.version }];
+    const { ok } = await store.txn(when, [{ put: key, value: next }], URGENCY);
+    return ok ? { status: 200, body: next } : null;
   }
 
   /** What every team has, and the moves that are not over. */
