--- a/test/fakes/sample-settings.ts
+++ b/test/fakes/sample-settings.ts
@@ -1,4 +1,5 @@
 import { parseDeploy, type Settings, type Team } from '../../src/settings/deploy.js';
+import type { DeploymentShape } from './deployment-shape.js';
 
 export const SETTINGS = `
 member = "berth-0"
@@ -80,9 +81,7 @@
 export function settingsAmong(
   member: string,
   all: { name: string; zone: string }[],
-  shape: Pick<Settings, 'workers' | 'machine'> & { zones: readonly string[] } & {
-    state: Partial<Settings['state']>;
-  },
+  shape: Omit<DeploymentShape, 'controllers'>,
 ): Settings {
   const own = settings(member);
   const peers = all
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -1,5 +1,6 @@
 import type { MachineType } from '../../src/fleet/types.js';
 import { Priority, type JobSpec } from '../../src/jobs/job.js';
+import type { MachineView } from '../../src/scheduler/model.js';
 
 /** A machine type and a job that stories of the scheduler vary. */
 export const TYPE: MachineType = {
@@ -13,6 +14,24 @@
   zones: ['a', 'b'],
 };
 
+/** An empty machine as a round of decisions sees it. */
+export function machine(id: string, view: Partial<MachineView> = {}): MachineView {
+  return {
+    id,
+    type: TYPE,
+    zone: 'a',
+    spot: false,
+    free: { ...TYPE.room },
+    up: true,
+    images: new Set(),
+    incomingGb: 0,
+    tasksOf: new Map(),
+    replicas: 0,
+    keepMs: 40_000,
+    ...view,
+  };
+}
+
 export const SPEC: JobSpec = {
   jobClass: 'c',
   team: 'vision',
--- a/test/headroom.test.ts
+++ b/test/headroom.test.ts
@@ -1,16 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Priority, type JobSpec } from '../src/jobs/job.js';
-import type {
-  JobView,
-  MachineView,
-  Offer,
-  Rent,
-  Snapshot,
-  VictimView,
-} from '../src/scheduler/model.js';
+import type { JobView, Offer, Rent, Snapshot, VictimView } from '../src/scheduler/model.js';
 import { plan } from '../src/scheduler/plan.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { machine, SPEC, TYPE } from './fakes/samples.js';
 
 /** Replicas of 2 GPUs each: four of them fill a machine. */
 const REPLICA: JobSpec = {
@@ -38,23 +31,6 @@
   price: TYPE.price,
 }));
 
-function machine(id: string, view: Partial<MachineView> = {}): MachineView {
-  return {
-    id,
-    type: TYPE,
-    zone: 'a',
-    spot: false,
-    free: { ...TYPE.room },
-    up: true,
-    images: new Set(),
-    incomingGb: 0,
-    tasksOf: new Map(),
-    replicas: 0,
-    keepMs: 40_000,
-    ...view,
-  };
-}
-
 function waitingGang(id: string, readyAt: number): JobView {
   return {
     id,
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -10,7 +10,7 @@
 } from '../src/scheduler/model.js';
 import { withinGuarantee } from '../src/scheduler/order.js';
 import { plan } from '../src/scheduler/plan.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { machine, SPEC, TYPE } from './fakes/samples.js';
 
 let n = 0;
 function job(spec: Partial<JobSpec>, view: Partial<JobView> = {}): JobView {
@@ -34,23 +34,6 @@
   };
 }
 
-function machine(id: string, view: Partial<MachineView> = {}): MachineView {
-  return {
-    id,
-    type: TYPE,
-    zone: 'a',
-    spot: false,
-    free: { ...TYPE.room },
-    up: true,
-    images: new Set(),
-    incomingGb: 0,
-    tasksOf: new Map(),
-    replicas: 0,
-    keepMs: 40_000,
-    ...view,
-  };
-}
-
 const team = (used: number, guarantee = 8, limit = 16): TeamView => ({
   guarantee: { cpus: 0, gpus: guarantee },
   limit: { cpus: Infinity, gpus: limit },
