--- /dev/null
+++ b/test/fakes/three-zones.ts
@@ -0,0 +1,86 @@
+import { THREE_ZONES } from './deployment-shape.js';
+import { machines } from './meeting.js';
+import { World } from './world.js';
+
+/** What runs in the stories of the shape with three zones. */
+export interface Work {
+  /** Services of three replicas with 2 GPUs each, spread over zones. */
+  replicas: string[];
+  /** Gangs of two whole machines in one zone. */
+  pairs: string[];
+  /** Arrays of one-GPU tasks that make way for all else. */
+  sweeps: string[];
+}
+
+/** How large a story is. */
+export interface StorySize {
+  machinesPerZone: number;
+  /** Machines that can be rented beside them. */
+  rentable: number;
+  services: number;
+  pairs: number;
+  sweeps: number;
+  /** How many times the sample's guarantees and limits the teams have. */
+  teamScale: number;
+}
+
+const REPLICAS = 3;
+const SWEEP_TASKS = 24;
+const BOOT_S = 40;
+export const LEASE_S = THREE_ZONES.workers.leaseMs / 1000;
+
+/** Five controllers in three zones and a fleet on which all of the work runs. */
+export async function beginInThreeZones(
+  seed: number,
+  size: StorySize,
+): Promise<{ w: World; work: Work }> {
+  const yards = THREE_ZONES.zones.map((zone) => zone.repeat(size.machinesPerZone)).join('');
+  const fleet = machines(yards);
+  const w = new World(fleet, THREE_ZONES, seed, {}, size.teamScale);
+  w.cloud.capacity = fleet.length + size.rentable;
+  await w.start();
+  const work: Work = { replicas: [], pairs: [], sweeps: [] };
+  for (let i = 0; i < size.services; i++) {
+    const wish = { pieces: REPLICAS, gpus: 2, runMs: 0, crew: 'speech', urgency: 'production' };
+    work.replicas.push(await w.accept({ ...wish, shape: 'service', apart: true }));
+  }
+  for (let i = 0; i < size.pairs; i++) {
+    const wish = { pieces: 2, gpus: 8, vcpus: 40, runMs: 90_000, urgency: 'urgent' };
+    work.pairs.push(await w.accept({ ...wish, shape: 'gang', samePlace: true }));
+  }
+  for (let i = 0; i < size.sweeps; i++) {
+    const wish = { pieces: SWEEP_TASKS, runMs: 40_000, urgency: 'best_effort' };
+    work.sweeps.push(await w.accept(wish));
+  }
+  const all = [...work.replicas, ...work.pairs, ...work.sweeps];
+  await w.until(() => all.every((job) => w.running(job) > 0), 40, 'all run');
+  return { w, work };
+}
+
+/** A zone loses its machines and its controllers for good. */
+export function loseZone(w: World, zone: string): void {
+  for (const [i, node] of w.nodes.entries()) if (w.zoneOf(node) === zone) w.crash(i);
+  for (const worker of [...w.workers.values()]) {
+    if (worker.yard !== zone) continue;
+    w.cloud.hosts.delete(worker.id);
+    w.kill(worker.id);
+  }
+}
+
+/** Whether every service has all its replicas. */
+export const allReplicasRun = (w: World, { replicas }: Work): boolean =>
+  replicas.every((job) => w.running(job) === REPLICAS);
+
+/** All replicas of a lost zone run in the others within a lease, a boot and what starting takes. */
+export async function replicasRunElsewhere(w: World, work: Work, zone: string): Promise<void> {
+  const elsewhere = (job: string): boolean => w.holding(job).every(({ yard }) => yard !== zone);
+  const done = (): boolean => allReplicasRun(w, work) && work.replicas.every(elsewhere);
+  await w.until(done, 2 * LEASE_S + BOOT_S + 20, 'run elsewhere');
+}
+
+/** Gangs and sweeps come to their end. */
+export async function batchesEnd(w: World, { pairs, sweeps }: Work): Promise<void> {
+  const isDone = (job: string): boolean => w.stored(job) === 'done';
+  await w.until(() => pairs.every(isDone), 200, 'the pairs are done');
+  await w.until(() => sweeps.every(isDone), 60, 'the sweeps are done');
+}
