--- a/test/fakes/deployment-shape.ts
+++ b/test/fakes/deployment-shape.ts
@@ -9,6 +9,8 @@
   workers: Settings['workers'];
   state: Partial<Settings['state']>;
   machine: Settings['machine'];
+  /** What operators want of job classes; without it as in the sample. */
+  objectives?: Settings['objectives'];
 }
 
 const sample = settings();
--- a/test/fakes/sample-settings.ts
+++ b/test/fakes/sample-settings.ts
@@ -87,10 +87,10 @@
   const peers = all
     .filter(({ name }) => name !== member)
     .map(({ name, zone }) => ({ member: name, zone, address: `${name}:1` }));
-  const { workers, machine } = shape;
+  const { workers, machine, objectives = own.objectives } = shape;
   return {
     ...own,
-    ...{ peers, workers, machine, zones: [...shape.zones], size: all.length },
+    ...{ peers, workers, machine, objectives, zones: [...shape.zones], size: all.length },
     zone: all.find(({ name }) => name === member)?.zone ?? own.zone,
     state: { ...own.state, ...shape.state },
   };
