--- a/test/fakes/job-wishes.ts
+++ b/test/fakes/job-wishes.ts
@@ -15,6 +15,9 @@
   hulls?: string[];
   vcpus?: number;
   waitsOn?: string[];
+  /** How often its tasks are ready to be saved, and how long that takes. */
+  snapshotEveryS?: number;
+  stowS?: number;
   /** The image of its tasks. */
   crate?: string;
   /** It has a mistake: its tasks fail on every machine after running for so long. */
@@ -51,8 +54,8 @@
       apart: w.apart ?? false,
       driftwood: w.driftwood ?? false,
       guessS: (w.runMs ?? 20_000) / 1000,
-      snapshotEveryS: 10,
-      stowS: 1,
+      snapshotEveryS: w.snapshotEveryS ?? 10,
+      stowS: w.stowS ?? 1,
       ...(w.waitsOn ? { waitsOn: w.waitsOn } : {}),
     };
     const { shape, pieces, vcpus, gpus, memoryGb } = body;
@@ -60,7 +63,8 @@
     this.needs.set(ref, w.waitsOn ?? []);
     this.images.set(ref, body.crate);
     this.bodies.set(ref, body);
-    const facts = { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs: 1000 };
+    const saveMs = body.stowS * 1000;
+    const facts = { shape, pieces, vcpus, gpus, memoryGb, runMs, fetchMs, saveMs };
     this.facts.set(ref, w.failsAfterMs ? { ...facts, failsAfterMs: w.failsAfterMs } : facts);
     return { ref, body };
   }
