Shares: a drain takes a gang only when all its machines are heard

Of a gang with a silent machine only the tasks that are heard counted, so that it looked cheaper than it is and was stopped as a whole.

--- a/src/control/team-shares.ts
+++ b/src/control/team-shares.ts
@@ -139,14 +139,15 @@
     return waiting;
   }
 
+  /** What may be stopped of a team, whatever is known of its machines. */
   candidates(team: string): DrainCandidate[] {
     const now = this.host.now();
     return this.drainable(team).map((placement) => candidate(placement, now));
   }
 
   /**
-   * The candidates on machines that are heard. Room that others leave cannot be used yet or even seen
-   * by the round of decisions, which would stop as much again on machines that are heard.
+   * The candidates on machines that are heard, gangs only whole. Room that others leave cannot be used
+   * yet or even seen by the round of decisions, which would stop as much again on machines that are heard.
    */
   private stoppableNow(team: string): DrainCandidate[] {
     const now = this.host.now();
@@ -154,8 +155,10 @@
     const silentMs = this.host.settings.workers.leaseMs / 3;
     const isHeard = ({ machine }: Placement): boolean =>
       this.host.machine(machine)?.usable(now, silentMs) ?? false;
+    const unheard = this.drainable(team).filter((placement) => !isHeard(placement));
+    const unheardGangs = new Set(unheard.map(({ job }) => job).filter(({ gang }) => gang));
     return this.drainable(team)
-      .filter(isHeard)
+      .filter((placement) => isHeard(placement) && !unheardGangs.has(placement.job))
       .map((placement) => candidate(placement, now));
   }
 
--- a/test/shares-unheard-machines.test.ts
+++ b/test/shares-unheard-machines.test.ts
@@ -28,19 +28,29 @@
   tuning: string;
 }
 
-/** A tuning run and a service hold all machines, both teams at their limits. */
-async function begin(): Promise<Story> {
+/** The limit of the team of the service is what its first replicas need. */
+async function beginWithLowerLimit(): Promise<World> {
   const w = new World(TWELVE, 3);
   w.cloud.capacity = TWELVE.length;
   withShares(w);
   await w.start();
   await move(w, LOWER_LIMIT);
   await w.until(() => movePhase(w, 'm0') === 'done', 60, 'the limit is lower');
+  return w;
+}
+
+/** The first replicas, which use up the limit of their team. */
+async function serve(w: World): Promise<void> {
   const service = await w.submit({ shape: 'service', pieces: SERVICE_TASKS, runMs: 0 });
+  await w.until(() => w.running(service) === SERVICE_TASKS, 20, 'the service runs');
+}
+
+/** A tuning run and a service hold all machines, both teams at their limits. */
+async function begin(): Promise<Story> {
+  const w = await beginWithLowerLimit();
+  await serve(w);
   const tuning = await w.submit({ pieces: TUNING_TASKS, crew: 'speech', runMs: 600_000 });
-  const full = (): boolean =>
-    w.running(service) === SERVICE_TASKS && w.running(tuning) === TUNING_TASKS;
-  await w.until(full, 20, 'every machine is full');
+  await w.until(() => w.running(tuning) === TUNING_TASKS, 20, 'every machine is full');
   // By now all tasks lose as much as between two checkpoints: the first ones would be stopped.
   await w.pass(12);
   return { w, tuning };
@@ -128,3 +138,24 @@
   for (const worker of stopped) worker.mute = false;
   await enoughIsStopped(story, replicas);
 });
+
+test(`one of ${TWELVE.length} machines is silent: a drain takes a gang that is heard as a whole`, async () => {
+  const w = await beginWithLowerLimit();
+  const gangs: string[] = [];
+  for (let i = 0; i < TUNING_TASKS / 16; i++) {
+    const pair = { shape: 'gang', pieces: 2, gpus: 8, runMs: 600_000 } as const;
+    gangs.push(await w.submit({ ...pair, crew: 'speech' }));
+  }
+  await w.until(() => gangs.every((gang) => w.running(gang) === 2), 60, 'all gangs run');
+  await serve(w);
+  await w.pass(12);
+  const silent = w.holding(gangs[0]!)[0]!;
+  w.trouble.mute([silent]);
+  await w.pass(4);
+  const replicas = await askForMore(w);
+  await w.until(() => gangs.some((gang) => w.running(gang) === 0), 20, 'a gang is stopped');
+  silent.mute = false;
+  await w.until(() => w.running(replicas) === MORE_REPLICAS, 60, 'the replicas run');
+  assert.equal(w.running(gangs[0]!), 2);
+  await w.close();
+});
