--- a/packages/rollout/src/prober.ts
+++ b/packages/rollout/src/prober.ts
@@ -1,6 +1,7 @@
 /** Probes replicas: spread over the interval, bounded in number and rate. */
 import type { Clock } from '@leverhatch/core/clock';
 import type { Random } from '@leverhatch/core/random';
+import { TokenBucket } from '@leverhatch/core/token-bucket';
 import { answerOf, type ProbeAnswer, type ReplicaProbe } from './probe.js';
 import type { ProbeSettings, Replica } from './ports.js';
 import type { ReplicaProofs } from './proofs.js';
@@ -42,11 +43,13 @@
   private queue: Due[] = [];
   private refreshedAt = -Infinity;
   private readonly underWay = new Set<string>();
-  private tokens = 0;
-  private refilledAt: number;
+  /** Empty at first: a new leader's probes are spread like all others. */
+  private readonly rate: TokenBucket;
 
   constructor(private readonly parts: ProberParts) {
-    this.refilledAt = parts.clock.now();
+    const { clock, settings } = parts;
+    const burst = Math.max(1, settings.perSecond * BURST_SECONDS);
+    this.rate = new TokenBucket(clock, settings.perSecond, burst, 0);
   }
 
   /** How often each replica is probed: less often where there are too many for the rate. */
@@ -67,14 +70,14 @@
     const now = this.parts.clock.now();
     const refreshMs = this.parts.settings.intervalMs / REFRESHES_PER_INTERVAL;
     if (now - this.refreshedAt >= refreshMs) this.refresh(now);
-    this.refill(now);
+    this.rate.fill();
     let due = this.queue[0];
-    while (due && due.at <= now && this.tokens >= 1 && this.underWay.size < this.mostUnderWay) {
+    while (due && due.at <= now && this.rate.tokens >= 1 && this.underWay.size < this.rate.burst) {
       this.queue.shift();
       // All intervals are the same, so that nobody is due later than this one.
       this.queue.push({ replica: due.replica, at: now + this.intervalMs });
       if (!this.underWay.has(due.replica.key)) {
-        this.tokens--;
+        this.rate.spend(1);
         void this.probe(due.replica, signal);
       }
       due = this.queue[0];
@@ -101,17 +104,6 @@
     this.queue = queue;
   }
 
-  private get mostUnderWay(): number {
-    return Math.max(1, this.parts.settings.perSecond * BURST_SECONDS);
-  }
-
-  private refill(now: number): void {
-    const { perSecond } = this.parts.settings;
-    const earned = ((now - this.refilledAt) / 1000) * perSecond;
-    this.tokens = Math.min(Math.max(1, perSecond * BURST_SECONDS), this.tokens + earned);
-    this.refilledAt = now;
-  }
-
   private async probe(replica: Replica, signal: AbortSignal): Promise<void> {
     const { clock, probe, proofs } = this.parts;
     const timeoutMs = this.parts.settings.intervalMs * TIMEOUT_SHARE;
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@leverhatch/core/clock';
 import type { Urgency } from '@leverhatch/core/store';
+import { TokenBucket } from '@leverhatch/core/token-bucket';
 
 export type { Urgency } from '@leverhatch/core/store';
 
@@ -16,28 +17,26 @@
  * one node's callers below a rate that a partner enforces with refusals.
  */
 export class Budget {
-  private tokens: number;
-  private filledAt: number;
+  private readonly bucket: TokenBucket;
   private readonly queues: Waiter[][] = [[], [], [], []];
   private serving = false;
 
   constructor(
     private readonly clock: Clock,
-    private perSecond: number,
-    private burst: number,
+    perSecond: number,
+    burst: number,
   ) {
-    this.tokens = burst;
-    this.filledAt = clock.now();
+    this.bucket = new TokenBucket(clock, perSecond, burst);
   }
 
   /** Resolves once `cost` may be spent; rejects if `signal` is aborted first. */
   take(cost: number, urgency: Urgency, signal?: AbortSignal): Promise<void> {
     signal?.throwIfAborted();
-    this.fill();
+    const tokens = this.bucket.fill();
     // A cost above the burst would never be covered; it is let through once the bucket is full.
-    const price = Math.min(cost, this.burst);
-    if (this.queues.every((q) => q.length === 0) && this.tokens >= price) {
-      this.tokens -= price;
+    const price = Math.min(cost, this.bucket.burst);
+    if (this.queues.every((q) => q.length === 0) && tokens >= price) {
+      this.bucket.spend(price);
       return Promise.resolve();
     }
     return new Promise((resolve, reject) => {
@@ -62,10 +61,7 @@
 
   /** Another rate from now on; whoever waits is served at it. */
   setRate(perSecond: number, burst: number): void {
-    this.fill();
-    this.perSecond = perSecond;
-    this.burst = burst;
-    this.tokens = Math.min(this.tokens, burst);
+    this.bucket.setRate(perSecond, burst);
   }
 
   /** How many callers wait that are in a hurry: callers widen their batches by it. */
@@ -75,22 +71,13 @@
 
   /** How long a caller of this urgency would wait for `cost`, in milliseconds. */
   delayMs(cost: number, urgency: Urgency): number {
-    this.fill();
+    const tokens = this.bucket.fill();
     let ahead = 0;
     for (const queue of this.queues.slice(0, urgency + 1)) {
       for (const waiter of queue) ahead += waiter.cost;
     }
-    const missing = ahead + Math.min(cost, this.burst) - this.tokens;
-    return Math.max(0, (missing / this.perSecond) * 1000);
-  }
-
-  private fill(): void {
-    const now = this.clock.now();
-    this.tokens = Math.min(
-      this.burst,
-      this.tokens + ((now - this.filledAt) / 1000) * this.perSecond,
-    );
-    this.filledAt = now;
+    const missing = ahead + Math.min(cost, this.bucket.burst) - tokens;
+    return Math.max(0, this.bucket.msFor(missing));
   }
 
   private async serve(): Promise<void> {
@@ -99,18 +86,18 @@
     // queue that is being served for ever after.
     this.serving = true;
     for (;;) {
-      this.fill();
+      const tokens = this.bucket.fill();
       const queue = this.queues.find((q) => q.length > 0);
       if (!queue) break;
       const next = queue[0]!;
       // The small allowance keeps rounding from turning into a wait of no length.
-      const cost = Math.min(next.cost, this.burst);
-      if (this.tokens + 1e-6 >= cost) {
-        this.tokens -= cost;
+      const cost = Math.min(next.cost, this.bucket.burst);
+      if (tokens + 1e-6 >= cost) {
+        this.bucket.spend(cost);
         queue.shift();
         next.grant();
       } else {
-        await this.clock.sleep(((cost - this.tokens) / this.perSecond) * 1000 + 1);
+        await this.clock.sleep(this.bucket.msFor(cost - tokens) + 1);
       }
     }
     this.serving = false;
