--- a/src/control/extension.ts
+++ b/src/control/extension.ts
@@ -40,6 +40,8 @@
   /** Whether the leader has read all records. */
   ready(): boolean;
   machine(id: string): Machine | undefined;
+  /** Whether a machine may get new work: it was heard lately, among other things. */
+  isUsable(machine: string): boolean;
   /** How many tasks of a job could start now, whatever room there is. */
   startable(job: Job): number;
   /** Something changed that the next round of decisions should see. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -242,6 +242,10 @@
       now: () => this.now,
       ready: () => this.records.ready,
       machine: (id) => this.fleet.machines.get(id),
+      isUsable: (id) => {
+        const m = this.fleet.machines.get(id);
+        return m !== undefined && this.fleet.isUsable(m, this.now);
+      },
       startable: (job) => this.extensions.startable(job),
       touch: () => this.touch(),
     });
--- a/src/control/snapshot.ts
+++ b/src/control/snapshot.ts
@@ -76,7 +76,7 @@
   const views: MachineView[] = [];
   for (const m of leader.fleet.machines.values()) {
     if (!m.type || m.returning || m.noticeAt !== null || m.faulty || m.draining) continue;
-    const up = m.usable(now, workers.leaseMs / 3);
+    const up = leader.fleet.isUsable(m, now);
     const booting = m.coming(now, workers.leaseMs, leader.fleet.boots);
     if (!up && !booting) continue;
     views.push(machineView(m, m.type, up, leader.reconciler.keepMs(m.type)));
--- a/src/control/team-shares.ts
+++ b/src/control/team-shares.ts
@@ -152,12 +152,13 @@
   private stoppableNow(team: string): DrainCandidate[] {
     const now = this.host.now();
     if (this.mayBeStopping(team, now)) return [];
-    const silentMs = this.host.settings.workers.leaseMs / 3;
-    const isHeard = ({ machine }: Placement): boolean =>
-      this.host.machine(machine)?.usable(now, silentMs) ?? false;
-    const unheard = this.drainable(team).filter((placement) => !isHeard(placement));
-    const unheardGangs = new Set(unheard.map(({ job }) => job).filter(({ gang }) => gang));
-    return this.drainable(team)
+    const drainable = this.drainable(team);
+    const isHeard = ({ machine }: Placement): boolean => this.host.isUsable(machine);
+    const unheardGangs = new Set<Job>();
+    for (const placement of drainable) {
+      if (placement.job.gang && !isHeard(placement)) unheardGangs.add(placement.job);
+    }
+    return drainable
       .filter((placement) => isHeard(placement) && !unheardGangs.has(placement.job))
       .map((placement) => candidate(placement, now));
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -23,6 +23,9 @@
   readonly confirmedFrom: number;
 }
 
+/** A machine that was not heard for this part of a lease gets no new work. */
+const USABLE_LEASE_PARTS = 3;
+
 /**
  * Belief about machines, built from reports. A recorded start stays on its machine until one of
  * the proofs below: a newer report of the same session that knows our token and does not show it,
@@ -61,6 +64,11 @@
     return m;
   }
 
+  /** Whether a machine may get new work: it was heard lately, among other things. */
+  isUsable(m: Machine, now: number): boolean {
+    return m.usable(now, this.leaseMs / USABLE_LEASE_PARTS);
+  }
+
   add(p: Placement, now: number): void {
     const m = this.machine(p.machine, now);
     if (m.zone === '') m.zone = p.zone;
