--- a/packages/operators/src/command.ts
+++ b/packages/operators/src/command.ts
@@ -124,6 +124,14 @@
 export const timeText = (time: number | null): string =>
   time === null ? '' : new Date(time).toISOString();
 
+/** The answer to a request that was accepted: what it is named, and how far it is. */
+export const phaseText = ({ id, phase }: Record<string, unknown>): string =>
+  `${String(id)}: ${String(phase)}`;
+
+/** A line for each record that controllers cannot read. */
+export const unreadableLines = ({ unreadable }: Record<string, unknown>): string[] =>
+  (unreadable as string[]).map((key) => `cannot be read: ${key}`);
+
 /** Columns as wide as their widest cell. */
 export function tableText(rows: readonly (readonly string[])[]): string {
   const widths = rows[0]!.map((_, i) => Math.max(...rows.map((row) => row[i]!.length)));
--- a/packages/rollout/src/command.ts
+++ b/packages/rollout/src/command.ts
@@ -4,9 +4,11 @@
   ask,
   askLeader,
   BadInput,
+  phaseText,
   positive,
   tableText,
   timeText,
+  unreadableLines,
   type AddVerb,
   type CommandPart,
   type CommonOptions,
@@ -113,8 +115,7 @@
     'OLD and NEW are replicas proven / placed of those allowed; ? is known to the leader alone.',
   ];
   parts.push(rolloutsText(body.rollouts as ShownRollout[]));
-  for (const key of body.unreadable as string[]) parts.push(`cannot be read: ${key}`);
-  return parts.join('\n\n');
+  return [...parts, ...unreadableLines(body)].join('\n\n');
 }
 
 interface ShownBatch {
@@ -138,9 +139,6 @@
   ].join('\n');
 }
 
-const phaseText = (body: Record<string, unknown>): string =>
-  `${String(body.id)}: ${String(body.phase)}`;
-
 // ---- the verbs
 
 function addVerbs(command: AddVerb, report: Report): void {
--- a/packages/shares/src/command.ts
+++ b/packages/shares/src/command.ts
@@ -4,9 +4,11 @@
   ask,
   askLeader,
   BadInput,
+  phaseText,
   positive,
   tableText,
   timeText,
+  unreadableLines,
   type AddVerb,
   type CommandPart,
   type CommonOptions,
@@ -129,8 +131,7 @@
     parts.push(`suspended: ${what}: ${reason}`);
   }
   if (typeof body.policyFailure === 'string') parts.push(`policy failed: ${body.policyFailure}`);
-  for (const key of body.unreadable as string[]) parts.push(`cannot be read: ${key}`);
-  return parts.join('\n\n');
+  return [...parts, ...unreadableLines(body)].join('\n\n');
 }
 
 interface Preview {
@@ -190,7 +191,7 @@
   );
   movement('move', 'moves a share').action(async (options: MoveOptions) => {
     const answered = await ask(options.at, 'POST', '/shares/moves', moveBody(options));
-    report(options, answered, (body) => `${String(body.id)}: ${String(body.phase)}`);
+    report(options, answered, phaseText);
   });
   command('cancel', 'takes a move back')
     .argument('<id>')
