--- a/packages/core/src/fenced-records.ts
+++ b/packages/core/src/fenced-records.ts
@@ -28,6 +28,8 @@
   /** Takes in one entry, unless a newer one of the same key is known. */
   take(entry: Entry): void;
   remove(key: string): void;
+  /** Keys whose records cannot be read. */
+  unreadableKeys(): Iterable<string>;
 }
 
 /** What keeping records needs of the service. */
@@ -48,6 +50,8 @@
   prefix: string;
   headKey: string;
   read(entries: readonly Entry[]): Book;
+  /** What the log says of a record that cannot be read. */
+  unreadable: string;
   /** The records are others than before. */
   changed(): void;
 }
@@ -67,6 +71,8 @@
   private headIsWritten = false;
   private readonly waiters: (() => void)[] = [];
   private writes = 0;
+  /** Unreadable records that have been logged. */
+  private readonly reported = new Set<string>();
 
   constructor(
     private readonly ports: RecordPorts,
@@ -81,7 +87,16 @@
     const { items, revision } = await this.ports.store.range(this.layout.prefix, signal);
     this.book = this.layout.read(items);
     this.followedTo = revision;
+    this.changed();
+  }
+
+  private changed(): void {
     this.layout.changed();
+    for (const key of this.book.unreadableKeys()) {
+      if (this.reported.has(key)) continue;
+      this.reported.add(key);
+      this.ports.log.error({ key }, this.layout.unreadable);
+    }
   }
 
   /** What every transaction that starts work is conditioned on. */
@@ -132,7 +147,7 @@
         const news = await store.watch(prefix, this.followedTo, stepMs * WATCH_STEPS, signal);
         for (const event of news.events) this.takeEvent(event);
         this.followedTo = news.revision;
-        if (news.events.length > 0) this.layout.changed();
+        if (news.events.length > 0) this.changed();
       } catch (error) {
         if (signal.aborted) return;
         if (error instanceof HistoryLost) {
@@ -179,7 +194,7 @@
     } finally {
       this.headIsWritten = false;
       announced?.();
-      this.layout.changed();
+      this.changed();
       for (const waiter of this.waiters.splice(0)) waiter();
     }
   }
--- a/packages/rollout/src/api.ts
+++ b/packages/rollout/src/api.ts
@@ -198,7 +198,7 @@
       const held = await this.heldBack(book);
       const rollouts = [...open, ...held].map((rollout) => this.shown(rollout));
       const leading = this.leading() !== null;
-      return { status: 200, body: { leading, rollouts, unreadable: book.unreadable } };
+      return { status: 200, body: { leading, rollouts, unreadable: book.unreadableKeys() } };
     });
   }
 
--- a/packages/rollout/src/leader-rollouts.ts
+++ b/packages/rollout/src/leader-rollouts.ts
@@ -48,7 +48,6 @@
   private nextCeilings: Ceilings | null = null;
   /** What was placed of the jobs of rollouts whose records cannot be read, when that was found. */
   private readonly placedBefore = new Map<string, number>();
-  private readonly reported = new Set<string>();
   /** Every controller has rollouts switched on, as it was last looked up. */
   private mayMove = false;
   private lookedAt: number;
@@ -69,6 +68,7 @@
       prefix: ROLLOUT_KEYS.all,
       headKey: ROLLOUT_KEYS.head,
       read: (entries) => RolloutBook.of(entries),
+      unreadable: 'rollout record cannot be read, its rollout stands still',
       changed: () => this.recompute(),
     });
     this.controllers = new FeatureWatch('rollout', ports.log, (signal) =>
@@ -138,15 +138,10 @@
   // ---- ceilings
 
   private recompute(): void {
-    const { rollouts, unreadable } = this.book;
+    const { rollouts } = this.book;
     const now = ceilingsOf(rollouts, (job) => this.placedWhenFound(job));
     this.ceilings = smallerCeilings(now, this.nextCeilings ?? now);
     this.rolling = new Set(rollouts.filter(isOpen).flatMap(jobsOf));
-    for (const key of unreadable) {
-      if (this.reported.has(key)) continue;
-      this.reported.add(key);
-      this.ports.log.error({ key }, 'rollout record cannot be read, its rollout stands still');
-    }
     this.withdrawStarts();
   }
 
--- a/packages/rollout/src/records.ts
+++ b/packages/rollout/src/records.ts
@@ -103,7 +103,7 @@
   }
 
   /** Keys whose records cannot be read. */
-  get unreadable(): string[] {
+  unreadableKeys(): string[] {
     const keys: string[] = this.headReadable ? [] : [ROLLOUT_KEYS.head];
     for (const { id, spec, status } of this.rollouts) {
       if (spec.record === null) keys.push(ROLLOUT_KEYS.spec(id));
--- a/packages/shares/src/api.ts
+++ b/packages/shares/src/api.ts
@@ -121,7 +121,7 @@
       const moves = book.records.moves
         .filter((move) => !isFinal(move.phase))
         .map((move) => ({ ...move, waitsFor: this.waitsFor(move, table) }));
-      const unreadable = [...book.unreadable.keys()];
+      const unreadable = [...book.unreadableKeys()];
       const { suspended } = table;
       const policyFailure = leading?.policyFailure ?? null;
       return {
--- a/packages/shares/src/leader-shares.ts
+++ b/packages/shares/src/leader-shares.ts
@@ -32,8 +32,6 @@
   private nextTable: ShareTable | null = null;
   private teams: ReadonlyMap<string, TeamShare>;
   private readonly controllers: FeatureWatch;
-  /** Unreadable records that have been logged. */
-  private readonly reported = new Set<string>();
 
   constructor(
     private readonly ports: SharePorts,
@@ -45,6 +43,7 @@
       prefix: SHARE_KEYS.all,
       headKey: SHARE_KEYS.head,
       read: (entries) => ShareBook.of(entries),
+      unreadable: 'share record cannot be read, moves stand still',
       changed: () => this.recompute(),
     });
     this.controllers = new FeatureWatch('shares', ports.log, (signal) =>
@@ -128,11 +127,6 @@
   private recompute(): void {
     this.table = shareTable(this.ports.base, this.book.records);
     this.teams = smallerTable(this.table, this.nextTable ?? this.table);
-    for (const key of this.book.unreadable.keys()) {
-      if (this.reported.has(key)) continue;
-      this.reported.add(key);
-      this.ports.log.error({ key }, 'share record cannot be read, moves stand still');
-    }
   }
 
   /** Carries moves on by one transaction; false if nothing could be done now. */
--- a/packages/shares/src/records.ts
+++ b/packages/shares/src/records.ts
@@ -49,6 +49,10 @@
     if (key.startsWith(SHARE_KEYS.moves)) this.moves.delete(key.slice(SHARE_KEYS.moves.length));
   }
 
+  unreadableKeys(): Iterable<string> {
+    return this.unreadable.keys();
+  }
+
   private versionOf(key: string): number {
     if (key === SHARE_KEYS.head) return this.headVersion;
     const unreadable = this.unreadable.get(key) ?? 0;
