--- a/test/fakes/three-zones.ts
+++ b/test/fakes/three-zones.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import { THREE_ZONES } from './deployment-shape.js';
 import { machines } from './meeting.js';
 import { World } from './world.js';
@@ -58,7 +59,7 @@
 }
 
 /** A zone loses its machines and its controllers for good. */
-export function loseZone(w: World, zone: string): void {
+function loseZone(w: World, zone: string): void {
   for (const [i, node] of w.nodes.entries()) if (w.zoneOf(node) === zone) w.crash(i);
   for (const worker of [...w.workers.values()]) {
     if (worker.yard !== zone) continue;
@@ -72,15 +73,29 @@
   replicas.every((job) => w.running(job) === REPLICAS);
 
 /** All replicas of a lost zone run in the others within a lease, a boot and what starting takes. */
-export async function replicasRunElsewhere(w: World, work: Work, zone: string): Promise<void> {
+async function replicasRunElsewhere(w: World, work: Work, zone: string): Promise<void> {
   const elsewhere = (job: string): boolean => w.holding(job).every(({ yard }) => yard !== zone);
   const done = (): boolean => allReplicasRun(w, work) && work.replicas.every(elsewhere);
   await w.until(done, 2 * LEASE_S + BOOT_S + 20, 'run elsewhere');
 }
 
 /** Gangs and sweeps come to their end. */
-export async function batchesEnd(w: World, { pairs, sweeps }: Work): Promise<void> {
+async function batchesEnd(w: World, { pairs, sweeps }: Work): Promise<void> {
   const isDone = (job: string): boolean => w.stored(job) === 'done';
   await w.until(() => pairs.every(isDone), 200, 'the pairs are done');
   await w.until(() => sweeps.every(isDone), 60, 'the sweeps are done');
 }
+
+/** A zone is lost for good and the leader ends, wherever it is: everything goes on in the other zones. */
+export async function zoneAndLeaderAreLost(w: World, work: Work, zone: string): Promise<void> {
+  loseZone(w, zone);
+  if (w.leader >= 0) w.crash(w.leader);
+  await w.pass(3);
+  w.restartAll(THREE_ZONES.zones.filter((other) => other !== zone));
+  await replicasRunElsewhere(w, work, zone);
+  await batchesEnd(w, work);
+  assert.ok(work.pairs.every((pair) => w.holding(pair).length === 0));
+  w.restartAll();
+  await w.settle(150);
+  await w.close();
+}
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -163,6 +163,19 @@
     this.controllers.restart(i);
   }
 
+  /** Restarts all controllers that are down, or those of them that are in one of these zones. */
+  restartAll(zones: readonly string[] = this.shape.zones): void {
+    for (const [i, node] of this.nodes.entries()) {
+      if (!node.controller && zones.includes(this.zoneOf(node))) this.restart(i);
+    }
+  }
+
+  /** Waits until another controller than the former leader leads. */
+  anotherLeads(former: number, seconds: number): Promise<void> {
+    const leads = (): boolean => this.leader >= 0 && this.leader !== former;
+    return this.until(leads, seconds, 'another leads');
+  }
+
   /** Whether the zones cannot reach each other from now on; both reach the store. */
   split(apart: boolean): void {
     this.controllers.apart = apart;
--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -73,7 +73,7 @@
       await w.pass(0.75);
       w.restart(seed % 3);
       await w.pass(6);
-      for (const [i, node] of w.nodes.entries()) if (!node.controller) w.restart(i);
+      w.restartAll();
       await w.pass(10);
     },
   },
--- a/test/meeting-one-way.test.ts
+++ b/test/meeting-one-way.test.ts
@@ -24,7 +24,7 @@
       w.trouble.storeFaults.add(({ node }) => (node === old ? 'lose answer' : 'serve'));
       await w.pass(seed);
       void w.cancelling(extra, (old + 1) % 3);
-      await w.until(() => w.leader >= 0 && w.leader !== old, 9, 'another leads');
+      await w.anotherLeads(old, 9);
       await w.pass(30);
       const starts = w.starts.filter((name) => name.startsWith(`${service}/`));
       assert.equal(starts.length, 3, 'no lease ran out');
@@ -53,7 +53,7 @@
       w.freeze(old, 60_000);
       await w.pass(0.5 * seed);
       const broken = await w.accept({ pieces: 25_000, gpus: 1, failsAfterMs: 700, fetchMs: 500 });
-      await w.until(() => w.leader >= 0 && w.leader !== old, 9, 'another leads');
+      await w.anotherLeads(old, 9);
       const sound = await w.accept({ pieces: 6, runMs: 3000, fetchMs: 500 });
       await w.until(() => w.stored(sound) === 'done', 30, 'the rest of the team goes on');
       await w.pass(30);
--- a/test/meeting-workers.test.ts
+++ b/test/meeting-workers.test.ts
@@ -27,7 +27,7 @@
       await w.pass(0.25 * seed);
       const old = w.leader;
       w.crash(old);
-      await w.until(() => w.leader >= 0 && w.leader !== old, 10, 'another leads');
+      await w.anotherLeads(old, 10);
       await w.pass(seed);
       for (const report of empty) w.trouble.everywhere(report);
       w.restart(old);
--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -184,7 +184,7 @@
       await w.pass(4);
       const old = w.leader;
       w.crash(old);
-      await w.until(() => w.leader >= 0 && w.leader !== old, 8, 'takeover');
+      await w.anotherLeads(old, 8);
       assert.equal(w.leader, young);
     }
     await w.close();
--- a/test/rollout-with-shares.test.ts
+++ b/test/rollout-with-shares.test.ts
@@ -34,7 +34,7 @@
   }
   const old = w.leader;
   w.crash(old);
-  await w.until(() => w.leader >= 0 && w.leader !== old, 20, 'takeover');
+  await w.anotherLeads(old, 20);
   assert.equal((await planRollout(story, w.leader)).status, 422);
   w.restart(old);
   await w.pass(10);
--- a/test/shares-unheard-machines.test.ts
+++ b/test/shares-unheard-machines.test.ts
@@ -112,7 +112,7 @@
 async function changeLeader(w: World): Promise<void> {
   const former = w.leader;
   w.crash(former);
-  await w.until(() => w.leader >= 0 && w.leader !== former, 20, 'another leads');
+  await w.anotherLeads(former, 20);
 }
 
 // Guards that a drain stops only what runs on machines that are heard: tasks of others were stopped,
--- a/test/three-zones-gangs.test.ts
+++ b/test/three-zones-gangs.test.ts
@@ -41,7 +41,7 @@
   for (const [zone, count] of pairsByZone(w, pairs)) {
     assert.ok(count <= PAIRS_PER_ZONE + 1, `${count} pairs in zone ${zone}`);
   }
-  for (const [i, node] of w.nodes.entries()) if (!node.controller) w.restart(i);
+  w.restartAll();
   for (const job of [service, ...pairs]) void w.cancelling(job);
   await w.settle(150);
   await w.close();
--- a/test/three-zones-scale.test.ts
+++ b/test/three-zones-scale.test.ts
@@ -2,11 +2,9 @@
 import { test } from 'node:test';
 import {
   allReplicasRun,
-  batchesEnd,
   beginInThreeZones,
-  loseZone,
-  replicasRunElsewhere,
   type StorySize,
+  zoneAndLeaderAreLost,
 } from './fakes/three-zones.js';
 
 // The shape of `three-zones` at the size at which its operators run it.
@@ -23,17 +21,7 @@
 
 test(`${MACHINES} machines: a zone is lost with its controllers, the leader ends, and all goes on`, async () => {
   const { w, work } = await beginInThreeZones(1, SIZE);
-  loseZone(w, 'a');
-  if (w.leader >= 0) w.crash(w.leader);
-  await w.pass(3);
-  for (const [i, node] of w.nodes.entries()) {
-    if (w.zoneOf(node) !== 'a' && !node.controller) w.restart(i);
-  }
-  await replicasRunElsewhere(w, work, 'a');
-  await batchesEnd(w, work);
-  for (const [i, node] of w.nodes.entries()) if (!node.controller) w.restart(i);
-  await w.settle(150);
-  await w.close();
+  await zoneAndLeaderAreLost(w, work, 'a');
 });
 
 test(`${MACHINES} machines: all controllers end at once and come back, and no replica starts again`, async () => {
--- a/test/three-zones.test.ts
+++ b/test/three-zones.test.ts
@@ -2,12 +2,10 @@
 import { test } from 'node:test';
 import {
   allReplicasRun,
-  batchesEnd,
   beginInThreeZones,
   LEASE_S,
-  loseZone,
-  replicasRunElsewhere,
   type StorySize,
+  zoneAndLeaderAreLost,
 } from './fakes/three-zones.js';
 
 // Five controllers in three zones, reports every 2 s, leases of 16 s, a store of 30 changes a second and
@@ -26,17 +24,7 @@
 for (const zone of ['a', 'c']) {
   test(`zone ${zone} is lost with its controllers, and the leader ends: all goes on in the others`, async () => {
     const { w, work } = await beginInThreeZones(1, SIZE);
-    loseZone(w, zone);
-    if (w.leader >= 0) w.crash(w.leader);
-    await w.pass(3);
-    for (const [i, node] of w.nodes.entries())
-      if (w.zoneOf(node) !== zone && !node.controller) w.restart(i);
-    await replicasRunElsewhere(w, work, zone);
-    await batchesEnd(w, work);
-    assert.ok(work.pairs.every((pair) => w.holding(pair).length === 0));
-    for (const [i, node] of w.nodes.entries()) if (!node.controller) w.restart(i);
-    await w.settle(150);
-    await w.close();
+    await zoneAndLeaderAreLost(w, work, zone);
   });
 }
 
@@ -48,7 +36,7 @@
   w.crash(w.leader);
   await w.pass(LEASE_S + 4);
   w.split(false);
-  for (const [i, node] of w.nodes.entries()) if (!node.controller) w.restart(i);
+  w.restartAll();
   await w.pass(10);
   assert.ok(allReplicasRun(w, work));
   assert.equal(w.starts.length, starts, 'nothing had to start again');
