--- a/test/consolidation.test.ts
+++ b/test/consolidation.test.ts
@@ -3,7 +3,7 @@
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import type { JobView, MachineView, ReplicaView } from '../src/scheduler/model.js';
 import { consolidate } from '../src/scheduler/consolidation.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { jobView, machine, SPEC } from './fakes/samples.js';
 
 const REPLICA: JobSpec = {
   ...SPEC,
@@ -21,30 +21,16 @@
   const ids = [...new Set(services.flat())].sort();
   const zoneOf = (id: string): string => over.zones?.[ids.indexOf(id)] ?? 'a';
   const movable: ReplicaView[] = [];
-  const jobs = services.map((machines, i): JobView => {
+  const jobs = services.map((machines, i) => {
     const zones = new Map<string, number>();
-    machines.forEach((machine, task) => {
-      movable.push({ job: `req-${i}`, task, machine, spec });
-      zones.set(zoneOf(machine), (zones.get(zoneOf(machine)) ?? 0) + 1);
+    machines.forEach((id, task) => {
+      movable.push({ job: `req-${i}`, task, machine: id, spec });
+      zones.set(zoneOf(id), (zones.get(zoneOf(id)) ?? 0) + 1);
     });
-    return {
-      id: `req-${i}`,
-      spec: { ...spec, tasks: machines.length },
-      priority: spec.priority,
-      readyAt: i,
-      patient: false,
-      dueAt: i,
-      waiting: 0,
-      unfinished: machines.length,
-      zones,
-      avoid: new Set(),
-      gang: null,
-      admissible: true,
-      onTrial: false,
-      opportunistic: null,
-    };
+    const placed = { readyAt: i, dueAt: i, waiting: 0, zones };
+    return jobView(`req-${i}`, { ...spec, tasks: machines.length }, placed);
   });
-  const up = ids.map((id): MachineView => {
+  const up = ids.map((id) => {
     const tasksOf = new Map<string, number>();
     let replicas = 0;
     for (const r of movable) {
@@ -52,20 +38,14 @@
       replicas++;
       tasksOf.set(r.job, (tasksOf.get(r.job) ?? 0) + 1);
     }
-    return {
-      id,
-      type: TYPE,
+    return machine(id, {
       zone: zoneOf(id),
-      spot: false,
       free: { cpus: 48 - 8 * replicas, gpus: 8 - 2 * replicas, memoryGb: 288 - 40 * replicas },
-      up: true,
       images: new Set(['img-1']),
-      incomingGb: 0,
       tasksOf,
       replicas,
-      keepMs: 40_000,
       ...over.machine,
-    };
+    });
   });
   return { movable, up, jobs };
 }
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -1,6 +1,6 @@
 import type { MachineType } from '../../src/fleet/types.js';
 import { Priority, type JobSpec } from '../../src/jobs/job.js';
-import type { MachineView } from '../../src/scheduler/model.js';
+import type { JobView, MachineView, Snapshot, TeamView } from '../../src/scheduler/model.js';
 
 /** A machine type and a job that stories of the scheduler vary. */
 export const TYPE: MachineType = {
@@ -52,6 +52,48 @@
   deadlineMs: null,
 };
 
+/** A job as a round of decisions sees it: all of its tasks wait. */
+export function jobView(id: string, spec: JobSpec, view: Partial<JobView> = {}): JobView {
+  return {
+    id,
+    spec,
+    priority: spec.priority,
+    readyAt: 0,
+    patient: false,
+    dueAt: 0,
+    waiting: spec.tasks,
+    unfinished: spec.tasks,
+    zones: new Map(),
+    avoid: new Set(),
+    gang: spec.kind === 'gang' ? { holdsGate: false, suspensions: 0 } : null,
+    admissible: true,
+    onTrial: false,
+    opportunistic: null,
+    ...view,
+  };
+}
+
+/** What a round of decisions looks at where there is nothing but teams. */
+export function snapshotWith(
+  teams: ReadonlyMap<string, TeamView>,
+  what: Partial<Snapshot> = {},
+): Snapshot {
+  return {
+    machines: [],
+    jobs: [],
+    upcoming: [],
+    expected: [],
+    leavingCpus: 0,
+    teams,
+    types: [TYPE],
+    offers: [],
+    victims: [],
+    movable: [],
+    gateShut: false,
+    ...what,
+  };
+}
+
 /** A sound submission but for its `ref`; what may be null is left out. */
 export const SUBMISSION = {
   lane: 'train',
--- a/test/headroom.test.ts
+++ b/test/headroom.test.ts
@@ -3,7 +3,7 @@
 import { Priority, type JobSpec } from '../src/jobs/job.js';
 import type { JobView, Offer, Rent, Snapshot, VictimView } from '../src/scheduler/model.js';
 import { plan } from '../src/scheduler/plan.js';
-import { machine, SPEC, TYPE } from './fakes/samples.js';
+import { jobView, machine, snapshotWith, SPEC, TYPE } from './fakes/samples.js';
 
 /** Replicas of 2 GPUs each: four of them fill a machine. */
 const REPLICA: JobSpec = {
@@ -31,42 +31,13 @@
   price: TYPE.price,
 }));
 
-function waitingGang(id: string, readyAt: number): JobView {
-  return {
-    id,
-    spec: PAIR,
-    priority: PAIR.priority,
-    readyAt,
-    dueAt: readyAt,
-    patient: false,
-    opportunistic: null,
-    waiting: PAIR.tasks,
-    unfinished: PAIR.tasks,
-    zones: new Map(),
-    avoid: new Set(),
-    gang: { holdsGate: false, suspensions: 0 },
-    admissible: true,
-    onTrial: false,
-  };
-}
+const waitingGang = (id: string, readyAt: number): JobView =>
+  jobView(id, PAIR, { readyAt, dueAt: readyAt });
 
-function snapshot(s: Partial<Snapshot>): Snapshot {
+function snapshot(what: Partial<Snapshot>): Snapshot {
   const limit = { cpus: Infinity, gpus: Infinity };
   const team = { guarantee: { cpus: 0, gpus: 100 }, limit, used: { cpus: 0, gpus: 0 } };
-  return {
-    machines: [],
-    jobs: [],
-    upcoming: [],
-    expected: [],
-    leavingCpus: 0,
-    teams: new Map([['vision', team]]),
-    types: [TYPE],
-    offers: OFFERS,
-    victims: [],
-    movable: [],
-    gateShut: false,
-    ...s,
-  };
+  return snapshotWith(new Map([['vision', team]]), { offers: OFFERS, ...what });
 }
 
 const rented = (rents: Rent[]): number => rents.reduce((sum, rent) => sum + rent.count, 0);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -10,28 +10,12 @@
 } from '../src/scheduler/model.js';
 import { withinGuarantee } from '../src/scheduler/order.js';
 import { plan } from '../src/scheduler/plan.js';
-import { machine, SPEC, TYPE } from './fakes/samples.js';
+import { jobView, machine, snapshotWith, SPEC, TYPE } from './fakes/samples.js';
 
 let n = 0;
 function job(spec: Partial<JobSpec>, view: Partial<JobView> = {}): JobView {
-  const full = { ...SPEC, ...spec };
-  return {
-    id: `req-${++n}`,
-    spec: full,
-    priority: full.priority,
-    readyAt: n,
-    patient: false,
-    dueAt: n,
-    waiting: full.tasks,
-    unfinished: full.tasks,
-    zones: new Map(),
-    avoid: new Set(),
-    gang: full.kind === 'gang' ? { holdsGate: false, suspensions: 0 } : null,
-    admissible: true,
-    onTrial: false,
-    opportunistic: null,
-    ...view,
-  };
+  const order = ++n;
+  return jobView(`req-${order}`, { ...SPEC, ...spec }, { readyAt: order, dueAt: order, ...view });
 }
 
 const team = (used: number, guarantee = 8, limit = 16): TeamView => ({
@@ -40,24 +24,12 @@
   used: { cpus: used, gpus: used },
 });
 
-function snapshot(s: Partial<Snapshot>): Snapshot {
-  return {
-    machines: [],
-    jobs: [],
-    upcoming: [],
-    expected: [],
-    leavingCpus: 0,
-    teams: new Map([
-      ['vision', team(0)],
-      ['speech', team(0)],
-    ]),
-    types: [TYPE],
-    offers: [],
-    victims: [],
-    movable: [],
-    gateShut: false,
-    ...s,
-  };
+function snapshot(what: Partial<Snapshot>): Snapshot {
+  const teams = new Map([
+    ['vision', team(0)],
+    ['speech', team(0)],
+  ]);
+  return snapshotWith(teams, what);
 }
 
 const started = (p: ReturnType<typeof plan>, id: string): number =>
--- a/test/round-size.test.ts
+++ b/test/round-size.test.ts
@@ -3,30 +3,20 @@
 import { RoundSize } from '../src/control/round-size.js';
 import type { JobView, Snapshot } from '../src/scheduler/model.js';
 import { withinGuarantee } from '../src/scheduler/order.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { jobView, snapshotWith, SPEC } from './fakes/samples.js';
 
 const LEASE_MS = 3000;
 
 /** So many jobs of one team; the later ones are the more urgent. */
 function waitingJobs(count: number, view: Partial<JobView> = {}): Snapshot {
   const jobs = Array.from({ length: count }, (_, i): JobView => {
-    const name = { id: `req-${i}`, spec: SPEC, priority: SPEC.priority, readyAt: i };
-    const due = { dueAt: count - i, waiting: 1, unfinished: 1, patient: false };
-    const none = { zones: new Map(), avoid: new Set<string>(), gang: null, opportunistic: null };
-    return { ...name, ...due, ...none, admissible: true, onTrial: false, ...view };
+    const due = { readyAt: i, dueAt: count - i, waiting: 1, unfinished: 1 };
+    return jobView(`req-${i}`, SPEC, { ...due, ...view });
   });
   const guarantee = { cpus: 0, gpus: count * 10 };
   const limit = { cpus: Infinity, gpus: Infinity };
   const teams = new Map([[SPEC.team, { guarantee, limit, used: { cpus: 0, gpus: 0 } }]]);
-  const nothing = {
-    machines: [],
-    upcoming: [],
-    expected: [],
-    offers: [],
-    victims: [],
-    movable: [],
-  };
-  return { ...nothing, jobs, teams, types: [TYPE], leavingCpus: 0, gateShut: false };
+  return snapshotWith(teams, { jobs });
 }
 
 const taken = (size: RoundSize, snapshot: Snapshot): JobView[] =>
