Tests: operators ask in one way, of stories' controllers and of real processes

Three stories had a loop of their own for a controller that does not serve, and both tests with real processes the same command. Assertions unchanged.

--- a/test/fakes/loopback.ts
+++ b/test/fakes/loopback.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { systemClock } from '@leverhatch/core/clock';
+import { runCommand, type CommandPart } from '@leverhatch/operators/command';
 import { httpTransport, type Reply, type Transport } from '../../src/http/client.js';
 import { FakeCloud, type Host } from './cloud.js';
 import { JobWishes, type JobWish } from './job-wishes.js';
@@ -270,6 +271,16 @@
     throw new Error('the fleet is closed');
   }
 
+  /** An operator's command, with the addresses of all controllers. */
+  async operate(part: CommandPart, ...words: string[]): Promise<{ code: number; said: string }> {
+    const said: string[] = [];
+    const note = (text: string): void => void said.push(text);
+    const at = this.controllers.flatMap((c) => ['--at', c.operatorsAddress]);
+    const argv = [part.name, ...words, ...at];
+    const code = await runCommand([part], argv, { out: note, error: note });
+    return { code, said: said.join('\n') };
+  }
+
   get leader(): Process | undefined {
     const holder = this.store.get('leader') as { member: string } | undefined;
     return this.controllers.find(({ name }) => name === holder?.member);
--- /dev/null
+++ b/test/fakes/operators.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import type { ApiAnswer } from '@leverhatch/operators/answer';
+import type { Extension } from '../../src/control/extension.js';
+import type { World } from './world.js';
+
+/** For so many seconds a controller may not serve. */
+const MOST_SECONDS = 60;
+
+/** A part of one controller; undefined: the controller is down, or has the part switched off. */
+export function extensionOf<Part extends Extension>(
+  world: World,
+  node: number,
+  kind: abstract new (...parts: never[]) => Part,
+): Part | undefined {
+  const extensions = world.nodes[node]!.controller?.extensions ?? [];
+  return extensions.find((extension): extension is Part => extension instanceof kind);
+}
+
+/** Asks each second until the controller serves; `ask` answers undefined while it is down. */
+export async function askUntilServed(
+  w: World,
+  ask: () => Promise<ApiAnswer> | undefined,
+): Promise<ApiAnswer> {
+  for (let i = 0; i < MOST_SECONDS; i++) {
+    const asked = ask();
+    const answer = asked ? await w.drive(asked) : null;
+    if (answer && answer.status !== 503) return answer;
+    await w.pass(1);
+  }
+  return assert.fail('never served');
+}
