Review, case 3: a large gang that fails at its start ends the leader

Cause: withdrawing the starts of a gang calls itself once for each start that was not sent yet; with thousands of them the call stack overflows in the handler of a worker's socket, where nobody catches the error.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/3/test.mjs
