Review: the stand-ins leave no process and no file behind, however they end

Cause: a test that was cut short left its controllers running.

Change: review/lib/fleet.mjs ends its controllers and removes its folder at its exit.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -72,6 +72,16 @@
     /** May be replaced: answers of the state service to one controller. */
     this.stateFilter = (controller, method, path, body, serve) => serve();
     writeFileSync(options.recordFile, '');
+    // However this process ends, it leaves no controller and no file behind.
+    process.once('exit', () => {
+      this.killAll();
+      rmSync(this.directory, { recursive: true, force: true });
+    });
+    for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(name, () => process.exit(2));
+  }
+
+  killAll() {
+    for (const { child } of this.controllers) child?.kill('SIGKILL');
   }
 
   record(text) {
@@ -470,7 +480,7 @@
 
   close() {
     this.isClosed = true;
-    for (const { child } of this.controllers) child?.kill('SIGKILL');
+    this.killAll();
     for (const worker of this.workers.values()) worker.stop();
     for (const server of this.servers) {
       server.close();
