One view for identical machines that are not up yet, whatever a job asks for

Cause: `ScaleOutPlan.add` created a view for each planned machine (an object, its free capacity, a Map, a Set, their tables, a label) before `MachineProvisioner` bounds what is requested. The memory of a cycle so grew with the tasks that jobs ask for, not with the fleet or the number of jobs.

Change: a view of machines without ids has a `count`. A plan adds one view for all machines that a job fills alike, chosen in steps of a 64th of what is missing, so that zones are still levelled and the comparisons grow with the logarithm. Placing tasks splits a view where only some of its machines take tasks. A pending request is one view. Nothing is cut off: all machines are still counted.

--- a/src/control/scheduling/scheduling-loop.ts
+++ b/src/control/scheduling/scheduling-loop.ts
@@ -13,6 +13,7 @@
 import type { TaskLifecycle } from '../reconciliation/task-lifecycle.js';
 import type { TaskStopper } from '../reconciliation/task-stopper.js';
 import type { SchedulingPlan, Snapshot } from '../../scheduler/scheduling-model.js';
+import { machineCount } from '../../scheduler/machine-view.js';
 import { schedule } from '../../scheduler/scheduling-cycle.js';
 import { isGangJob } from '../admission/gang-gate.js';
 import type { GangTimeouts } from '../admission/gang-timeouts.js';
@@ -166,7 +167,7 @@
     this.context.runtime.log.debug(
       {
         up,
-        coming: snapshot.machines.length - up,
+        coming: machineCount(snapshot.machines) - up,
         waiting,
         started: plan.starts.reduce((sum, start) => sum + taskCount(start.assignments), 0),
         stops: plan.stops.length,
--- a/src/control/scheduling/snapshot.ts
+++ b/src/control/scheduling/snapshot.ts
@@ -17,6 +17,7 @@
   TeamView,
   PreemptionCandidate,
 } from '../../scheduler/scheduling-model.js';
+import { provisionedMachines } from '../../scheduler/machine-view.js';
 import { pipelineUrgency, type StepUrgency } from '../../scheduler/pipelines.js';
 import type { Settings } from '../../settings/deploy.js';
 import type { TeamQuotaMap } from '../extensions/extension.js';
@@ -118,21 +119,9 @@
   sources.provisioner.pendingRequests(now).forEach((pendingRequest, i) => {
     const type = sources.machineTypes().get(pendingRequest.type);
     if (!type) return;
-    for (let count = 0; count < pendingRequest.count; count++) {
-      views.push({
-        id: `order-${i}-${count}`,
-        type,
-        zone: pendingRequest.zone,
-        spot: pendingRequest.spot,
-        free: { ...type.capacity },
-        isUp: false,
-        images: new Set(),
-        incomingGb: 0,
-        tasksByJob: new Map(),
-        replicas: 0,
-        idleTimeoutMs: sources.reconciler.idleTimeoutMs(type),
-      });
-    }
+    const { zone, spot, count } = pendingRequest;
+    const idleTimeoutMs = sources.reconciler.idleTimeoutMs(type);
+    views.push(provisionedMachines({ type, zone, spot }, count, `order-${i}`, idleTimeoutMs));
   });
   return views;
 }
@@ -153,6 +142,7 @@
   }
   return {
     id: machine.id,
+    count: 1,
     type,
     zone: machine.zone,
     spot: machine.spot,
--- a/src/scheduler/backfill.ts
+++ b/src/scheduler/backfill.ts
@@ -36,7 +36,7 @@
    */
   schedule(): void {
     this.startDeferred();
-    const { snapshot, reservations, upMachines } = this.context;
+    const { snapshot, reservations } = this.context;
     let { cpusFreedSoon } = snapshot;
     const upcoming = snapshot.upcomingJobs.map((job) => ({
       job,
@@ -49,7 +49,7 @@
         cpus > 0 ? Math.min(missing, Math.floor(cpusFreedSoon / cpus)) : missing;
       cpusFreedSoon -= waitsForRunning * cpus;
       const uncovered = missing - waitsForRunning;
-      const reserved = reservations.reserveOn(job, uncovered, upMachines, rules);
+      const reserved = reservations.reserve(job, uncovered, rules);
       reservations.reserveOrScaleOut(job, uncovered - reserved, rules);
     }
   }
--- a/src/scheduler/cycle-context.ts
+++ b/src/scheduler/cycle-context.ts
@@ -15,6 +15,11 @@
   snapshot: Snapshot;
   /** Machines that are up. Pass this array itself: `CapacityFinder` caches by array identity. */
   upMachines: MachineView[];
+  /**
+   * Machines that are booting or that scale-out will provision. Scale-out and placements that split a
+   * view append to it.
+   */
+  upcomingMachines: MachineView[];
   /** Ids of the jobs within their team's guarantee. */
   guaranteed: ReadonlySet<string>;
   contended: ContendedTypes;
@@ -31,20 +36,21 @@
 export function createCycleContext(snapshot: Snapshot): CycleContext {
   const { jobs, machines, teams, types, offers, preemptionCandidates } = snapshot;
   const upMachines = machines.filter((machine) => machine.isUp);
-  const booting = machines.filter((machine) => !machine.isUp);
+  const upcomingMachines = machines.filter((machine) => !machine.isUp);
   const dependents = jobs.filter((job) => !isOpportunistic(job));
   const contended = new ContendedTypes(dependents, types, upMachines);
   const guaranteed = withinGuarantee(jobs, teams);
   const finder = new CapacityFinder(upMachines, contended);
-  const scaleOutPlan = new ScaleOutPlan(offers, machines);
+  const scaleOutPlan = new ScaleOutPlan(offers, machines, upcomingMachines);
   return {
     snapshot,
     upMachines,
+    upcomingMachines,
     guaranteed,
     contended,
     finder,
     scaleOutPlan,
-    reservations: new Reservations(finder, scaleOutPlan, booting),
+    reservations: new Reservations(finder, contended, scaleOutPlan, upMachines, upcomingMachines),
     preemption: new Preemption(preemptionCandidates, upMachines, teams, guaranteed),
   };
 }
--- a/src/scheduler/gang-reservations.ts
+++ b/src/scheduler/gang-reservations.ts
@@ -3,6 +3,7 @@
 import type { CycleContext } from './cycle-context.js';
 import type { JobView, MachineView } from './scheduling-model.js';
 import { rank } from './job-order.js';
+import { countFittingOn } from './machine-view.js';
 import { canUse, schedulingShape, ZoneRules } from './placement-rules.js';
 import type { Preemption } from './preemption.js';
 import type { ScaleOutPlan } from './scale-out-plan.js';
@@ -16,6 +17,7 @@
 
   private readonly machines: MachineView[];
   private readonly upMachines: MachineView[];
+  private readonly upcomingMachines: MachineView[];
   private readonly guaranteed: ReadonlySet<string>;
   private readonly finder: CapacityFinder;
   private readonly scaleOutPlan: ScaleOutPlan;
@@ -25,6 +27,7 @@
   constructor(context: CycleContext) {
     this.machines = context.snapshot.machines;
     this.upMachines = context.upMachines;
+    this.upcomingMachines = context.upcomingMachines;
     this.guaranteed = context.guaranteed;
     this.finder = context.finder;
     this.scaleOutPlan = context.scaleOutPlan;
@@ -64,13 +67,12 @@
    */
   private bestZone(job: JobView): { zone: string | null } | null {
     const { spec } = job;
-    const { upcomingMachines } = this.reservations;
     const zones = spec.oneZone
       ? [...new Set([...this.machines.map((machine) => machine.zone), ...this.scaleOutPlan.zones])]
       : [null];
     let best: { zone: string | null; missing: number; machines: number } | null = null;
     for (const zone of zones) {
-      const missing = this.tasksWithoutCapacity(job, zone, upcomingMachines);
+      const missing = this.tasksWithoutCapacity(job, zone);
       if (missing > 0 && !this.scaleOutPlan.hasOfferFor(spec, zone)) continue;
       // Ties without missing capacity go to the first zone: the choice must not change between
       // cycles until the gang starts.
@@ -89,11 +91,7 @@
    * free counts as available, so that the choice of zone stays the same until it is free, and so
    * that a gang can be admitted where scale-out is not possible.
    */
-  private tasksWithoutCapacity(
-    job: JobView,
-    zone: string | null,
-    upcomingMachines: MachineView[],
-  ): number {
+  private tasksWithoutCapacity(job: JobView, zone: string | null): number {
     const { spec } = job;
     const guaranteed = this.isGuaranteed(job);
     let missing = spec.tasks;
@@ -106,30 +104,27 @@
         );
       }
     }
-    for (const machine of upcomingMachines) {
+    for (const machine of this.upcomingMachines) {
       if (isInZone(zone, machine) && canUse(job, machine))
-        missing -= countFittingTasks(spec.need, machine.free);
+        missing -= countFittingOn(spec.need, machine);
     }
     return Math.max(0, missing);
   }
 
   private reserveIn(job: JobView, zone: string | null): boolean {
     const { spec } = job;
-    const rules = new ZoneRules(spec, job.tasksByZone);
-    const { upcomingMachines } = this.reservations;
-    const upInZone = this.upMachines.filter((machine) => isInZone(zone, machine));
-    let remaining = spec.tasks - this.reservations.reserveOn(job, spec.tasks, upInZone, rules);
+    const rules = new ZoneRules(spec, job.tasksByZone, zone);
+    let remaining = spec.tasks - this.reservations.reserve(job, spec.tasks, rules);
     if (remaining > 0)
       remaining -= this.preemption.freeCapacity(
         job,
         remaining,
         this.isGuaranteed(job),
-        upInZone,
+        this.upMachines,
         rules,
       );
-    const upcomingInZone = upcomingMachines.filter((machine) => isInZone(zone, machine));
-    remaining -= this.reservations.reserveOn(job, remaining, upcomingInZone, rules);
-    return this.scaleOutPlan.add(job, remaining, rules, zone) === 0;
+    remaining -= this.reservations.reserveOnUpcoming(job, remaining, rules);
+    return this.scaleOutPlan.add(job, remaining, rules) === 0;
   }
 
   private isGuaranteed(job: JobView): boolean {
--- a/src/scheduler/placement-rules.ts
+++ b/src/scheduler/placement-rules.ts
@@ -39,9 +39,11 @@
   private readonly tasksByZone: Map<string, number>;
   private readonly maxPerZone: number;
 
+  /** @param onlyZone the only zone to use, or null for any that the rules allow */
   constructor(
     private readonly spec: JobSpec,
     tasksByZone: ReadonlyMap<string, number>,
+    private readonly onlyZone: string | null = null,
   ) {
     this.tasksByZone = new Map(tasksByZone);
     this.maxPerZone = spec.spread ? spreadLimit(spec.tasks) : Infinity;
@@ -49,6 +51,7 @@
 
   /** Returns how many more tasks the rules allow in a zone. */
   remaining(zone: string): number {
+    if (this.onlyZone !== null && zone !== this.onlyZone) return 0;
     if (this.spec.oneZone) {
       for (const [other, count] of this.tasksByZone) if (count > 0 && other !== zone) return 0;
     }
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -1,6 +1,7 @@
 /** Places tasks on machines of the snapshot: bin packing by cost, and all-or-nothing for gangs. */
 import { fits, countFittingTasks, subtract, type Resources } from '../fleet/resources.js';
 import type { ContendedTypes } from './contended-types.js';
+import { takeCapacity } from './machine-view.js';
 import { placementCost } from './placement-cost.js';
 import { canUse, ZoneRules } from './placement-rules.js';
 import type { JobView, MachineView } from './scheduling-model.js';
@@ -36,7 +37,8 @@
 
 /**
  * Places up to `count` tasks, subtracts them from the machines' free capacity, and returns the
- * placements.
+ * placements. Where only some machines of a view take tasks, the views of the others are appended to
+ * `machines`.
  *
  * @param keepGpuShare use only CPUs and memory beyond the proportional share of the free GPUs
  */
@@ -51,20 +53,20 @@
   const { need, kind } = job.spec;
   const penalty = contended.penaltySeconds(job.spec);
   const candidates = machines
-    .filter((machine) => fits(need, machine.free) && canUse(job, machine))
+    .filter(
+      (machine) =>
+        fits(need, machine.free) && canUse(job, machine) && rules.remaining(machine.zone) > 0,
+    )
     .map((machine) => ({ machine, cost: placementCost(job, machine, penalty(machine)) }))
     .sort(byCost);
   const placed = new Map<MachineView, number>();
   let remaining = count;
-  const place = (machine: MachineView, maxTasks: number): void => {
-    const tasks = Math.min(
-      maxTasks,
-      remaining,
-      rules.remaining(machine.zone),
-      countFittingTasks(need, machine.free),
-    );
-    if (tasks <= 0) return;
-    subtract(machine.free, need, tasks);
+  const place = (machine: MachineView, maxTasksEach: number): void => {
+    const maxTasks = Math.min(remaining, rules.remaining(machine.zone));
+    const perMachine = Math.min(maxTasks, maxTasksEach, countFittingTasks(need, machine.free));
+    if (perMachine <= 0) return;
+    const tasks = Math.min(maxTasks, perMachine * machine.count);
+    machines.push(...takeCapacity(machine, need, tasks, perMachine));
     rules.add(machine.zone, tasks);
     placed.set(machine, (placed.get(machine) ?? 0) + tasks);
     remaining -= tasks;
@@ -91,7 +93,7 @@
 
 /**
  * Places all tasks of a gang in the zone where its most expensive task costs least; returns null
- * and places none if they do not all fit.
+ * and places none if they do not all fit. Takes machines with ids only.
  */
 export function placeGang(
   job: JobView,
--- a/src/scheduler/reservations.ts
+++ b/src/scheduler/reservations.ts
@@ -1,9 +1,10 @@
 /** Reserves capacity for tasks that cannot start in this scheduling cycle. */
 import type { JobView, MachineView } from './scheduling-model.js';
-import { placedCount } from './placement.js';
+import { placedCount, placeTasks } from './placement.js';
 import type { ZoneRules } from './placement-rules.js';
 import type { ScaleOutPlan } from './scale-out-plan.js';
 import type { CapacityFinder } from './capacity-finder.js';
+import type { ContendedTypes } from './contended-types.js';
 
 /** The reservations of one scheduling cycle; scale-out covers the tasks that do not fit. */
 export class Reservations {
@@ -12,30 +13,29 @@
 
   constructor(
     private readonly finder: CapacityFinder,
+    private readonly contended: ContendedTypes,
     private readonly scaleOutPlan: ScaleOutPlan,
-    private readonly booting: MachineView[],
+    private readonly upMachines: MachineView[],
+    private readonly upcomingMachines: MachineView[],
   ) {}
 
-  /** Machines that are booting or that scale-out will provision. */
-  get upcomingMachines(): MachineView[] {
-    return [...this.booting, ...this.scaleOutPlan.machines];
-  }
-
-  /** Reserves capacity for up to `count` tasks on these machines; returns how many tasks fit. */
-  reserveOn(job: JobView, count: number, machines: MachineView[], rules: ZoneRules): number {
-    const placed = this.finder.placeTasks(job, count, rules, machines);
+  /** Reserves capacity for up to `count` tasks on machines that are up; returns how many fit. */
+  reserve(job: JobView, count: number, rules: ZoneRules): number {
+    const placed = this.finder.placeTasks(job, count, rules, this.upMachines);
     for (const { machine } of placed) this.needed.add(machine.id);
     return placedCount(placed);
   }
 
+  /** Reserves capacity for up to `count` tasks on upcoming machines; returns how many fit. */
+  reserveOnUpcoming(job: JobView, count: number, rules: ZoneRules): number {
+    if (count <= 0) return 0;
+    return placedCount(placeTasks(job, count, this.upcomingMachines, rules, this.contended));
+  }
+
   /** Reserves capacity on upcoming machines; scale-out covers the tasks that do not fit. */
   reserveOrScaleOut(job: JobView, count: number, rules: ZoneRules): void {
     if (count <= 0) return;
-    this.scaleOutPlan.add(
-      job,
-      count - this.reserveOn(job, count, this.upcomingMachines, rules),
-      rules,
-      null,
-    );
+    const reserved = this.reserveOnUpcoming(job, count, rules);
+    this.scaleOutPlan.add(job, count - reserved, rules);
   }
 }
--- a/src/scheduler/scale-out-plan.ts
+++ b/src/scheduler/scale-out-plan.ts
@@ -1,28 +1,47 @@
 /** Selects the instance offers of the cloud to provision. */
 import { fits, countFittingTasks, subtract } from '../fleet/resources.js';
 import type { JobSpec } from '../jobs/job.js';
+import { provisionedMachines } from './machine-view.js';
 import type { JobView, MachineView, InstanceOffer, ScaleOutRequest } from './scheduling-model.js';
 import { isAllowedOn, type ZoneRules } from './placement-rules.js';
 
 /** Added to an offer's cost for each machine in its zone; smaller than the differences in price. */
 const COST_PER_MACHINE = 1e-3;
 
-/** The machines that one scheduling cycle provisions. */
+/**
+ * Share of the machines that a job still needs which is planned from one offer before the offers are
+ * compared again. The comparisons grow with the logarithm of the machines, and the last ones, one
+ * machine each, level the zones.
+ */
+const STEP_RATIO = 1 / 64;
+
+/** Machines of one offer that a job fills alike, planned in one or several steps. */
+interface PlannedMachines {
+  view: MachineView;
+  tasksEach: number;
+}
+
+/**
+ * The machines that one scheduling cycle provisions. Its size depends on the number of jobs, not on
+ * that of their tasks: identical machines share a view.
+ */
 export class ScaleOutPlan {
-  private readonly plannedMachines: { offer: InstanceOffer; view: MachineView }[] = [];
+  /** Number of planned machines by offer. */
+  private readonly planned = new Map<InstanceOffer, number>();
   /** Number of machines by zone, including planned ones. */
   private readonly machinesByZone = new Map<string, number>();
 
+  /**
+   * @param machines the machines of the snapshot
+   * @param upcomingMachines receives views of the planned machines, with the capacity that the plan
+   *   leaves free
+   */
   constructor(
     private readonly offers: InstanceOffer[],
     machines: MachineView[],
+    private readonly upcomingMachines: MachineView[],
   ) {
-    for (const machine of machines) this.countMachine(machine.zone);
-  }
-
-  /** Views of the planned machines, with the capacity that the plan leaves free. */
-  get machines(): MachineView[] {
-    return this.plannedMachines.map(({ view }) => view);
+    for (const { zone, count } of machines) this.countMachines(zone, count);
   }
 
   /** Zones of the offers, one entry per offer. */
@@ -38,36 +57,44 @@
   }
 
   /** Plans machines for `count` tasks; returns the number of tasks without a suitable offer. */
-  add({ spec }: JobView, count: number, rules: ZoneRules, zone: string | null): number {
+  add({ spec }: JobView, count: number, rules: ZoneRules): number {
+    const plannedByOffer = new Map<InstanceOffer, PlannedMachines>();
     let remaining = count;
     while (remaining > 0) {
-      const offer = this.cheapestOffer(spec, remaining, rules, zone);
+      const offer = this.cheapestOffer(spec, remaining, rules);
       if (!offer) break;
-      const view = plannedMachineView(offer, `planned-${this.plannedMachines.length}`);
-      const tasks = Math.min(
-        remaining,
-        rules.remaining(offer.zone),
-        countFittingTasks(spec.need, view.free),
-      );
-      subtract(view.free, spec.need, tasks);
-      rules.add(offer.zone, tasks);
-      this.plannedMachines.push({ offer, view });
-      this.countMachine(offer.zone);
-      remaining -= tasks;
+      const maxTasks = Math.min(remaining, rules.remaining(offer.zone));
+      const tasksEach = Math.min(maxTasks, countFittingTasks(spec.need, offer.type.capacity));
+      const machines = Math.max(1, Math.floor((maxTasks / tasksEach) * STEP_RATIO));
+      const previous = plannedByOffer.get(offer);
+      if (previous?.tasksEach === tasksEach) previous.view.count += machines;
+      else plannedByOffer.set(offer, this.plan(offer, machines, spec, tasksEach));
+      this.planned.set(offer, (this.planned.get(offer) ?? 0) + machines);
+      this.countMachines(offer.zone, machines);
+      rules.add(offer.zone, tasksEach * machines);
+      remaining -= tasksEach * machines;
     }
     return remaining;
   }
 
+  /** Adds a view of machines of an offer to the upcoming machines, each with `tasksEach` tasks. */
+  private plan(
+    offer: InstanceOffer,
+    machines: number,
+    { need }: JobSpec,
+    tasksEach: number,
+  ): PlannedMachines {
+    const view = provisionedMachines(offer, machines, 'planned', 0);
+    subtract(view.free, need, tasksEach);
+    this.upcomingMachines.push(view);
+    return { view, tasksEach };
+  }
+
   /** Returns the offer with the lowest cost per task, counting the tasks that one machine holds. */
-  private cheapestOffer(
-    spec: JobSpec,
-    count: number,
-    rules: ZoneRules,
-    zone: string | null,
-  ): InstanceOffer | null {
+  private cheapestOffer(spec: JobSpec, count: number, rules: ZoneRules): InstanceOffer | null {
     let best: { offer: InstanceOffer; cost: number } | null = null;
     for (const offer of this.offers) {
-      if ((zone !== null && offer.zone !== zone) || !isSuitable(spec, offer)) continue;
+      if (!isSuitable(spec, offer)) continue;
       const maxTasks = Math.min(
         countFittingTasks(spec.need, offer.type.capacity),
         rules.remaining(offer.zone),
@@ -86,15 +113,13 @@
     return this.machinesByZone.get(zone) ?? 0;
   }
 
-  private countMachine(zone: string): void {
-    this.machinesByZone.set(zone, (this.machinesByZone.get(zone) ?? 0) + 1);
+  private countMachines(zone: string, count: number): void {
+    this.machinesByZone.set(zone, (this.machinesByZone.get(zone) ?? 0) + count);
   }
 
   /** Returns the scale-out requests: the number of planned machines per offer. */
   requests(): ScaleOutRequest[] {
-    const counts = new Map<InstanceOffer, number>();
-    for (const { offer } of this.plannedMachines) counts.set(offer, (counts.get(offer) ?? 0) + 1);
-    return [...counts].map(([offer, count]) => ({
+    return [...this.planned].map(([offer, count]) => ({
       type: offer.type.name,
       zone: offer.zone,
       spot: offer.spot,
@@ -109,20 +134,3 @@
     fits(spec.need, offer.type.capacity)
   );
 }
-
-/** Returns the view of an empty machine of this offer. */
-function plannedMachineView(offer: InstanceOffer, id: string): MachineView {
-  return {
-    id,
-    type: offer.type,
-    zone: offer.zone,
-    spot: offer.spot,
-    free: { ...offer.type.capacity },
-    isUp: false,
-    images: new Set(),
-    incomingGb: 0,
-    tasksByJob: new Map(),
-    replicas: 0,
-    idleTimeoutMs: 0,
-  };
-}
--- a/src/scheduler/scheduling-cycle.ts
+++ b/src/scheduler/scheduling-cycle.ts
@@ -52,7 +52,7 @@
     this.opportunistic.schedule(
       waiting.filter((job) => isOpportunistic(job) && !job.isLastResortRetry),
     );
-    scaleOutHeadroom(snapshot, upMachines, preemption, scaleOutPlan);
+    scaleOutHeadroom(this.context);
     const idle = this.opportunistic.idleMachines();
     return {
       starts: this.starter.starts,
--- a/src/scheduler/scheduling-model.ts
+++ b/src/scheduler/scheduling-model.ts
@@ -6,12 +6,19 @@
 import type { JobSpec, Priority } from '../jobs/job.js';
 import type { ExpectedTasks } from './demand-forecast.js';
 
-/** A machine in the snapshot; the cycle modifies `free`, `images` and `incomingGb`. */
+/**
+ * A machine in the snapshot, or several identical ones that are still being provisioned. The cycle
+ * modifies `free`, `images`, `incomingGb` and `count`.
+ */
 export interface MachineView {
+  /** Its id; a label if the cloud has not assigned one yet. */
   id: string;
+  /** Number of identical machines that it stands for; 1 for a machine with an id. */
+  count: number;
   type: MachineType;
   zone: string;
   spot: boolean;
+  /** Free capacity of each of its machines. */
   free: Resources;
   /** False while it is being provisioned or boots. */
   isUp: boolean;
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -23,6 +23,7 @@
 export function machine(id: string, overrides: Partial<MachineView> = {}): MachineView {
   return {
     id,
+    count: 1,
     type: TYPE,
     zone: 'a',
     spot: false,
--- a/test/job-dependencies.test.ts
+++ b/test/job-dependencies.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { LeaderParts } from '../src/control/leader-parts.js';
 import { withinGuarantee } from '../src/scheduler/job-order.js';
 import type { Job } from '../src/jobs/tracked-job.js';
+import { leaderOf } from './fakes/leader.js';
 import { SimulatedCluster } from './fakes/simulated-cluster.js';
 
 const FOUR_MACHINES = [{ yard: 'a' }, { yard: 'a' }, { yard: 'b' }, { yard: 'b' }];
@@ -10,12 +10,6 @@
 const startsOf = (cluster: SimulatedCluster, ref: string): number =>
   cluster.starts.filter((name) => name.startsWith(`${ref}/`)).length;
 
-function leaderOf(cluster: SimulatedCluster): LeaderParts {
-  return (
-    cluster.nodes[cluster.leader]!.controller as unknown as { leader: { parts: LeaderParts } }
-  ).leader.parts;
-}
-
 /** The leader's in-memory state of a job; undefined once it has dropped the job. */
 const trackedJob = (cluster: SimulatedCluster, ref: string): Job | undefined =>
   leaderOf(cluster).jobs.get(ref);
