The leader keeps nothing for tasks of a job that only wait

What callers would see: after some 500 accepted jobs of 100,000 tasks, none of which needs to have started, every leader in turn ends for want of heap, since the next one reads the same jobs. Up to 6,840 open jobs are accepted at 114 MB (`OPEN_JOBS_PER_MB`, which reckons with 3 KB each).

`RunLayout` created the sections of all run records of a job at once (614 at 16 KB values), `CompletedTasks` a byte for each task.

Change: an indexed section is created once it is used, a block of 1,024 flags once one of its tasks is done. What is stored is the same to the byte.

Test: 6,840 jobs of 100,000 tasks, one task of each done, in a worker thread with the heap of the deploy file: ERR_WORKER_OUT_OF_MEMORY before, passes now. Three tests used the list of sections; they ask for the section of an index instead, and one now also checks that the sections cover all tasks, which the list implied.

--- a/src/jobs/completed-tasks.ts
+++ b/src/jobs/completed-tasks.ts
@@ -3,14 +3,20 @@
 /** Inclusive ranges of task numbers. */
 export type TaskRanges = [number, number][];
 
-/** The completed tasks of a job, one byte per task, since a job array may have 100,000 tasks. */
+/** Number of consecutive tasks whose flags share a block. */
+const BLOCK_TASKS = 1024;
+
+/**
+ * The completed tasks of a job. Memory grows with the completed tasks, not with the tasks of the job:
+ * thousands of waiting jobs may have 100,000 tasks each.
+ */
 export class CompletedTasks {
-  private readonly flags: Uint8Array;
+  /** One byte per task, in blocks that exist once one of their tasks has completed. */
+  private readonly blocks = new Map<number, Uint8Array>();
   private total = 0;
 
-  constructor(tasks: number) {
-    this.flags = new Uint8Array(tasks);
-  }
+  /** @param tasks number of tasks of the job */
+  constructor(private readonly tasks: number) {}
 
   /** Number of completed tasks. */
   get count(): number {
@@ -18,13 +24,15 @@
   }
 
   has(task: number): boolean {
-    return this.flags[task] === 1;
+    return this.blocks.get(blockOf(task))?.[task % BLOCK_TASKS] === 1;
   }
 
-  /** Marks a task as completed. Returns false if it already was. */
+  /** Marks a task as completed. Returns false if it already was, or is not a task of the job. */
   add(task: number): boolean {
-    if (this.has(task)) return false;
-    this.flags[task] = 1;
+    if (task >= this.tasks || this.has(task)) return false;
+    let block = this.blocks.get(blockOf(task));
+    if (!block) this.blocks.set(blockOf(task), (block = new Uint8Array(BLOCK_TASKS)));
+    block[task % BLOCK_TASKS] = 1;
     this.total++;
     return true;
   }
@@ -32,13 +40,14 @@
   /** Marks all tasks in `ranges` as completed; numbers outside the job are ignored. */
   addRanges(ranges: TaskRanges): void {
     for (const [from, to] of ranges) {
-      for (let task = from; task <= to && task < this.flags.length; task++) this.add(task);
+      for (let task = from; task <= to && task < this.tasks; task++) this.add(task);
     }
   }
 
   remove(task: number): void {
-    if (!this.has(task)) return;
-    this.flags[task] = 0;
+    const block = this.blocks.get(blockOf(task));
+    if (!block || !this.has(task)) return;
+    block[task % BLOCK_TASKS] = 0;
     this.total--;
   }
 
@@ -54,3 +63,5 @@
     return ranges;
   }
 }
+
+const blockOf = (task: number): number => Math.floor(task / BLOCK_TASKS);
--- a/src/jobs/run-layout.ts
+++ b/src/jobs/run-layout.ts
@@ -59,22 +59,19 @@
  */
 export class RunLayout {
   kind: LayoutKind = 'indexed';
-  sections: Section[];
+  /**
+   * Sections in order of their tasks. Of an indexed layout only those in use, since most tasks of a
+   * large job may wait for long: the others are neither stored nor dirty.
+   */
+  sections: Section[] = [];
   /** Stored indexed records whose tasks now belong to ranged sections. */
   superseded: StoredSection[] = [];
 
   constructor(
     private readonly job: string,
     private readonly tasks: number,
-    perRecord: number,
-  ) {
-    this.sections = [];
-    for (let from = 0; from < tasks; from += perRecord) {
-      const to = Math.min(tasks, from + perRecord);
-      const key = KEYS.run(job, this.sections.length);
-      this.sections.push({ key, from, to, version: 0, dirty: false, inherited: false });
-    }
-  }
+    private readonly tasksPerIndexedRecord: number,
+  ) {}
 
   markDirty(task: number): void {
     this.sectionOfTask(task).dirty = true;
@@ -84,23 +81,49 @@
     return this.sections.some((section) => section.dirty);
   }
 
-  /** Returns the section at this index; for the indexed layout, that of the record's index. */
-  sectionAt(index: number): Section {
-    const section = this.sections[index];
-    if (!section) throw new UnknownSectionError(this.job, index);
-    return section;
+  /** Whether an indexed record of this index can belong to the job. */
+  hasIndexedRecord(index: number): boolean {
+    return index * this.tasksPerIndexedRecord < this.tasks;
+  }
+
+  /** Returns the section of the indexed record of this index. */
+  indexedSection(index: number): Section {
+    if (!this.hasIndexedRecord(index)) throw new UnknownSectionError(this.job, index);
+    return this.sectionOfTask(index * this.tasksPerIndexedRecord);
   }
 
-  /** Returns the section that contains a task, by binary search. */
+  /** Returns the section that contains a task; adds it if it was not in use yet. */
   private sectionOfTask(task: number): Section {
-    let low = 0;
+    const position = this.lastPositionUpTo(task);
+    const found = this.sections[position];
+    if (found && task < found.to) return found;
+    const section = this.newIndexedSection(Math.floor(task / this.tasksPerIndexedRecord));
+    this.sections.splice(position + 1, 0, section);
+    return section;
+  }
+
+  private newIndexedSection(index: number): Section {
+    const { from, to } = this.indexedRange(index);
+    const key = KEYS.run(this.job, index);
+    return { key, from, to, version: 0, dirty: false, inherited: false };
+  }
+
+  /** The tasks of the indexed record of this index. */
+  private indexedRange(index: number): { from: number; to: number } {
+    const from = index * this.tasksPerIndexedRecord;
+    return { from, to: Math.min(this.tasks, from + this.tasksPerIndexedRecord) };
+  }
+
+  /** Returns the position of the last section that begins at or before a task; -1 if there is none. */
+  private lastPositionUpTo(task: number): number {
+    let low = -1;
     let high = this.sections.length - 1;
     while (low < high) {
       const middle = (low + high + 1) >> 1;
-      if (this.sectionAt(middle).from <= task) low = middle;
+      if ((this.sections[middle]?.from ?? Infinity) <= task) low = middle;
       else high = middle - 1;
     }
-    return this.sectionAt(low);
+    return low;
   }
 
   /** All records of the job in the store; superseded ones first, as they must be deleted first. */
@@ -144,9 +167,9 @@
 
   /** Whether all these tasks belong to the record of this index under the current value limit. */
   containsTasks(index: number, tasks: Iterable<number>): boolean {
-    const section = this.sections[index];
-    if (!section) return false;
-    for (const task of tasks) if (task < section.from || task >= section.to) return false;
+    if (!this.hasIndexedRecord(index)) return false;
+    const { from, to } = this.indexedRange(index);
+    for (const task of tasks) if (task < from || task >= to) return false;
     return true;
   }
 
--- a/src/jobs/run-reader.ts
+++ b/src/jobs/run-reader.ts
@@ -34,7 +34,7 @@
   const parsedKey = parseRunKey(key);
   if (parsedKey?.kind === 'indexed') {
     const record = parseRun(value);
-    if (!record || !job.layout.sections[parsedKey.number]) return false;
+    if (!record || !job.layout.hasIndexedRecord(parsedKey.number)) return false;
     stored.indexed.push({ index: parsedKey.number, version, record });
     return true;
   }
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -205,7 +205,7 @@
   restore(stored: StoredRuns, perRange: number, now: number, wall: number): Placement[] {
     const wallToMonotonicMs = now - wall;
     for (const { index, version, record } of stored.indexed) {
-      this.layout.sectionAt(index).version = version;
+      this.layout.indexedSection(index).version = version;
       this.attempt = Math.max(this.attempt, record.attempt);
       this.done.addRanges(record.done);
       if (this.gang && record.gang) restoreGang(this.gang, record.gang, now, wallToMonotonicMs);
--- /dev/null
+++ b/test/fakes/controller-heap.ts
@@ -0,0 +1,28 @@
+import { once } from 'node:events';
+import { readFileSync } from 'node:fs';
+import { Worker } from 'node:worker_threads';
+import { parse } from 'smol-toml';
+
+const DEPLOY_FILE = new URL('../../../../deploy/service.toml', import.meta.url);
+
+/** Heap limit of a deployed controller, in MB. */
+export function deployedHeapMb(): number {
+  const { run } = parse(readFileSync(DEPLOY_FILE, 'utf8'));
+  return Number(/--max-old-space-size=(\d+)/.exec(String(run))?.[1]);
+}
+
+/**
+ * Runs a script as a worker thread with the heap of a deployed controller; returns the messages that
+ * it posts. Rejects with `ERR_WORKER_OUT_OF_MEMORY` if the heap is too small.
+ */
+export async function runInControllerHeap<Message>(
+  script: URL,
+  workerData?: unknown,
+): Promise<Message[]> {
+  const resourceLimits = { maxOldGenerationSizeMb: deployedHeapMb() };
+  const worker = new Worker(script, { workerData, resourceLimits });
+  const messages: Message[] = [];
+  worker.on('message', (message: Message) => messages.push(message));
+  await once(worker, 'exit');
+  return messages;
+}
--- a/test/fakes/largest-jobs.ts
+++ b/test/fakes/largest-jobs.ts
@@ -11,10 +11,7 @@
   SchedulingPlan,
   Snapshot,
 } from '../../src/scheduler/scheduling-model.js';
-import { jobView, machine, snapshotWith, SPEC, TYPE } from './samples.js';
-
-/** The largest number of tasks of one job. */
-export const MAX_TASKS = 100_000;
+import { jobView, machine, MAX_TASKS, snapshotWith, SPEC, TYPE } from './samples.js';
 
 /** What the cycles of one worker thread vary. */
 export interface LargestJobsCase {
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -7,6 +7,9 @@
   TeamView,
 } from '../../src/scheduler/scheduling-model.js';
 
+/** The largest number of tasks of one job. */
+export const MAX_TASKS = 100_000;
+
 /** The machine type that scheduler tests use. */
 export const TYPE: MachineType = {
   name: 'g8',
--- a/test/largest-jobs.test.ts
+++ b/test/largest-jobs.test.ts
@@ -1,36 +1,20 @@
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
-import { Worker } from 'node:worker_threads';
-import { parse } from 'smol-toml';
-import { MAX_TASKS, type LargestJobsCase, type LargestJobsResult } from './fakes/largest-jobs.js';
+import { deployedHeapMb, runInControllerHeap } from './fakes/controller-heap.js';
 import { leaderOf } from './fakes/leader.js';
+import type { LargestJobsCase, LargestJobsResult } from './fakes/largest-jobs.js';
+import type { OpenJobsCase, OpenJobsResult } from './fakes/open-jobs.js';
+import { MAX_TASKS } from './fakes/samples.js';
 import { SimulatedCluster } from './fakes/simulated-cluster.js';
 
-const WORKER = new URL('./fakes/largest-jobs.js', import.meta.url);
-
-const DEPLOY_FILE = new URL('../../../deploy/service.toml', import.meta.url);
+const CYCLES = new URL('./fakes/largest-jobs.js', import.meta.url);
+const OPEN_JOBS = new URL('./fakes/open-jobs.js', import.meta.url);
 
 /** Number of machines in the snapshot of a cycle, which the plan may use instead of new ones. */
 const KNOWN_MACHINES = 2;
 
-/** Heap limit of a deployed controller, in MB. */
-function deployedHeapMb(): number {
-  const { run } = parse(readFileSync(DEPLOY_FILE, 'utf8'));
-  return Number(/--max-old-space-size=(\d+)/.exec(String(run))?.[1]);
-}
-
-/** Runs cycles in a worker thread that has the heap of a controller. */
-async function runCycles(workerData: LargestJobsCase): Promise<LargestJobsResult[]> {
-  const resourceLimits = { maxOldGenerationSizeMb: deployedHeapMb() };
-  const worker = new Worker(WORKER, { workerData, resourceLimits });
-  const results: LargestJobsResult[] = [];
-  worker.on('message', (result: LargestJobsResult) => results.push(result));
-  // Rejects with ERR_WORKER_OUT_OF_MEMORY if the heap is too small.
-  await once(worker, 'exit');
-  return results;
-}
+/** Memory of a deployed controller, and the smallest limit of a value in the deployments. */
+const DEPLOYMENT: OpenJobsCase = { memoryMb: 114, valueBytes: 8 * 1024 };
 
 for (const kind of ['array', 'gang', 'service'] as const) {
   for (const tasksPerMachine of [1, 2, 48]) {
@@ -40,7 +24,8 @@
       test(`${jobs} ${kind} of ${MAX_TASKS} tasks, ${tasksPerMachine} to a machine: planned in full within the heap of a controller`, async () => {
         const fewest = (jobs * MAX_TASKS) / tasksPerMachine - KNOWN_MACHINES;
         const most = jobs * Math.ceil(MAX_TASKS / tasksPerMachine);
-        const results = await runCycles({ kind, tasksPerMachine, jobs });
+        const workerData: LargestJobsCase = { kind, tasksPerMachine, jobs };
+        const results = await runInControllerHeap<LargestJobsResult>(CYCLES, workerData);
         assert.equal(results.length, 60);
         for (const { variant, provisioned } of results) {
           const isComplete = provisioned >= fewest && provisioned <= most;
@@ -51,6 +36,16 @@
   }
 }
 
+// Guards against state for each task of a waiting job: some 500 waiting jobs ended every leader for want
+// of heap, while more than ten times as many are accepted.
+test(`as many open jobs of ${MAX_TASKS} tasks as a controller of ${DEPLOYMENT.memoryMb} MB accepts fit its memory`, async () => {
+  const [result] = await runInControllerHeap<OpenJobsResult>(OPEN_JOBS, DEPLOYMENT);
+  assert.ok(result);
+  assert.equal(result.waitingTasks, result.jobs * (MAX_TASKS - 1));
+  const maxBufferBytes = (DEPLOYMENT.memoryMb - deployedHeapMb()) * 2 ** 20;
+  assert.ok(result.bufferBytes < maxBufferBytes, `${result.bufferBytes} bytes of buffers`);
+});
+
 // Guards against a snapshot that holds an object for each machine of a pending request.
 test(`requests pending for an array of ${MAX_TASKS} tasks, one to a machine: one view for each request`, async () => {
   const cluster = new SimulatedCluster([{ yard: 'a' }]);
--- a/test/production-samples.test.ts
+++ b/test/production-samples.test.ts
@@ -51,7 +51,7 @@
   assert.ok(runs.size >= 4);
   for (const [job, { indexed }] of runs) {
     for (const { index, record } of indexed) {
-      const section = job.layout.sections[index]!;
+      const section = job.layout.indexedSection(index);
       const written = job.toRecord(section, record.w, (monotonicMs) => wall + monotonicMs - 5000);
       assert.equal(section.key, `runs/${job.id}/${index}`);
       const { value } = productionStore().keys[section.key]!;
--- a/test/released-samples.test.ts
+++ b/test/released-samples.test.ts
@@ -81,7 +81,10 @@
 
   test(`run records are written byte for byte as by 104c759 (${when})`, () => {
     for (const [job] of restored(sample)) {
-      for (const section of job.layout.sections) {
+      const { sections } = job.layout;
+      const covered = sections.reduce((sum, { from, to }) => sum + to - from, 0);
+      assert.equal(covered, job.spec.tasks, 'there is a section for every task');
+      for (const section of sections) {
         const stored = sample.keys[section.key];
         assert.ok(stored, section.key);
         const { w: writeId } = stored.value as { w: string };
--- a/test/request-limits.test.ts
+++ b/test/request-limits.test.ts
@@ -66,7 +66,7 @@
 
 test('a superseded record is kept until ranged records cover all of its tasks', () => {
   const layout = new RunLayout('req-1', 100, 50);
-  for (const section of layout.sections) section.version = 3;
+  for (const index of [0, 1]) layout.indexedSection(index).version = 3;
   layout.switchToRanged(30, () => false);
   const [first, second, third] = layout.sections;
   const removable = (...written: typeof layout.sections): number[] =>
