Choices of tasks to preempt in a priority queue

What callers would see: an urgent array of 100,000 tasks over a fleet full of best-effort work stalls the leader for seconds at its share of a core, so that the lease runs out in the cycle.

Cause: each preemption searched all machines' choices for the smallest loss: time by preempted tasks times machines.

Time has no test of its own: it depends on the machine.

--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -5,6 +5,7 @@
 import { fits, countFittingTasks, subtract, type Resources } from '../fleet/resources.js';
 import { outranks, rank } from './job-order.js';
 import { canUse, schedulingShape, type ZoneRules } from './placement-rules.js';
+import { PreemptionChoices, type PreemptionChoice } from './preemption-choices.js';
 import type {
   JobView,
   MachineView,
@@ -15,14 +16,6 @@
 } from './scheduling-model.js';
 import { addTasks, CAPACITY_TOLERANCE } from './team-capacity.js';
 
-/** The tasks to preempt on a machine to free capacity for one task. */
-interface PreemptionChoice {
-  machine: MachineView;
-  candidates: PreemptionCandidate[];
-  /** Sum of the tasks' lost run times in milliseconds, plus one per task. */
-  loss: number;
-}
-
 /**
  * The preemptions of one scheduling cycle. Tasks whose loss is smallest are preempted first.
  * Capacity that is already being freed is used before more tasks are preempted.
@@ -164,14 +157,12 @@
   ): number {
     // If no task of lower priority is running, only a job within its guarantee may preempt.
     if (!isGuaranteed && !outranks(job.priority, this.lowestPriority)) return 0;
-    let choices = this.choicesOn(job, isGuaranteed, machines, rules);
+    const choices = new PreemptionChoices(this.choicesOn(job, isGuaranteed, machines, rules));
     let found = 0;
-    while (found < count && choices.length > 0) {
-      const best = choices.reduce((a, b) => (b.loss < a.loss ? b : a));
-      if (rules.remaining(best.machine.zone) <= 0) {
-        choices = choices.filter((choice) => choice.machine.zone !== best.machine.zone);
-        continue;
-      }
+    while (found < count) {
+      const best = choices.takeBest();
+      if (!best) break;
+      if (rules.remaining(best.machine.zone) <= 0) continue;
       // Recomputes the choice: an earlier stop may have brought a team down to its guarantee.
       const current = this.cheapestChoice(job, best.machine, isGuaranteed);
       if (current && current.loss <= best.loss) {
@@ -180,8 +171,7 @@
         found++;
       }
       const next = this.cheapestChoice(job, best.machine, isGuaranteed);
-      choices.splice(choices.indexOf(best), 1);
-      if (next) choices.push(next);
+      if (next) choices.add(next);
     }
     return found;
   }
