--- a/src/scheduler/cycle-context.ts
+++ b/src/scheduler/cycle-context.ts
@@ -16,8 +16,8 @@
   /** Machines that are up. Pass this array itself: `CapacityFinder` caches by array identity. */
   upMachines: MachineView[];
   /**
-   * Machines that are booting or that scale-out will provision. Scale-out and placements that split a
-   * view append to it.
+   * Machines that are booting or that scale-out will provision. Scale-out appends to it, and
+   * placements that split a view insert.
    */
   upcomingMachines: MachineView[];
   /** Ids of the jobs within their team's guarantee. */
--- a/src/scheduler/headroom.ts
+++ b/src/scheduler/headroom.ts
@@ -80,8 +80,8 @@
       const tasks = Math.min(count - taken, countFittingOn(need, machine));
       if (tasks === 0) continue;
       const tasksEach = Math.min(tasks, countFittingTasks(need, machine.free));
-      this.upcomingMachines.push(...takeCapacity(machine, need, tasks, tasksEach));
       taken += tasks;
+      takeCapacity(this.upcomingMachines, machine, need, tasks, tasksEach);
     }
     return taken;
   }
--- a/src/scheduler/machine-view.ts
+++ b/src/scheduler/machine-view.ts
@@ -38,14 +38,16 @@
 
 /**
  * Takes the capacity of `tasks` tasks from the machines of a view, `perMachine` on each until the last
- * ones. The view keeps the machines that hold most; the views of the others are returned.
+ * ones. The view keeps the machines that hold most; views of the others are inserted behind it in
+ * `views`.
  */
 export function takeCapacity(
+  views: MachineView[],
   view: MachineView,
   need: Resources,
   tasks: number,
   perMachine: number,
-): MachineView[] {
+): void {
   const others: MachineView[] = [];
   const filled = Math.floor(tasks / perMachine);
   const rest = tasks - filled * perMachine;
@@ -54,10 +56,10 @@
   if (rest > 0) {
     const last = filled > 0 ? splitOff(view, 1) : view;
     subtract(last.free, need, rest);
-    if (last !== view) others.push(last);
+    if (last !== view) others.unshift(last);
   }
   if (filled > 0) subtract(view.free, need, perMachine);
-  return others;
+  if (others.length > 0) views.splice(views.indexOf(view) + 1, 0, ...others);
 }
 
 /** Moves `count` machines of a view to a view of their own. */
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -37,7 +37,7 @@
 
 /**
  * Places up to `count` tasks, subtracts them from the machines' free capacity, and returns the
- * placements. Where only some machines of a view take tasks, the views of the others are appended to
+ * placements. Where only some machines of a view take tasks, views of the others are inserted into
  * `machines`.
  *
  * @param keepGpuShare use only CPUs and memory beyond the proportional share of the free GPUs
@@ -66,7 +66,7 @@
     const perMachine = Math.min(maxTasks, maxTasksEach, countFittingTasks(need, machine.free));
     if (perMachine <= 0) return;
     const tasks = Math.min(maxTasks, perMachine * machine.count);
-    machines.push(...takeCapacity(machine, need, tasks, perMachine));
+    takeCapacity(machines, machine, need, tasks, perMachine);
     rules.add(machine.zone, tasks);
     placed.set(machine, (placed.get(machine) ?? 0) + tasks);
     remaining -= tasks;
