A transaction of a large job builds the records that it stores, from their own tasks

What callers would see: a leader with 100,000 tasks of one array on machines stalls for seconds at each write of the job.

Cause: each transaction built the records of all changed sections, of which some 19 go in, and each record searched all placements of the job: time by transactions, sections and tasks.

Change: records are built one by one until the transaction is full, each from the placements of its own range; a section that is too large is split when its turn comes, the later half first as before.

--- a/src/jobs/job-transaction.ts
+++ b/src/jobs/job-transaction.ts
@@ -150,9 +150,8 @@
 
   private addSections(job: Job, writeId: string, transaction: JobTransaction): void {
     const limits = this.rejections.limitsFor(job);
-    const records = this.recordsToWrite(job, writeId, limits.valueBytes);
     let bytes = 0;
-    for (const { section, record } of records) {
+    for (const { section, record } of this.recordsToWrite(job, writeId, limits.valueBytes)) {
       bytes += jsonBytes(record) + BYTES_PER_OPERATION;
       // One change is reserved for the job record.
       if (transaction.changes.length >= limits.txnOps - 1) return;
@@ -163,28 +162,32 @@
     }
   }
 
-  /** Returns the records that have to be written; ranged ones are split until each fits. */
-  private recordsToWrite(job: Job, writeId: string, valueBytes: number): SectionRecord[] {
-    const { layout } = job;
+  /**
+   * Yields the records that have to be written; ranged ones are split until each fits. A record is
+   * built when it is asked for: a large job has many more than fit into one transaction.
+   */
+  private *recordsToWrite(job: Job, writeId: string, valueBytes: number): Generator<SectionRecord> {
     const { clock } = this.runtime;
     const toWallClock = (monotonic: number): number =>
       Math.round(clock.wall() + monotonic - clock.now());
-    const isDue = (section: Section): boolean =>
-      section.dirty || (job.isRewriting && section.inherited);
-    const records: SectionRecord[] = [];
-    // `split` inserts the later half after the current section, so the loop reaches it next.
-    for (const section of layout.sections) {
-      if (!isDue(section)) continue;
-      let record = job.toRecord(section, writeId, toWallClock);
-      while (layout.kind === 'ranged' && section.to - section.from > 1) {
-        if (jsonBytes(record) <= valueBytes) break;
-        layout.split(section);
-        record = job.toRecord(section, writeId, toWallClock);
-      }
-      records.push({ section, record });
+    const remaining = dueSections(job).reverse();
+    for (let section = remaining.pop(); section; section = remaining.pop()) {
+      const record = job.toRecord(section, writeId, toWallClock);
+      const canSplit = job.layout.kind === 'ranged' && section.to - section.from > 1;
+      // The later half goes first, as `RunLayout` requires.
+      if (canSplit && jsonBytes(record) > valueBytes)
+        remaining.push(section, job.layout.split(section));
+      else yield { section, record };
     }
-    if (layout.kind === 'indexed') return records;
-    // Later tasks first, as `RunLayout` requires for splits; changed sections before moved ones.
-    return records.reverse().sort((a, b) => Number(b.section.dirty) - Number(a.section.dirty));
   }
 }
+
+/** The sections whose records have to be written, in the order in which they may be written. */
+function dueSections({ layout, isRewriting }: Job): Section[] {
+  const due = layout.sections.filter(
+    (section) => section.dirty || (isRewriting && section.inherited),
+  );
+  if (layout.kind === 'indexed') return due;
+  // Later tasks first, as `RunLayout` requires for splits; changed sections before moved ones.
+  return due.reverse().sort((a, b) => Number(b.dirty) - Number(a.dirty));
+}
--- a/src/jobs/run-layout.ts
+++ b/src/jobs/run-layout.ts
@@ -244,8 +244,11 @@
     return sections;
   }
 
-  /** Splits a ranged section of more than one task in half; both halves have to be written. */
-  split(section: Section): void {
+  /**
+   * Splits a ranged section of more than one task in half; both halves have to be written. Returns
+   * the later one.
+   */
+  split(section: Section): Section {
     const middle = (section.from + section.to) >> 1;
     const later: Section = {
       key: KEYS.runRange(this.job, middle),
@@ -258,6 +261,7 @@
     section.to = middle;
     section.dirty = true;
     this.sections.splice(this.sections.indexOf(section) + 1, 0, later);
+    return later;
   }
 }
 
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -174,9 +174,7 @@
     toWallClock: (monotonic: number) => number,
   ): RunRecord | RangedRunRecord {
     const { from, to } = section;
-    const placements = [...this.placements.values()].filter(
-      (placement) => placement.task >= from && placement.task < to,
-    );
+    const placements = this.placementsIn(from, to);
     const done = this.done.ranges(from, to);
     if (this.layout.kind === 'ranged') {
       const gang = from === 0 ? this.gangRecord(toWallClock) : {};
@@ -193,6 +191,16 @@
     };
   }
 
+  /** Returns the placements of the tasks from `from` (inclusive) to `to` (exclusive). */
+  private placementsIn(from: number, to: number): Placement[] {
+    const placements: Placement[] = [];
+    for (let task = from; task < to; task++) {
+      const placement = this.placements.get(task);
+      if (placement) placements.push(placement);
+    }
+    return placements;
+  }
+
   private gangRecord(toWallClock: (monotonic: number) => number): { gang?: GangRecord } {
     const record = this.gang && toGangRecord(this.gang, toWallClock);
     return record ? { gang: record } : {};
