A test of four arrays of 100,000 placed tasks, known red

Cause: a leader holds some 290 bytes for each task on a machine (measured, scratch script) and 145 more during a cycle, and nothing bounds their number.

--- a/test/largest-jobs.test.ts
+++ b/test/largest-jobs.test.ts
@@ -4,11 +4,16 @@
 import { leaderOf } from './fakes/leader.js';
 import type { LargestJobsCase, LargestJobsResult } from './fakes/largest-jobs.js';
 import type { OpenJobsCase, OpenJobsResult } from './fakes/open-jobs.js';
+import type { PlacedTasksCase } from './fakes/placed-tasks.js';
 import { MAX_TASKS } from './fakes/samples.js';
 import { SimulatedCluster } from './fakes/simulated-cluster.js';
 
 const CYCLES = new URL('./fakes/largest-jobs.js', import.meta.url);
 const OPEN_JOBS = new URL('./fakes/open-jobs.js', import.meta.url);
+const PLACED_TASKS = new URL('./fakes/placed-tasks.js', import.meta.url);
+
+/** The fleet size at which operators run the service. */
+const FLEET_MACHINES = 4000;
 
 /** Number of machines in the snapshot of a cycle, which the plan may use instead of new ones. */
 const KNOWN_MACHINES = 2;
@@ -46,6 +51,16 @@
   assert.ok(result.bufferBytes < maxBufferBytes, `${result.bufferBytes} bytes of buffers`);
 });
 
+// Guards against more placements than the heap of a controller holds.
+for (const jobs of [1, 4]) {
+  test(`${jobs} array of ${MAX_TASKS} tasks, all placed on ${FLEET_MACHINES} machines: the placements fit the heap of a controller`, async () => {
+    const { valueBytes } = DEPLOYMENT;
+    const workerData: PlacedTasksCase = { jobs, machines: FLEET_MACHINES, valueBytes };
+    const [placed] = await runInControllerHeap<number>(PLACED_TASKS, workerData);
+    assert.equal(placed, jobs * MAX_TASKS);
+  });
+}
+
 // Guards against a snapshot that holds an object for each machine of a pending request.
 test(`requests pending for an array of ${MAX_TASKS} tasks, one to a machine: one view for each request`, async () => {
   const cluster = new SimulatedCluster([{ yard: 'a' }]);
