Tests set the fields that they mean, and one case needs the zone rule it is about

`consolidation.test.ts` and `scheduling-cycle.test.ts` set `waiting` and `zones`, names that the views no longer have, so that the values had no effect. They set `waitingTasks` and `tasksByZone`, with a type, and a replica has the spec of its job, with the number of its tasks. Aliases that repeat a name, and a getter of `Fleet` that nobody used, are gone.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -69,13 +69,6 @@
     private readonly zoneDelegates: ZoneDelegateExpiries,
   ) {}
 
-  /** Number of machines that have sent a heartbeat in this term. */
-  get heardMachineCount(): number {
-    let count = 0;
-    for (const machine of this.machines.values()) if (machine.lastHeartbeatAt !== null) count++;
-    return count;
-  }
-
   /** Returns the machine with this id, and adds it if it is unknown. */
   getOrCreate(id: string, now: number): Machine {
     let machine = this.machines.get(id);
--- a/test/consolidation.test.ts
+++ b/test/consolidation.test.ts
@@ -17,18 +17,18 @@
   services: string[][],
   overrides: { spec?: Partial<JobSpec>; machine?: Partial<MachineView>; zones?: string[] } = {},
 ): { movable: ReplicaView[]; up: MachineView[]; jobs: JobView[] } {
-  const spec = { ...REPLICA, ...overrides.spec };
   const ids = [...new Set(services.flat())].sort();
   const zoneOf = (id: string): string => overrides.zones?.[ids.indexOf(id)] ?? 'a';
   const movable: ReplicaView[] = [];
   const jobs = services.map((machines, i) => {
-    const zones = new Map<string, number>();
+    const spec = { ...REPLICA, ...overrides.spec, tasks: machines.length };
+    const tasksByZone = new Map<string, number>();
     machines.forEach((id, task) => {
       movable.push({ job: `req-${i}`, task, machine: id, spec });
-      zones.set(zoneOf(id), (zones.get(zoneOf(id)) ?? 0) + 1);
+      tasksByZone.set(zoneOf(id), (tasksByZone.get(zoneOf(id)) ?? 0) + 1);
     });
-    const placed = { readyAt: i, dueAt: i, waiting: 0, zones };
-    return jobView(`req-${i}`, { ...spec, tasks: machines.length }, placed);
+    const placed: Partial<JobView> = { readyAt: i, dueAt: i, waitingTasks: 0, tasksByZone };
+    return jobView(`req-${i}`, spec, placed);
   });
   const up = ids.map((id) => {
     const tasksOf = new Map<string, number>();
@@ -85,4 +85,8 @@
   assert.deepEqual(movedReplicas(spread), []);
   const inside = fleetWith([['m2', 'm3'], ['m1']], { spec: { spread: true }, zones });
   assert.deepEqual(movedReplicas(inside), ['req-0/0']);
+  // The replica on m2 would be the second of two in zone b; the one on m4 stays within its zone.
+  const services = [['m2', 'm4'], ['m3'], ['m3']];
+  const across = fleetWith(services, { spec: { spread: true }, zones: ['a', 'b', 'b'] });
+  assert.deepEqual(movedReplicas(across), ['req-0/1']);
 });
--- a/test/headroom.test.ts
+++ b/test/headroom.test.ts
@@ -99,7 +99,7 @@
 
 test('gangs that all need scale-out go to different zones, so that the first zone is not used up', () => {
   const gangs = [1, 2, 3].map((i) => waitingGang(`req-${i}`, i));
-  const { scaleOut: scaleOut } = schedule(snapshot({ jobs: gangs }));
+  const { scaleOut } = schedule(snapshot({ jobs: gangs }));
   assert.deepEqual(
     scaleOut.map(({ zone, count }) => [zone, count]),
     [
@@ -113,7 +113,7 @@
 test('a gang stays in the zone that lacks the least capacity for it, even if it has the most machines', () => {
   const machines = [1, 2, 3].map((i) => machine(`m${i}`, { zone: 'b', isUp: i === 1 }));
   const other = machine('m4', { zone: 'c' });
-  const { scaleOut: scaleOut } = schedule(
+  const { scaleOut } = schedule(
     snapshot({ machines: [...machines, other], jobs: [waitingGang('r', 1)] }),
   );
   assert.deepEqual(scaleOut, []);
--- a/test/job-dependencies.test.ts
+++ b/test/job-dependencies.test.ts
@@ -190,11 +190,9 @@
     'another gang passes the gate',
   );
   assert.equal(startsOf(simulatedCluster, waiting) + startsOf(simulatedCluster, gang), 0);
-  const {
-    jobs,
-    teams,
-    isGateClosed: isGateClosed,
-  } = leaderOf(simulatedCluster).schedulingLoop.takeSnapshot(simulatedCluster.clock.now());
+  const { jobs, teams, isGateClosed } = leaderOf(simulatedCluster).schedulingLoop.takeSnapshot(
+    simulatedCluster.clock.now(),
+  );
   assert.deepEqual(new Set(jobs.map((job) => job.id)), new Set([first, other, otherGang]));
   assert.ok(
     withinGuarantee(jobs, teams).has(other),
--- a/test/measurements/rollout.ts
+++ b/test/measurements/rollout.ts
@@ -238,7 +238,7 @@
     replicas: () => replicas,
     onAnswer: () => void probes++,
     probe: {
-      send: async ({ job, task, attempt, agentEpoch: agentEpoch, image }) => ({
+      send: async ({ job, task, attempt, agentEpoch, image }) => ({
         ...{
           job,
           task,
--- a/test/rollout-guards.test.ts
+++ b/test/rollout-guards.test.ts
@@ -223,7 +223,7 @@
 });
 
 test('steps and starts fit the smallest store limits with quota transfers and rollouts enabled', async () => {
-  const { withQuotaTransfers: withQuotaTransfers } = await import('./fakes/quota-checker.js');
+  const { withQuotaTransfers } = await import('./fakes/quota-checker.js');
   const limits = { valueBytes: 2048, txnOps: 4 };
   const scenario = await startScenario({
     before: (cluster) => {
--- a/test/scheduling-cycle.test.ts
+++ b/test/scheduling-cycle.test.ts
@@ -284,7 +284,7 @@
   };
   assert.equal(stops(batch, step), 1);
   assert.equal(stops(batch, { ...step, priority: Priority.Low }), 0);
-  const steps = { ...step, waiting: 0 };
+  const steps: JobView = { ...step, waitingTasks: 0 };
   const waitingJob = job({ priority: Priority.Normal, need: { cpus: 8, gpus: 0, memoryGb: 4 } });
   assert.equal(stops(steps, waitingJob), 0);
   // Jobs without GPUs do not preempt it, since its capacity is free soon; jobs that need GPUs do.
