Ends of a gang's members are handled without recursion and without going over the gang

Cause: the end of a member stopped the others one by one. A start that was not sent yet is withdrawn at once, which is itself the end of a member, so that stopping began again inside of it: one level of the stack, and one copy of all placements, for each such start. Besides, each end went over all members to see whether they are told to stop, and each begin to see whether all run.

Change: TaskStopper.stopAll sets the stops of all tasks before it withdraws the first start, so that the end of a member finds nothing left to stop. The placements of a job count what those questions ask for (JobPlacements), those on a machine count the users of an image (MachinePlacements). Loops over placements no longer copy them. Restored placements are plain objects: with copied fields each took almost three times the memory.

--- a/src/control/admission/gang-gate.ts
+++ b/src/control/admission/gang-gate.ts
@@ -53,17 +53,12 @@
   /**
    * Handles the loss of a task, after which the gang cannot continue: stops the remaining tasks
    * without a grace period, unless one of them is already stopping with one, and requeues the gang
-   * once all of them are gone.
+   * once all of them are gone. `stopAll` may itself report further losses.
    */
   onMemberLost(job: GangJob, stopAll: (graceMs: number) => void): void {
     const { gang } = job;
     if (job.placements.size > 0) {
-      if (
-        ![...job.placements.values()].some(
-          (placement) => placement.stop && placement.stop.graceMs > 0,
-        )
-      )
-        stopAll(0);
+      if (!job.placements.hasStopWithGrace) stopAll(0);
       return;
     }
     if (gang.phase === 'placed' || gang.phase === 'started') {
--- a/src/control/extensions/unrecorded-starts.ts
+++ b/src/control/extensions/unrecorded-starts.ts
@@ -16,10 +16,9 @@
 ): number {
   const before = job.placements.size;
   const withdrawn = (): number => before - job.placements.size;
-  for (const placement of [...job.placements.values()]) {
+  // Withdrawing one start of a gang also withdraws the others, which are then not visited.
+  for (const placement of job.placements.values()) {
     if (!mayContinue(withdrawn())) break;
-    // Withdrawing one start of a gang also withdraws the others, which this copied list still has.
-    if (job.placements.get(placement.task) !== placement) continue;
     if (placement.stage === 'recording') taskStopper.stop(placement, 0);
   }
   return withdrawn();
--- a/src/control/reconciliation/job-record-watcher.ts
+++ b/src/control/reconciliation/job-record-watcher.ts
@@ -157,9 +157,10 @@
 
   private restoreJob(job: Job, stored: StoredRuns, perRange: number): void {
     const { clock } = this.context.runtime;
+    const stopAtOnce = { graceMs: 0 };
     for (const placement of job.restore(stored, perRange, clock.now(), clock.wall())) {
       this.context.fleet.addPlacement(placement, clock.now());
-      if (job.phase !== 'open') placement.stop = { graceMs: 0 };
+      if (job.phase !== 'open') job.placements.setStop(placement, stopAtOnce);
     }
     const { membership } = this.context;
     if (!job.hasMismatchedLayout || membership.allRead(RECORD_FORMATS.rangedRuns)) return;
--- a/src/control/reconciliation/machine-reconciler.ts
+++ b/src/control/reconciliation/machine-reconciler.ts
@@ -74,7 +74,7 @@
     machine.applyListing(listed.state, this.machineTypes().get(listed.type) ?? null, now);
     if (listed.state !== 'failed') return;
     // The cloud reports that it has stopped, so nothing runs on it any more.
-    for (const placement of [...machine.placements.values()]) this.fleet.withdrawStart(placement);
+    for (const placement of machine.placements.values()) this.fleet.withdrawStart(placement);
     machine.beginRelease();
     this.provisioner.release(listed.id);
   }
--- a/src/control/reconciliation/task-lifecycle.ts
+++ b/src/control/reconciliation/task-lifecycle.ts
@@ -26,17 +26,11 @@
     placement.runningSince = this.context.runtime.clock.now();
     const { job } = placement;
     job.failures.recordRunning(0);
-    if (job.gang?.phase === 'placed') {
-      let ready = job.doneCount;
-      for (const other of job.placements.values()) {
-        if (other.state === 'running' && !job.isDone(other.task)) ready++;
-      }
-      if (ready >= job.spec.tasks) {
-        markGangStarted(job.gang);
-        job.markDirty(0);
-        this.context.recordWriter.flush(job);
-        this.context.requestSchedule();
-      }
+    if (job.gang?.phase === 'placed' && job.isRunningInFull) {
+      markGangStarted(job.gang);
+      job.markDirty(0);
+      this.context.recordWriter.flush(job);
+      this.context.requestSchedule();
     }
   }
 
@@ -46,9 +40,8 @@
     job.unrecordedExits.push(placement);
     job.markDirty(placement.task);
     if (exitReason === 'done') {
-      // The tasks of a gang complete together: one that exits as done completes them all.
       job.failures.recordCompletion();
-      if (job.gang) for (let task = 0; task < job.spec.tasks; task++) job.markDone(task);
+      if (job.gang) job.markAllDone();
       else job.markDone(placement.task);
     } else if (
       exitReason === 'error' ||
--- a/src/control/reconciliation/task-stopper.ts
+++ b/src/control/reconciliation/task-stopper.ts
@@ -3,6 +3,7 @@
 import type { Fleet } from '../../fleet/fleet.js';
 import type { StopCommandSender } from '../../fleet/stop-command-sender.js';
 import { stopCommand } from '../../fleet/worker-commands.js';
+import type { StopRequest } from '../../jobs/job-placements.js';
 import type { Job, Placement } from '../../jobs/tracked-job.js';
 import type { Settings } from '../../settings/deploy.js';
 import type { LongPoll } from './long-poll.js';
@@ -28,14 +29,31 @@
 
   /** Stops every task of a job; starts that were never dispatched are withdrawn at once. */
   stopAll(job: Job, graceMs: number): void {
-    for (const placement of [...job.placements.values()]) this.stop(placement, graceMs);
+    const { placements } = job;
+    if (!placements.mayStop) return;
+    const request: StopRequest = { graceMs };
+    // All stops are set before the first start is withdrawn: a member of a gang that is gone stops the
+    // others, which then finds nothing left to stop.
+    for (const placement of placements.values()) this.setStop(placement, request);
+    for (const placement of placements.values())
+      if (placement.stop === request) this.carryOut(placement, request);
   }
 
   /** Stops one task with a grace period; a pending stop with a shorter or equal one is kept. */
   stop(placement: Placement, graceMs: number): void {
-    if (placement.stop && placement.stop.graceMs <= graceMs) return;
-    if (!placement.stop && placement.state === 'running') this.countStop(placement, graceMs);
-    placement.stop = { graceMs };
+    const request: StopRequest = { graceMs };
+    this.setStop(placement, request);
+    if (placement.stop === request) this.carryOut(placement, request);
+  }
+
+  private setStop(placement: Placement, request: StopRequest): void {
+    if (placement.stop && placement.stop.graceMs <= request.graceMs) return;
+    if (!placement.stop && placement.state === 'running')
+      this.countStop(placement, request.graceMs);
+    placement.job.placements.setStop(placement, request);
+  }
+
+  private carryOut(placement: Placement, { graceMs }: StopRequest): void {
     if (placement.stage === 'recording' || placement.stage === 'recorded')
       this.fleet.withdrawStart(placement);
     else if (!this.longPoll.release(placement.machine)) this.sendStop(placement, graceMs);
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -128,7 +128,7 @@
 
   private beginEpoch(machine: Machine, agentEpoch: number, now: number): void {
     machine.beginEpoch(agentEpoch, now, this.leaseMs * STEADY_LEASE_RATIO);
-    for (const placement of [...machine.placements.values()]) {
+    for (const placement of machine.placements.values()) {
       if (placement.agentEpoch < agentEpoch) this.markLost(machine, placement);
     }
   }
@@ -143,7 +143,7 @@
       else this.addOrphanCommands(machine, status, stops, forgets);
     }
     const starts: WorkerCommand[] = [];
-    for (const [key, placement] of [...machine.placements]) {
+    for (const [key, placement] of machine.placements) {
       if (placement.agentEpoch !== heartbeat.agentEpoch) continue;
       if (!reported.has(key) && placement.stage !== 'recording')
         this.handleMissing(machine, placement, heartbeat, starts);
@@ -189,7 +189,7 @@
     }
     markReported(placement);
     const previousState = placement.state;
-    placement.state = status.state;
+    placement.job.placements.setState(placement, status.state);
     if (status.state !== previousState) {
       machine.recordImageUse(
         placement.job.spec.image,
@@ -279,6 +279,11 @@
     starts.push(this.dispatch(machine, placement));
   }
 
+  /** Marks all placements on a machine as lost; the loss of one may withdraw others. */
+  private markAllLost(machine: Machine): void {
+    for (const placement of machine.placements.values()) this.markLost(machine, placement);
+  }
+
   private markLost(machine: Machine, placement: Placement): void {
     machine.placements.delete(taskKey(placement.job.id, placement.task));
     machine.cancelFetch(placement.job.spec.image);
@@ -311,7 +316,7 @@
   removeMachine(id: string): void {
     const machine = this.machines.get(id);
     if (!machine) return;
-    for (const placement of [...machine.placements.values()]) this.markLost(machine, placement);
+    this.markAllLost(machine);
     this.machines.delete(id);
   }
 
@@ -337,7 +342,7 @@
         needsLookup = true;
         continue;
       }
-      for (const placement of [...machine.placements.values()]) this.markLost(machine, placement);
+      this.markAllLost(machine);
     }
     return needsLookup;
   }
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -9,6 +9,7 @@
 import type { BootTimes } from './boot-times.js';
 import { FailedJobs } from './failed-jobs.js';
 import { ImageCache, type CachedImage } from './image-cache.js';
+import { MachinePlacements } from './machine-placements.js';
 import type { MachineType, Resources } from './resources.js';
 import { subtract } from './resources.js';
 
@@ -56,12 +57,12 @@
   isDraining = false;
   /** Agent epochs that ended although heartbeats were answered: the worker misses the answers. */
   unansweredEpochs = 0;
-  readonly placements = new Map<string, Placement>();
+  readonly placements = new MachinePlacements<Placement>();
   /** Keys of exited attempts whose exit is not in the store yet; the worker must keep them. */
   readonly unrecordedExits = new Set<string>();
   idleSince: number;
   private readonly failedJobs: FailedJobs;
-  private readonly imageCache = new ImageCache((image) => this.usesImage(image));
+  private readonly imageCache = new ImageCache((image) => this.placements.usesImage(image));
 
   constructor(
     readonly id: string,
@@ -249,12 +250,6 @@
     this.imageCache.cancelFetch(image);
   }
 
-  private usesImage(image: string): boolean {
-    for (const placement of this.placements.values())
-      if (placement.job.spec.image === image) return true;
-    return false;
-  }
-
   /** Whether a heartbeat or direct response is newer than the newest one that has been applied. */
   isNewerReport(agentEpoch: number, sequence: number): boolean {
     return (
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -10,6 +10,7 @@
   toGangRecord,
   type GangState,
 } from './gang-phase.js';
+import { JobPlacements, type StopRequest } from './job-placements.js';
 import type { JobPhase, JobSpec } from './job.js';
 import {
   toRangedEntries,
@@ -33,7 +34,7 @@
   state: TaskState | null;
   placedAt: number;
   runningSince: number | null;
-  stop: { graceMs: number } | null;
+  stop: StopRequest | null;
 }
 
 /** All run records of one job in the store. */
@@ -46,7 +47,7 @@
 export class Job {
   phase: JobPhase = 'open';
   attempt = 0;
-  readonly placements = new Map<number, Placement>();
+  readonly placements = new JobPlacements<Placement>((task) => this.done.has(task));
   readonly gang: GangState | null;
   readonly layout: RunLayout;
   /** Its indexed records are being rewritten as ranged ones in the background. */
@@ -110,14 +111,12 @@
 
   get waitingTaskCount(): number {
     if (this.phase !== 'open' || this.isCancellationAnnounced) return 0;
-    return this.spec.tasks - this.doneCount - this.placedIncompleteCount();
+    return this.spec.tasks - this.doneCount - this.placements.incompleteCount;
   }
 
-  private placedIncompleteCount(): number {
-    if (this.doneCount === 0) return this.placements.size;
-    let count = 0;
-    for (const task of this.placements.keys()) if (!this.isDone(task)) count++;
-    return count;
+  /** Whether every task either runs or has completed. */
+  get isRunningInFull(): boolean {
+    return this.doneCount + this.placements.runningIncompleteCount === this.spec.tasks;
   }
 
   /** Returns the first `limit` tasks that are neither completed nor possibly on a machine. */
@@ -139,13 +138,19 @@
   }
 
   get runningCount(): number {
-    let count = 0;
-    for (const placement of this.placements.values()) if (placement.state === 'running') count++;
-    return count;
+    return this.placements.runningCount;
   }
 
   markDone(task: number): void {
-    if (this.done.add(task)) this.markDirty(task);
+    if (!this.done.add(task)) return;
+    this.placements.recordDone(task);
+    this.markDirty(task);
+  }
+
+  /** Marks all tasks as completed, as those of a gang complete together. */
+  markAllDone(): void {
+    if (this.isComplete) return;
+    for (let task = 0; task < this.spec.tasks; task++) this.markDone(task);
   }
 
   markDirty(task: number): void {
@@ -210,7 +215,7 @@
    * Restores what earlier leaders stored; the caller adds the placements to their machines. Ranged
    * records override indexed ones, see `RunLayout`.
    */
-  restore(stored: StoredRuns, perRange: number, now: number, wall: number): Placement[] {
+  restore(stored: StoredRuns, perRange: number, now: number, wall: number): Iterable<Placement> {
     const wallToMonotonicMs = now - wall;
     for (const { index, version, record } of stored.indexed) {
       this.layout.indexedSection(index).version = version;
@@ -222,7 +227,8 @@
     const ranged = [...stored.ranged].sort((a, b) => a.record.from - b.record.from);
     for (const { record } of ranged) this.restoreRange(record, now, wallToMonotonicMs);
     this.restoreLayout(stored.indexed, ranged, perRange);
-    return [...this.placements.values()];
+    this.placements.recount();
+    return this.placements.values();
   }
 
   private restoreLayout(
@@ -260,9 +266,15 @@
   }
 
   private restorePlacement(start: RecordedStart, now: number): void {
-    this.placements.set(start.task, {
+    const { task, attempt, machine, agentEpoch, zone } = start;
+    // Not `...start`: an object with copied fields takes almost three times the memory.
+    this.placements.set(task, {
       job: this,
-      ...start,
+      task,
+      attempt,
+      machine,
+      agentEpoch,
+      zone,
       stage: 'recovered',
       state: null,
       placedAt: now,
