An error in the handling of one message ends neither the process nor other messages

Change: MessageErrors runs handlers, logs their errors with message, machine, job or peer, and counts them. A leader that fails to apply a message may have applied part of it, so it resigns (MessageGuard), and the next leader restores its state from the store. A connection whose heartbeat cannot be read or answered is closed alone. A request that could not be begun no longer counts as in flight for good. Worker threads of tests get the stack of a main thread.

--- a/src/control/controller-services.ts
+++ b/src/control/controller-services.ts
@@ -19,6 +19,7 @@
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { StoreReachability } from '../peer/store-reachability.js';
 import { EventLoopLag } from '../runtime/event-loop-lag.js';
+import { MessageErrors } from '../runtime/message-errors.js';
 import type { Settings } from '../settings/deploy.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import { Store } from '../state/store.js';
@@ -90,6 +91,7 @@
 
 /** The services of a controller, constructed in dependency order. */
 export class ControllerServices {
+  readonly messageErrors: MessageErrors;
   readonly store: Store;
   readonly machineTypes: MachineTypeCatalog;
   readonly successorPolicy: SuccessorPolicy;
@@ -117,6 +119,7 @@
     const { machine, workers } = settings;
     const { clock, log, startedAt } = runtime;
     this.leaderLeaseMs = workers.leaseMs * operator.election.lifetime;
+    this.messageErrors = new MessageErrors(log);
     this.store = new Store(dependencies.store, runtime, settings, this.leaderLeaseMs / 4);
     this.machineTypes = new MachineTypeCatalog(
       this.store,
@@ -145,6 +148,7 @@
       runtime,
       this.cancellationLog,
       (peer) => this.membership.readsFrameVersion(peer, CANCELLATIONS_VERSION),
+      this.messageErrors,
     );
     this.jobApi = this.createJobApi();
     this.partitionedWorkers = this.createPartitionedWorkers();
@@ -170,6 +174,7 @@
       member: this.settings.member,
       leaderLeaseMs: this.leaderLeaseMs,
       successorPolicy: this.successorPolicy,
+      messageErrors: this.messageErrors,
       supportsReinstatement: (peer) =>
         this.membership.readsFrameVersion(peer, REINSTATEMENT_VERSION),
     });
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -6,6 +6,7 @@
 import type { ControllerService } from '../http/server.js';
 import type { JobApi } from '../jobs/job-api.js';
 import type { Membership } from '../membership/membership.js';
+import { subscribeToMessages } from '../peer/message-subscription.js';
 import type { Settings } from '../settings/deploy.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import { probeStore } from '../state/store-probe.js';
@@ -85,10 +86,10 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    const { cancellationQuery, election } = this.services;
+    const { cancellationQuery, election, messageErrors } = this.services;
     const subscriptions = [
-      election.role.subscribe((role) => this.onRole(role)),
-      this.dependencies.peerTransport.messages.subscribe(({ from, message }) =>
+      election.role.subscribe((role) => this.onRoleChange(role)),
+      subscribeToMessages(this.dependencies.peerTransport, messageErrors, (from, message) =>
         this.peerAnnouncements.receive(from, message),
       ),
       cancellationQuery.listen(),
@@ -101,7 +102,11 @@
   }
 
   receiveHeartbeat(heartbeat: WorkerHeartbeat): HeartbeatOutcome | Promise<HeartbeatOutcome> {
-    return this.heartbeatRouter.receive(heartbeat);
+    return this.services.messageErrors.handle<HeartbeatOutcome>(
+      { message: 'heartbeat', machine: heartbeat.machine },
+      () => this.heartbeatRouter.receive(heartbeat),
+      () => ({ kind: 'redirect', leader: null }),
+    );
   }
 
   ready(): boolean {
@@ -143,6 +148,17 @@
     ];
   }
 
+  /** Ends a term that cannot begin. */
+  private onRoleChange(role: Role): void {
+    void this.services.messageErrors.handle<void>(
+      { message: 'role change' },
+      () => this.onRole(role),
+      () => {
+        if (role.kind === 'leader') role.term.end();
+      },
+    );
+  }
+
   private onRole(role: Role): void {
     if (role.kind === 'leader') this.lead(role.term);
     else if (role.leader !== null) {
@@ -179,6 +195,7 @@
         workers: dependencies.workers,
         machineTypes: this.services.machineTypes,
         membership: this.services.membership,
+        messageErrors: this.services.messageErrors,
         settings,
         operator,
         runtime,
--- a/src/control/leader-parts.ts
+++ b/src/control/leader-parts.ts
@@ -11,6 +11,7 @@
 import { MachineProvisioner } from '../fleet/machine-provisioner.js';
 import { StopCommandSender, type WorkerTransportFactory } from '../fleet/stop-command-sender.js';
 import type { MachineType } from '../fleet/resources.js';
+import type { ScaleOutRequest } from '../scheduler/scheduling-model.js';
 import type { Transport } from '../http/client.js';
 import { markRecorded } from '../jobs/placement-stage.js';
 import { JobRecordWriter } from '../jobs/job-record-writer.js';
@@ -39,6 +40,8 @@
 import { TaskStopper } from './reconciliation/task-stopper.js';
 import { QuotaWaitLog } from './scheduling/quota-wait-log.js';
 import { TermExtensions } from './extensions/term-extensions.js';
+import type { MessageErrors } from '../runtime/message-errors.js';
+import { MessageGuard } from './leadership/message-guard.js';
 import { RecordReadMonitor, type UnreadableTerms } from './leadership/record-read-monitor.js';
 import { WorkerLiveness, type WorkerlessTerms } from './leadership/worker-liveness.js';
 
@@ -49,6 +52,7 @@
   workers: WorkerTransportFactory;
   machineTypes: MachineTypeCatalog;
   membership: Membership;
+  messageErrors: MessageErrors;
   settings: Settings;
   operator: OperatorSettings;
   runtime: Runtime;
@@ -68,6 +72,7 @@
 /** The components of a leader, constructed in dependency order. */
 export class LeaderParts {
   readonly jobs = new Map<string, Job>();
+  readonly messageGuard: MessageGuard;
   readonly fleet: Fleet;
   readonly provisioner: MachineProvisioner;
   readonly gangGate: GangGate;
@@ -104,6 +109,7 @@
   ) {
     const { settings, runtime, store } = context;
     this.leaderLeaseMs = settings.workers.leaseMs * context.operator.election.lifetime;
+    this.messageGuard = new MessageGuard(context.messageErrors, () => this.resign());
     this.cancellationView = new CancellationView(
       cancellationViewLimitMs(settings.workers, this.leaderLeaseMs),
     );
@@ -172,7 +178,8 @@
       settings.workers.heartbeatIntervalMs,
       settings.machine.sockets,
       (heartbeat) => {
-        this.fleet.applyDirectResponse(heartbeat);
+        const message = { message: 'direct command response', machine: heartbeat.machine };
+        void this.messageGuard.run(message, () => this.fleet.applyDirectResponse(heartbeat));
       },
     );
   }
@@ -224,6 +231,7 @@
       taskStopper: this.taskStopper,
       cancellationView: this.cancellationView,
       recordReadMonitor: this.recordReadMonitor,
+      messageGuard: this.messageGuard,
       requestSchedule: () => this.requestSchedule(),
     });
   }
@@ -354,28 +362,30 @@
 
   private createProvisioner(): MachineProvisioner {
     const { cloud, store, runtime, settings, cloudTimeoutMs } = this.context;
+    const onAnswer = (message: string, handler: () => void): void => {
+      void this.messageGuard.run({ message }, handler);
+      this.requestSchedule();
+    };
     return new MachineProvisioner(cloud, store, runtime, settings, this.term, cloudTimeoutMs, {
-      provisioned: (ids, rent) => {
-        for (const id of ids) {
-          const machine = this.fleet.getOrCreate(id, runtime.clock.now());
-          machine.type ??= this.machineTypes.get(rent.type) ?? null;
-          machine.zone = rent.zone;
-          machine.spot = rent.spot;
-          machine.cloudState ??= 'booting';
-        }
-        this.requestSchedule();
-      },
-      listed: (machines) => {
-        this.reconciler.applyListing(machines, this.now);
-        this.requestSchedule();
-      },
-      released: (ids) => {
-        this.reconciler.confirmReleased(ids, this.now);
-        this.requestSchedule();
-      },
+      provisioned: (ids, request) =>
+        onAnswer('machines provisioned', () => this.addProvisioned(ids, request)),
+      listed: (machines) =>
+        onAnswer('machine listing', () => this.reconciler.applyListing(machines, this.now)),
+      released: (ids) =>
+        onAnswer('machines released', () => this.reconciler.confirmReleased(ids, this.now)),
     });
   }
 
+  private addProvisioned(ids: readonly string[], { type, zone, spot }: ScaleOutRequest): void {
+    for (const id of ids) {
+      const machine = this.fleet.getOrCreate(id, this.now);
+      machine.type ??= this.machineTypes.get(type) ?? null;
+      machine.zone = zone;
+      machine.spot = spot;
+      machine.cloudState ??= 'booting';
+    }
+  }
+
   private createTermExtensions(): TermExtensions {
     const { runtime, settings, extensions } = this.context;
     return new TermExtensions(extensions, {
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -74,12 +74,18 @@
   receiveHeartbeat(
     heartbeat: WorkerHeartbeat,
   ): WorkerCommand[] | null | Promise<WorkerCommand[] | null> {
-    return this.parts.heartbeatHandler.receive(heartbeat);
+    const message = { message: 'heartbeat', machine: heartbeat.machine };
+    return this.parts.messageGuard.run(message, () =>
+      this.parts.heartbeatHandler.receive(heartbeat),
+    );
   }
 
   /** Handles a cancellation announced to a user; the store's watch may report it later. */
   onCancellationAnnounced(id: string): void {
-    this.parts.jobRecords.onCancellationAnnounced(id);
+    const message = { message: 'cancellation', job: id };
+    void this.parts.messageGuard.run(message, () =>
+      this.parts.jobRecords.onCancellationAnnounced(id),
+    );
   }
 
   progressOf(id: string): TaskCounts | null {
--- a/src/control/reconciliation/job-record-watcher.ts
+++ b/src/control/reconciliation/job-record-watcher.ts
@@ -15,6 +15,7 @@
 import { RevisionCompactedError, type Entry, type Store } from '../../state/store.js';
 import type { DependencyTracker } from '../dependencies/dependency-tracker.js';
 import type { TermExtensions } from '../extensions/term-extensions.js';
+import type { MessageGuard } from '../leadership/message-guard.js';
 import type { RecordReadMonitor } from '../leadership/record-read-monitor.js';
 import type { CancellationView } from '../partition/cancellation-view.js';
 import type { MachineReconciler } from './machine-reconciler.js';
@@ -43,6 +44,7 @@
   readonly taskStopper: Pick<TaskStopper, 'stopAll'>;
   readonly cancellationView: Pick<CancellationView, 'completeAt'>;
   readonly recordReadMonitor: RecordReadMonitor;
+  readonly messageGuard: Pick<MessageGuard, 'run'>;
   requestSchedule(): void;
 }
 
@@ -187,7 +189,7 @@
           leaderLeaseMs * WATCH_RATIO,
           signal,
         );
-        for (const event of update.events) if (!('gone' in event)) this.onJobEntry(event);
+        for (const event of update.events) if (!('gone' in event)) this.onWatchedEntry(event);
         this.revision = update.revision;
         cancellationView.completeAt(sentAt);
         recordReadMonitor.recordSuccess(this.context.runtime.clock.now());
@@ -209,7 +211,7 @@
     try {
       this.revision = await this.context.store.forEachPage(
         KEYS.jobs,
-        (page) => page.forEach((entry) => this.onJobEntry(entry)),
+        (page) => page.forEach((entry) => this.onWatchedEntry(entry)),
         signal,
       );
       this.context.cancellationView.completeAt(sentAt);
@@ -231,6 +233,11 @@
     this.context.taskStopper.stopAll(job, 0);
   }
 
+  private onWatchedEntry(entry: Entry): void {
+    const message = { message: 'job record', job: jobIdFromKey(entry.key) };
+    void this.context.messageGuard.run(message, () => this.onJobEntry(entry));
+  }
+
   onJobEntry(entry: Entry): void {
     const record = parseJob(entry.value);
     if (!record) {
--- a/src/election/leader-election.ts
+++ b/src/election/leader-election.ts
@@ -7,6 +7,7 @@
 import { BehaviorSubject } from 'rxjs';
 import { z } from 'zod/mini';
 import { NoResponseError } from '../http/client.js';
+import type { MessageErrors } from '../runtime/message-errors.js';
 import type { PeerTransport } from '../peer/peer-transport.js';
 import { LeaseExtensionVote } from '../peer/lease-extension-vote.js';
 import { MAX_CLOCK_DRIFT } from '@leverhatch/core/clock';
@@ -122,6 +123,7 @@
   /** Duration of the leader lease, in milliseconds. */
   leaderLeaseMs: number;
   successorPolicy: SuccessorPolicy;
+  messageErrors: MessageErrors;
   /** Whether a peer is known to support reinstatement requests. */
   supportsReinstatement(peer: string): boolean;
 }
@@ -155,12 +157,14 @@
     this.member = options.member;
     this.leaderLeaseMs = options.leaderLeaseMs;
     this.successorPolicy = options.successorPolicy;
-    this.extensionVote = new LeaseExtensionVote(options.peerTransport, options.runtime, {
+    const voter = {
       mayBeLeader: () => this.role.value.kind === 'leader' || this.isCampaigning,
       isStoreAvailable: () => this.isStoreAvailable(),
-      isLatestKnownToken: (fencingToken) => this.lastReadToken === fencingToken,
-      supportsReinstatement: (peer) => options.supportsReinstatement(peer),
-    });
+      isLatestKnownToken: (fencingToken: number) => this.lastReadToken === fencingToken,
+      supportsReinstatement: (peer: string) => options.supportsReinstatement(peer),
+    };
+    const { peerTransport, runtime, messageErrors } = options;
+    this.extensionVote = new LeaseExtensionVote(peerTransport, runtime, voter, messageErrors);
   }
 
   /** Runs the election loop until the signal aborts. */
--- a/src/fleet/stop-command-sender.ts
+++ b/src/fleet/stop-command-sender.ts
@@ -1,5 +1,5 @@
 /** Sends stop commands directly to workers. */
-import { NoResponseError, type Transport } from '../http/client.js';
+import { NoResponseError, type Reply, type Transport } from '../http/client.js';
 import type { Term } from '../election/term.js';
 import type { Runtime } from '@leverhatch/core/supervised-task';
 import {
@@ -49,29 +49,36 @@
     const batches = [...this.queuedCommands];
     this.queuedCommands.clear();
     for (const [machine, commands] of batches) {
-      void this.sendBatch(machine, commands).catch((error: unknown) => {
-        if (!(error instanceof NoResponseError)) throw error;
-        this.runtime.log.debug(
-          { machine: machine.id, error: error.message },
-          'direct stop command not delivered',
-        );
-      });
+      void this.sendBatch(machine, commands).catch((error: unknown) =>
+        this.logFailure(machine, error),
+      );
     }
   }
 
+  private logFailure(machine: Machine, error: unknown): void {
+    const fields = { machine: machine.id, address: machine.address, error: String(error) };
+    if (error instanceof NoResponseError)
+      this.runtime.log.debug(fields, 'direct stop command not delivered');
+    // Such as an address to which no connection can be opened.
+    else this.runtime.log.warn(fields, 'direct stop command failed');
+  }
+
   private async sendBatch(machine: Machine, commands: WorkerCommand[]): Promise<void> {
     if (machine.address === null || !this.term.holdsLease(this.runtime.clock.now())) return;
     if (this.inFlight >= this.maxInFlight) return;
-    this.inFlight++;
-    const reply = await this.transportTo(machine.address)
-      .request(
-        'POST',
-        DIRECT_COMMAND_PATH,
-        directCommandBody(this.term.fencingToken, machine.agentEpoch, commands),
-        this.timeoutMs,
-      )
-      .finally(() => this.inFlight--);
+    const body = directCommandBody(this.term.fencingToken, machine.agentEpoch, commands);
+    const reply = await this.request(machine.address, body);
     const heartbeat = reply.status === 200 ? parseHeartbeat(reply.body) : null;
     if (heartbeat && this.term.holdsLease(this.runtime.clock.now())) this.onResponse(heartbeat);
   }
+
+  private async request(address: string, body: object): Promise<Reply> {
+    this.inFlight++;
+    try {
+      const transport = this.transportTo(address);
+      return await transport.request('POST', DIRECT_COMMAND_PATH, body, this.timeoutMs);
+    } finally {
+      this.inFlight--;
+    }
+  }
 }
--- a/src/http/heartbeat-reader.ts
+++ b/src/http/heartbeat-reader.ts
@@ -69,14 +69,16 @@
 
 /**
  * Answers the heartbeats that arrive on `socket`. At the first request that is not a heartbeat of the
- * usual form, the connection is passed to `handOver`, which gives it to the general server.
+ * usual form, the connection is passed to `handOver`, which gives it to the general server. An error in
+ * the handling of a heartbeat is passed to `onError`, and its connection is closed.
  */
 export function readHeartbeats(
   socket: Socket,
   receive: HeartbeatReceiver,
   handOver: ConnectionHandler,
+  onError: (error: unknown) => void,
 ): void {
-  new HeartbeatReader(socket, receive, handOver).start();
+  new HeartbeatReader(socket, receive, handOver, onError).start();
 }
 
 class HeartbeatReader {
@@ -88,6 +90,7 @@
     private readonly socket: Socket,
     private readonly receive: HeartbeatReceiver,
     private readonly handOver: ConnectionHandler,
+    private readonly onError: (error: unknown) => void,
   ) {}
 
   start(): void {
@@ -97,9 +100,23 @@
   private readonly onData = (chunk: Buffer): void => {
     this.unparsed = this.unparsed.length === 0 ? chunk : Buffer.concat([this.unparsed, chunk]);
     if (this.isAnswerPending) this.socket.pause();
-    else this.readNext();
+    else this.contain(() => this.readNext());
   };
 
+  /** An error ends this connection alone; the worker then tries another controller. */
+  private contain(action: () => void): void {
+    try {
+      action();
+    } catch (error) {
+      this.fail(error);
+    }
+  }
+
+  private fail(error: unknown): void {
+    this.onError(error);
+    this.socket.destroy();
+  }
+
   private readNext(): void {
     if (this.isAnswerPending || this.unparsed.length === 0) return;
     const request = parseRequest(this.unparsed);
@@ -123,11 +140,12 @@
     // Most outcomes are available at once and are answered without the cost of a promise.
     if (!(outcome instanceof Promise)) return this.send(toHeartbeatAnswer(outcome), close);
     this.isAnswerPending = true;
-    void outcome.then((result) => {
+    const answer = (result: HeartbeatOutcome): void => {
       this.isAnswerPending = false;
       this.socket.resume();
       this.send(toHeartbeatAnswer(result), close);
-    });
+    };
+    outcome.then(answer).catch((error: unknown) => this.fail(error));
   }
 
   private send({ status, body }: HeartbeatAnswer, close: boolean): void {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -160,12 +160,13 @@
   const httpServer = createHttpServer(service, log, connections);
   const server = createNetServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
     connections.add(socket);
-    acceptConnection(socket, service, limits.workerIdleMs, (rest) => {
+    const handOver = (rest: Buffer): void => {
       socket.unshift(rest);
       // The connection counts as idle until the headers of its first request are complete.
       connections.requestEnded(socket);
       httpServer.emit('connection', socket);
-    });
+    };
+    acceptConnection(socket, service, log, limits.workerIdleMs, handOver);
   });
   const close = (): void => {
     server.close();
@@ -205,6 +206,7 @@
 function acceptConnection(
   socket: Socket,
   service: ControllerService,
+  log: Logger,
   workerIdleMs: number,
   handOver: (rest: Buffer) => void,
 ): void {
@@ -227,6 +229,7 @@
       socket.setTimeout(0);
       handOver(rest);
     },
+    (error) => log.error({ error: String(error) }, 'heartbeat not answered, connection closed'),
   );
 }
 
--- a/src/peer/cancellation-query.ts
+++ b/src/peer/cancellation-query.ts
@@ -6,7 +6,9 @@
 import type { CancellationLog } from '../jobs/cancellation-log.js';
 import { MAX_CLOCK_DRIFT } from '@leverhatch/core/clock';
 import type { Runtime } from '@leverhatch/core/supervised-task';
+import type { MessageErrors } from '../runtime/message-errors.js';
 import type { PeerMessage } from './frames.js';
+import { subscribeToMessages } from './message-subscription.js';
 import type { PeerTransport } from './peer-transport.js';
 
 /** The jobs whose cancellation any controller has confirmed to a user; complete up to `asOf`. */
@@ -42,11 +44,12 @@
     private readonly log: CancellationLog,
     /** Whether a peer is known to support these frames; an older version would close the connection. */
     private readonly supportsQuery: (peer: string) => boolean,
+    private readonly messageErrors: MessageErrors,
   ) {}
 
   /** Answers queries of other controllers and collects their responses until unsubscribed. */
   listen(): Subscription {
-    return this.peerTransport.messages.subscribe(({ from, message }) =>
+    return subscribeToMessages(this.peerTransport, this.messageErrors, (from, message) =>
       this.onMessage(from, message),
     );
   }
--- a/src/peer/lease-extension-vote.ts
+++ b/src/peer/lease-extension-vote.ts
@@ -2,6 +2,8 @@
 import type { Subscription } from 'rxjs';
 import { MAX_CLOCK_DRIFT } from '@leverhatch/core/clock';
 import type { Runtime } from '@leverhatch/core/supervised-task';
+import type { MessageErrors } from '../runtime/message-errors.js';
+import { subscribeToMessages } from './message-subscription.js';
 import type { PeerMessage, PeerMessages } from './messages.js';
 import type { PeerTransport } from './peer-transport.js';
 
@@ -51,12 +53,13 @@
     private readonly peerTransport: PeerTransport,
     private readonly runtime: Runtime,
     private readonly voter: VoterState,
+    private readonly messageErrors: MessageErrors,
   ) {}
 
   /** Answers requests of other controllers and counts their votes until unsubscribed. */
   listen(): Subscription {
-    return this.peerTransport.messages.subscribe(
-      ({ from, message }) => void this.onMessage(from, message),
+    return subscribeToMessages(this.peerTransport, this.messageErrors, (from, message) =>
+      this.onMessage(from, message),
     );
   }
 
--- a/test/fakes/controller-heap.ts
+++ b/test/fakes/controller-heap.ts
@@ -5,6 +5,9 @@
 
 const DEPLOY_FILE = new URL('../../../../deploy/service.toml', import.meta.url);
 
+/** Stack limit of the main thread of Node.js, in MB; that of worker threads is larger by default. */
+const STACK_MB = 1;
+
 /** Heap limit of a deployed controller, in MB. */
 export function deployedHeapMb(): number {
   const { run } = parse(readFileSync(DEPLOY_FILE, 'utf8'));
@@ -19,7 +22,7 @@
   script: URL,
   workerData?: unknown,
 ): Promise<Message[]> {
-  const resourceLimits = { maxOldGenerationSizeMb: deployedHeapMb() };
+  const resourceLimits = { maxOldGenerationSizeMb: deployedHeapMb(), stackSizeMb: STACK_MB };
   const worker = new Worker(script, { workerData, resourceLimits });
   const messages: Message[] = [];
   worker.on('message', (message: Message) => messages.push(message));
--- a/test/heartbeat-reader.test.ts
+++ b/test/heartbeat-reader.test.ts
@@ -36,16 +36,22 @@
     received.push(heartbeat);
     return { kind: 'commands', fencingToken: 7, commands: [] };
   };
-  readHeartbeats(socket as Socket, receiver ?? acceptHeartbeat, (_socket, rest) => {
-    passedOn.push(rest.toString());
-  });
+  const errors: unknown[] = [];
+  readHeartbeats(
+    socket as Socket,
+    receiver ?? acceptHeartbeat,
+    (_socket, rest) => {
+      passedOn.push(rest.toString());
+    },
+    (error) => errors.push(error),
+  );
   const push = async (text: string): Promise<void> => {
     socket.push(Buffer.from(text));
     await new Promise((resolve) => setImmediate(resolve));
   };
   const statuses = (): number[] =>
     [...sent.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => Number(match[1]));
-  return { push, statuses, received, passedOn, socket, sent: () => sent };
+  return { push, statuses, received, passedOn, errors, socket, sent: () => sent };
 }
 
 test('a heartbeat that arrives in parts is answered once it is complete, and the next one after it', async () => {
@@ -96,3 +102,23 @@
   assert.match(connection.sent(), /connection: close/);
   assert.equal(connection.socket.writableEnded, true);
 });
+
+// Guards against an error in the handling of one heartbeat that ends the process.
+for (const [name, receiver] of [
+  [
+    'throws',
+    () => {
+      throw new RangeError('broken');
+    },
+  ],
+  ['rejects', () => Promise.reject(new RangeError('broken'))],
+] satisfies [string, HeartbeatReceiver][]) {
+  test(`a heartbeat whose handler ${name} closes its own connection alone`, async () => {
+    const [broken, sound] = [openConnection(receiver), openConnection()];
+    await broken.push(request(BODY));
+    await sound.push(request(BODY));
+    assert.deepEqual(broken.errors.map(String), ['RangeError: broken']);
+    assert.ok(broken.socket.destroyed);
+    assert.deepEqual([broken.statuses(), sound.statuses()], [[], [200]]);
+  });
+}
--- a/test/resource-bounds.test.ts
+++ b/test/resource-bounds.test.ts
@@ -201,7 +201,12 @@
   const receiveHeartbeat = (): Promise<HeartbeatOutcome> =>
     new Promise((answer) => answers.push(answer));
   const worker = socket();
-  readHeartbeats(worker as Socket, receiveHeartbeat, () => assert.fail('it is a heartbeat'));
+  readHeartbeats(
+    worker as Socket,
+    receiveHeartbeat,
+    () => assert.fail('it is a heartbeat'),
+    (error) => assert.fail(String(error)),
+  );
   const shortDelay = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 5));
   for (let i = 0; i < 3; i++) {
     worker.push(request);
@@ -217,6 +222,7 @@
     unreadingWorker as Socket,
     () => ({ kind: 'redirect', leader: 'x'.repeat(60_000) }),
     () => assert.fail('it is a heartbeat'),
+    (error) => assert.fail(String(error)),
   );
   for (let i = 0; i < 4; i++) unreadingWorker.push(request);
   await shortDelay();
