A transaction finds its starts and exits by the tasks of its records

Change: starts are looked up by the tasks of the written sections, exits are kept by blocks of tasks.

--- a/src/control/reconciliation/task-lifecycle.ts
+++ b/src/control/reconciliation/task-lifecycle.ts
@@ -37,7 +37,7 @@
   onExited(placement: Placement, exitReason: ExitReason, checkpointed: boolean): void {
     const { job } = placement;
     job.placements.delete(placement.task);
-    job.unrecordedExits.push(placement);
+    job.unrecordedExits.add(placement);
     job.markDirty(placement.task);
     if (exitReason === 'done') {
       job.failures.recordCompletion();
--- a/src/jobs/job-record-writer.ts
+++ b/src/jobs/job-record-writer.ts
@@ -9,7 +9,6 @@
 import type { StartFence } from './start-fence.js';
 import { canArchive, TransactionBuilder, type JobTransaction } from './job-transaction.js';
 import type { Job, Placement } from './tracked-job.js';
-import { isUnrecorded } from './placement-stage.js';
 import { LeftoverRecords } from './leftover-records.js';
 import { tasksPerRange, type JobRecord } from './records.js';
 import type { LayoutPolicy } from './run-layout.js';
@@ -180,16 +179,11 @@
   /** Builds the next transaction of a job and collects the starts and exits that it stores. */
   private prepare(job: Job, writeId: string): JobWrite {
     const transaction = this.builder.build(job, writeId);
-    const recordingStarts = [...job.placements.values()].filter(isUnrecorded);
     // Starts in sections that did not fit into this transaction are sent only after a later one.
-    const isCovered = (placement: Placement): boolean =>
-      transaction.sections.some(
-        (section) => placement.task >= section.from && placement.task < section.to,
-      );
-    const starts = recordingStarts.filter(isCovered);
+    const starts = transaction.sections.flatMap((section) => job.unrecordedStartsIn(section));
     const exits = transaction.isArchiving
-      ? job.unrecordedExits
-      : job.unrecordedExits.filter(isCovered);
+      ? job.unrecordedExits.all()
+      : transaction.sections.flatMap((section) => job.unrecordedExitsIn(section));
     const { jobRecord } = transaction;
     if (jobRecord !== null || starts.length > 0) {
       transaction.conditions.push({ key: KEYS.job(job.id), version: job.version });
@@ -217,8 +211,7 @@
       this.leftovers.add(transaction.leftovers);
       this.events.endRecorded(job, phase);
     }
-    const recorded = new Set(exits);
-    job.unrecordedExits = job.unrecordedExits.filter((placement) => !recorded.has(placement));
+    job.unrecordedExits.remove(exits);
     this.events.startsRecorded(starts);
     this.events.exitsRecorded(exits);
     if (job.isArchived) this.events.archived(job);
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -20,9 +20,10 @@
   mentionedTasks,
   type RecordedStart,
 } from './placed-entries.js';
-import type { PlacementStage } from './placement-stage.js';
+import { isUnrecorded, type PlacementStage } from './placement-stage.js';
 import { WRITE_ID, type GangRecord, type RangedRunRecord, type RunRecord } from './records.js';
 import { RunLayout, type Section } from './run-layout.js';
+import { UnrecordedExits } from './unrecorded-exits.js';
 
 /**
  * A placement: one start of one task on a machine. It occupies its resources until it is proven
@@ -56,8 +57,7 @@
   readonly failures: FailureHistory;
   /** Per running task, the number of stops without a checkpoint that this leader knows of. */
   readonly stopsWithoutCheckpoint = new Map<number, number>();
-  /** Exited placements whose exit is not in the store yet. */
-  unrecordedExits: Placement[] = [];
+  readonly unrecordedExits = new UnrecordedExits<Placement>();
   isWriteInFlight = false;
   /** A delayed write of task exits is scheduled. */
   isExitFlushPending = false;
@@ -206,6 +206,16 @@
     return placements;
   }
 
+  /** The starts that are in the store once the record of this section is. */
+  unrecordedStartsIn({ from, to }: Section): Placement[] {
+    return this.placementsIn(from, to).filter(isUnrecorded);
+  }
+
+  /** The exits that are in the store once the record of this section is. */
+  unrecordedExitsIn({ from, to }: Section): Placement[] {
+    return this.unrecordedExits.ofTasks(from, to);
+  }
+
   private gangRecord(toWallClock: (monotonic: number) => number): { gang?: GangRecord } {
     const record = this.gang && toGangRecord(this.gang, toWallClock);
     return record ? { gang: record } : {};
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -103,7 +103,7 @@
     if (!placement || !this.recorded.has(task)) return;
     this.job.placements.delete(task);
     this.recorded.delete(task);
-    this.job.unrecordedExits.push(placement);
+    this.job.unrecordedExits.add(placement);
     this.job.markDone(task);
   }
 
