Preempted tasks are collected without passing them as arguments

chooseTasksToPreempt and tasksToPreempt passed one argument for each chosen task: at some 100,000 of one team the stack of a controller overflows, and each scheduling cycle fails (by reading). Stop commands for which no request can be sent are no longer built and queued first: the sender would drop them anyway.

--- a/packages/shares/src/leader-quotas.ts
+++ b/packages/shares/src/leader-quotas.ts
@@ -135,7 +135,9 @@
         excess(remainingUse, donor),
       );
       if (isNonPositive(amountToPreempt)) continue;
-      chosen.push(...chooseTasksToPreempt(amountToPreempt, candidates(transfer.from)));
+      // Not push(...tasks): the number of arguments of a call is limited.
+      const tasks = chooseTasksToPreempt(amountToPreempt, candidates(transfer.from));
+      for (const task of tasks) chosen.push(task);
     }
     return chosen;
   }
--- a/packages/shares/src/preemption-choice.ts
+++ b/packages/shares/src/preemption-choice.ts
@@ -201,16 +201,12 @@
 ): DrainCandidate[] {
   const units = groupIntoUnits(candidates);
   const priorities = [...new Set(units.map(({ priority }) => priority))].sort((a, b) => b - a);
-  const chosen: Unit[] = [];
+  let chosen: Unit[] = [];
   for (const priority of priorities) {
     const missing = missingAfter(required, chosen);
     if (isNonPositive(missing)) break;
-    chosen.push(
-      ...chooseUnits(
-        missing,
-        units.filter((unit) => unit.priority === priority),
-      ),
-    );
+    const candidatesOfPriority = units.filter((unit) => unit.priority === priority);
+    chosen = [...chosen, ...chooseUnits(missing, candidatesOfPriority)];
   }
   return chosen.flatMap((unit) => unit.tasks);
 }
--- a/src/fleet/stop-command-sender.ts
+++ b/src/fleet/stop-command-sender.ts
@@ -35,11 +35,14 @@
     private readonly onResponse: (heartbeat: WorkerHeartbeat) => void,
   ) {}
 
-  /** Queues a command; commands to a machine that are queued synchronously share a request. */
+  /**
+   * Queues a command; commands to a machine that are queued synchronously share a request. Commands for
+   * which no request can be sent are not queued, since a job may have tasks on thousands of machines.
+   */
   add(machine: Machine, command: WorkerCommand): void {
     const commands = this.queuedCommands.get(machine);
     if (commands) commands.push(command);
-    else {
+    else if (this.inFlight + this.queuedCommands.size < this.maxInFlight) {
       if (this.queuedCommands.size === 0) queueMicrotask(() => this.flush());
       this.queuedCommands.set(machine, [command]);
     }
@@ -65,7 +68,6 @@
 
   private async sendBatch(machine: Machine, commands: WorkerCommand[]): Promise<void> {
     if (machine.address === null || !this.term.holdsLease(this.runtime.clock.now())) return;
-    if (this.inFlight >= this.maxInFlight) return;
     const body = directCommandBody(this.term.fencingToken, machine.agentEpoch, commands);
     const reply = await this.request(machine.address, body);
     const heartbeat = reply.status === 200 ? parseHeartbeat(reply.body) : null;
