--- a/packages/shares/test/preemption-choice.test.ts
+++ b/packages/shares/test/preemption-choice.test.ts
@@ -66,3 +66,16 @@
     'the choice is not quadratic in the number of tasks',
   );
 });
+
+// Guards against a choice that passes its tasks as the arguments of a call, of which the stack holds some 100,000.
+test('400,000 tasks of two priorities are chosen, those of a gang among them', () => {
+  const perJob = 100_000;
+  const jobs = ['low-1', 'low-2', 'low-gang', 'high-1'];
+  const candidates = jobs.flatMap((job) =>
+    Array.from({ length: perJob }, (_, i) =>
+      task(job, i, { priority: job.startsWith('low') ? 3 : 2, isGangMember: job.endsWith('gang') }),
+    ),
+  );
+  const all = { cpus: 0, gpus: jobs.length * perJob };
+  assert.equal(chooseTasksToPreempt(all, candidates).length, candidates.length);
+});
