Stops without a checkpoint are not counted for gangs and for jobs that have ended

Each task that was stopped without a checkpoint got an entry in a map of its job, which was kept until the job was archived: 3.5 MB for a cancelled, failed or timed-out job of 100,000 running tasks. The counts are read for tasks that may be moved alone, which those of gangs and of ended jobs never are; the entry of a task goes once it is done. Measured with a scratch script, 100,000 running members of a gang: the heap after the stops grew by 3.5 MB before and by 0.0 MB now.

--- a/src/control/reconciliation/task-stopper.ts
+++ b/src/control/reconciliation/task-stopper.ts
@@ -59,10 +59,14 @@
     else if (!this.longPoll.release(placement.machine)) this.sendStop(placement, graceMs);
   }
 
-  /** Counts a stop by which the task loses work because it cannot save a checkpoint. */
+  /**
+   * Counts a stop by which the task loses work because it cannot save a checkpoint. The count decides
+   * whether a task may be moved, so that of a gang or of a job that has ended is not needed.
+   */
   private countStop(placement: Placement, graceMs: number): void {
     const { job, task } = placement;
     if (graceMs !== 0 && job.spec.checkpointMs !== 0) return;
+    if (job.gang || job.phase !== 'open' || job.isCancellationAnnounced) return;
     job.stopsWithoutCheckpoint.set(task, (job.stopsWithoutCheckpoint.get(task) ?? 0) + 1);
   }
 
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -55,7 +55,10 @@
   isRewriting = false;
   private readonly done: CompletedTasks;
   readonly failures: FailureHistory;
-  /** Per running task, the number of stops without a checkpoint that this leader knows of. */
+  /**
+   * The number of stops without a checkpoint that this leader knows of, for each task that is not done;
+   * gangs have none, since their tasks are not moved.
+   */
   readonly stopsWithoutCheckpoint = new Map<number, number>();
   readonly unrecordedExits = new UnrecordedExits<Placement>();
   isWriteInFlight = false;
@@ -143,6 +146,7 @@
 
   markDone(task: number): void {
     if (!this.done.add(task)) return;
+    this.stopsWithoutCheckpoint.delete(task);
     this.placements.recordDone(task);
     this.markDirty(task);
   }
--- a/test/fakes/ending-job.ts
+++ b/test/fakes/ending-job.ts
@@ -207,6 +207,12 @@
     this.watcher.onJobRecord(JOB_ID, version + 1, record);
   }
 
+  /** Stops one task, as a preemption does. */
+  stopTask(task: number, graceMs: number): void {
+    const placement = this.job.placements.get(task);
+    if (placement) this.taskStopper.stop(placement, graceMs);
+  }
+
   timeOut(): void {
     if (isGangJob(this.job)) this.gangTimeouts.check(this.job, Number.MAX_SAFE_INTEGER);
   }
