--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -281,7 +281,7 @@
 
   private restorePlacement(start: RecordedStart, now: number): void {
     const { task, attempt, machine, agentEpoch, zone } = start;
-    // Not `...start`: an object with copied fields takes almost three times the memory.
+    // Not `...start`: an object with copied fields takes more memory.
     this.placements.set(task, {
       job: this,
       task,
