--- a/src/control/extensions/service-rollouts.ts
+++ b/src/control/extensions/service-rollouts.ts
@@ -1,7 +1,7 @@
 /** Connects rollouts to the scheduler for one term: provides replicas, and applies limits and withdrawals. */
 import type { LeaderRollouts, Replica, ScheduledJob, SchedulerPort } from '@leverhatch/rollout';
 import type { Condition } from '@leverhatch/core/store';
-import { startKey, type Machine } from '../../fleet/machine.js';
+import type { Machine } from '../../fleet/machine.js';
 import type { Job, Placement } from '../../jobs/tracked-job.js';
 import type { ExtensionHost, TermExtension } from './extension.js';
 import { termPort } from './term-port.js';
@@ -105,7 +105,7 @@
     const known = this.keys.get(placement);
     if (known !== undefined) return known;
     const { job, task, attempt, machine, agentEpoch } = placement;
-    const key = `${startKey(job.id, task, attempt)}@${machine}#${agentEpoch}`;
+    const key = `${job.id}/${task}/${attempt}@${machine}#${agentEpoch}`;
     this.keys.set(placement, key);
     return key;
   }
--- a/src/control/leader-parts.ts
+++ b/src/control/leader-parts.ts
@@ -329,15 +329,12 @@
   private createRecordWriter(layouts: LayoutPolicy): JobRecordWriter {
     const { store, runtime, settings } = this.context;
     const { term } = this;
-    const exitBatchMs = settings.workers.leaseMs;
-    return new JobRecordWriter(
-      store,
-      runtime,
-      term,
-      store.limits,
-      layouts,
-      exitBatchMs,
-      {
+    return new JobRecordWriter({
+      ...{ store, runtime, term, limits: store.limits, layoutPolicy: layouts },
+      exitBatchMs: settings.workers.leaseMs,
+      memoryMb: settings.machine.memoryMb,
+      startFences: this.extensions.startFences,
+      events: {
         jobChanged: (job, version, record) => this.jobRecords.onJobRecord(job.id, version, record),
         startsRecorded: (placements) => {
           placements.forEach(markRecorded);
@@ -356,8 +353,7 @@
           this.jobs.delete(job.id);
         },
       },
-      this.extensions.startFences,
-    );
+    });
   }
 
   private createProvisioner(): MachineProvisioner {
--- a/src/control/reconciliation/job-record-watcher.ts
+++ b/src/control/reconciliation/job-record-watcher.ts
@@ -5,12 +5,14 @@
 import type { Fleet } from '../../fleet/fleet.js';
 import type { MachineProvisioner } from '../../fleet/machine-provisioner.js';
 import type { JobRecordWriter } from '../../jobs/job-record-writer.js';
-import { Job, type StoredRuns } from '../../jobs/tracked-job.js';
+import { readJobEntries } from '../../jobs/job-reader.js';
+import type { JobRestoration } from '../../jobs/job-restoration.js';
+import { Job } from '../../jobs/tracked-job.js';
 import { parseJob, tasksPerRange, tasksPerRecord, type JobRecord } from '../../jobs/records.js';
-import { groupRunRecords } from '../../jobs/run-reader.js';
+import { RunRecordReader, type UnreadableRunRecord } from '../../jobs/run-reader.js';
 import { RECORD_FORMATS, type Membership } from '../../membership/membership.js';
 import { MAX_CANCELLATIONS } from '../../peer/frames.js';
-import { jobIdFromKey, jobIdFromRunKey, KEYS } from '../../state/keys.js';
+import { jobIdFromKey, KEYS } from '../../state/keys.js';
 import type { Settings } from '../../settings/deploy.js';
 import { RevisionCompactedError, type Entry, type Store } from '../../state/store.js';
 import type { DependencyTracker } from '../dependencies/dependency-tracker.js';
@@ -55,10 +57,6 @@
   private revision = 0;
   /** Jobs that were announced as cancelled before recovery was complete. */
   private readonly announcedCancellations = new Set<string>();
-  /** Jobs that had run records when recovery read those. */
-  private jobsWithRuns: ReadonlySet<string> = new Set();
-  /** Those of `jobsWithRuns` whose job record held only the final state. */
-  private readonly endedJobs = new Set<string>();
 
   constructor(private readonly context: JobRecordWatcherContext) {
     // Every heartbeat that is held until recovery adds a listener.
@@ -83,16 +81,16 @@
     const { runtime } = this.context;
     for (;;) {
       try {
-        // No other controller writes run records while our leader key exists, so they can be read
-        // before the jobs. Of the many ended jobs, only those with run records need to be kept then.
-        const runs = await this.range(KEYS.runs, signal);
         const sentAt = this.context.runtime.clock.now();
-        const revision = await this.readJobs(runs, signal);
+        const revision = await this.readJobs(signal);
+        // No other controller writes run records while our leader key exists.
+        const runs = await this.readRuns(signal);
+        const endedJobs = await this.endedJobsOf(runs.unreadable, signal);
         const provisioningRequests = await this.range(KEYS.provisioningRequests, signal);
         await this.context.zoneDelegates.refresh(signal);
         await this.context.membership.refresh(signal);
         await this.context.extensions.load(signal);
-        this.restoreRuns(runs);
+        this.restoreRuns(runs, endedJobs);
         for (const entry of provisioningRequests) this.context.provisioner.restore(entry);
         this.context.reconciler.recovered(this.context.jobs.size > 0);
         for (const id of this.announcedCancellations) this.onCancellationAnnounced(id);
@@ -100,12 +98,10 @@
         this.context.cancellationView.completeAt(sentAt);
         this.recovery.abort();
         this.context.recordReadMonitor.recordRecovery(this.context.runtime.clock.now());
-        this.jobsWithRuns = new Set();
-        this.endedJobs.clear();
         this.announcedCancellations.clear();
         this.context.dependencies.recovered();
         for (const job of this.context.jobs.values()) this.context.recordWriter.flush(job);
-        runtime.log.info({ jobs: this.context.jobs.size, runs: runs.length }, 'recovered');
+        runtime.log.info({ jobs: this.context.jobs.size, runs: runs.count }, 'recovered');
         return;
       } catch (error) {
         signal.throwIfAborted();
@@ -123,11 +119,9 @@
   }
 
   /** Reads all job records page by page; returns the revision from which to watch them. */
-  private async readJobs(runs: Entry[], signal: AbortSignal): Promise<number> {
+  private async readJobs(signal: AbortSignal): Promise<number> {
     this.context.jobs.clear();
     this.context.dependencies.clear();
-    this.endedJobs.clear();
-    this.jobsWithRuns = new Set(runs.map((entry) => jobIdFromRunKey(entry.key)));
     return this.context.store.forEachPage(
       KEYS.jobs,
       (page) => {
@@ -138,15 +132,46 @@
     );
   }
 
-  private restoreRuns(entries: Entry[]): void {
+  /** Reads all run records page by page into the jobs that were read before. */
+  private async readRuns(signal: AbortSignal): Promise<RunRecordReader> {
+    const reader = new RunRecordReader((id) => this.context.jobs.get(id) ?? null);
+    await this.context.store.forEachPage(
+      KEYS.runs,
+      (page) => {
+        this.context.recordReadMonitor.recordProgress();
+        reader.read(page);
+      },
+      signal,
+    );
+    return reader;
+  }
+
+  /** The jobs of these run records that have ended, so that only their final state is stored. */
+  private async endedJobsOf(
+    records: readonly UnreadableRunRecord[],
+    signal: AbortSignal,
+  ): Promise<ReadonlySet<string>> {
+    const unknown = new Set(records.filter(({ job }) => job === null).map(({ id }) => id));
+    const ended = new Set<string>();
+    if (unknown.size === 0) return ended;
+    const entries = await readJobEntries(this.context.store, [...unknown], { signal });
+    this.context.recordReadMonitor.recordProgress();
+    for (const [id, { value }] of entries) {
+      const record = parseJob(value);
+      const isFinal = record !== null && (!record.spec || record.at === undefined);
+      if (isFinal && record.phase !== 'open') ended.add(id);
+    }
+    return ended;
+  }
+
+  private restoreRuns(
+    { restorations, unreadable }: RunRecordReader,
+    endedJobs: ReadonlySet<string>,
+  ): void {
     const { runtime, store } = this.context;
     const perRange = tasksPerRange(store.limits.smallest().valueBytes);
-    const { runs, unreadable } = groupRunRecords(
-      entries,
-      (id) => this.context.jobs.get(id) ?? null,
-    );
     for (const { id, key, version, job } of unreadable) {
-      if (job === null && this.endedJobs.has(id)) {
+      if (job === null && endedJobs.has(id)) {
         this.context.recordWriter.leftovers.add([{ key, version }]);
         continue;
       }
@@ -154,13 +179,13 @@
       runtime.log.error({ key }, 'unreadable run record, counting all tasks of its job as running');
       if (job) job.isUnreadable = true;
     }
-    for (const [job, stored] of runs) this.restoreJob(job, stored, perRange);
+    for (const [job, restoration] of restorations) this.restoreJob(job, restoration, perRange);
   }
 
-  private restoreJob(job: Job, stored: StoredRuns, perRange: number): void {
+  private restoreJob(job: Job, restoration: JobRestoration, perRange: number): void {
     const { clock } = this.context.runtime;
     const stopAtOnce = { graceMs: 0 };
-    for (const placement of job.restore(stored, perRange, clock.now(), clock.wall())) {
+    for (const placement of restoration.finish(perRange, clock.now(), clock.wall())) {
       this.context.fleet.addPlacement(placement, clock.now());
       if (job.phase !== 'open') job.placements.setStop(placement, stopAtOnce);
     }
@@ -255,7 +280,6 @@
 
   private addJob(id: string, version: number, record: JobRecord): void {
     if (!record.spec || record.at === undefined) {
-      if (record.phase !== 'open' && this.jobsWithRuns.has(id)) this.endedJobs.add(id);
       this.context.dependencies.onJobEnded(id, record.phase, record.doneAt ?? null);
       return;
     }
--- a/src/control/reconciliation/task-stopper.ts
+++ b/src/control/reconciliation/task-stopper.ts
@@ -49,7 +49,7 @@
   private setStop(placement: Placement, request: StopRequest): void {
     if (placement.stop && placement.stop.graceMs <= request.graceMs) return;
     if (!placement.stop && placement.state === 'running')
-      this.countStop(placement, request.graceMs);
+      this.recordStop(placement, request.graceMs);
     placement.job.placements.setStop(placement, request);
   }
 
@@ -60,14 +60,14 @@
   }
 
   /**
-   * Counts a stop by which the task loses work because it cannot save a checkpoint. The count decides
-   * whether a task may be moved, so that of a gang or of a job that has ended is not needed.
+   * Records a stop by which the task loses work because it cannot save a checkpoint. It decides whether a
+   * task may be moved, so that of a gang or of a job that has ended is not needed.
    */
-  private countStop(placement: Placement, graceMs: number): void {
+  private recordStop(placement: Placement, graceMs: number): void {
     const { job, task } = placement;
     if (graceMs !== 0 && job.spec.checkpointMs !== 0) return;
     if (job.gang || job.phase !== 'open' || job.isCancellationAnnounced) return;
-    job.stopsWithoutCheckpoint.set(task, (job.stopsWithoutCheckpoint.get(task) ?? 0) + 1);
+    job.stoppedWithoutCheckpoint.add(task);
   }
 
   private sendStop(placement: Placement, graceMs: number): void {
--- a/src/control/scheduling/plan-applier.ts
+++ b/src/control/scheduling/plan-applier.ts
@@ -3,7 +3,8 @@
 import type { Fleet } from '../../fleet/fleet.js';
 import type { MachineProvisioner } from '../../fleet/machine-provisioner.js';
 import type { JobRecordWriter } from '../../jobs/job-record-writer.js';
-import type { Job, Placement } from '../../jobs/tracked-job.js';
+import { TaskPlacement } from '../../jobs/task-placement.js';
+import type { Job } from '../../jobs/tracked-job.js';
 import type { SchedulingPlan } from '../../scheduler/scheduling-model.js';
 import { isGangJob, type GangGate } from '../admission/gang-gate.js';
 import type { GangTimeouts } from '../admission/gang-timeouts.js';
@@ -81,22 +82,12 @@
     for (const { machine, count } of assignments) {
       const host = this.context.fleet.machines.get(machine);
       if (!host) throw new StalePlanError('machine', machine);
+      const { agentEpoch, zone } = host;
+      const group = { job, attempt: job.attempt, machine, agentEpoch, zone };
       for (let i = 0; i < count; i++) {
         const task = tasks[next++];
         if (task === undefined) throw new StalePlanError('task', job.id);
-        const placement: Placement = {
-          job,
-          task,
-          attempt: job.attempt,
-          machine,
-          agentEpoch: host.agentEpoch,
-          zone: host.zone,
-          stage: 'recording',
-          state: null,
-          placedAt: now,
-          runningSince: null,
-          stop: null,
-        };
+        const placement = new TaskPlacement(group, task, 'recording');
         job.placements.set(task, placement);
         this.context.fleet.addPlacement(placement, now);
         job.markDirty(task);
--- a/src/control/scheduling/snapshot.ts
+++ b/src/control/scheduling/snapshot.ts
@@ -289,7 +289,7 @@
         spec: job.spec,
         priority,
         lostWorkMs: lostWorkMs(placement, now),
-        stopsWithoutCheckpoint: job.stopsWithoutCheckpoint.get(placement.task) ?? 0,
+        wasStoppedWithoutCheckpoint: job.stoppedWithoutCheckpoint.has(placement.task),
         remainingMs: Math.max(estimateMs - ranMs, estimateMs * MIN_REMAINING_RATIO),
         isGangMember: job.gang !== null,
         // A retry of a job that fails everywhere ends soon, so no machine is provisioned in place of
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -10,7 +10,7 @@
   WorkerHeartbeat,
 } from '../wire/worker-heartbeat.js';
 import { BootTimes } from './boot-times.js';
-import { Machine, startKey, taskKey } from './machine.js';
+import { Machine } from './machine.js';
 import type { MachineType } from './resources.js';
 import { startCommand, stopCommand } from './worker-commands.js';
 
@@ -90,7 +90,7 @@
   addPlacement(placement: Placement, now: number): void {
     const machine = this.getOrCreate(placement.machine, now);
     if (machine.zone === '') machine.zone = placement.zone;
-    machine.placements.set(taskKey(placement.job.id, placement.task), placement);
+    machine.placements.add(placement);
   }
 
   /**
@@ -136,16 +136,16 @@
   private reconcileHeartbeat(machine: Machine, heartbeat: WorkerHeartbeat): WorkerCommand[] {
     const stops: WorkerCommand[] = [];
     const forgets: WorkerCommand[] = [];
-    const reported = new Set<string>();
+    const reported = new Set<Placement>();
     for (const status of heartbeat.tasks) {
-      if (this.applyTaskStatus(machine, heartbeat, status))
-        reported.add(taskKey(status.job, status.task));
+      const placement = this.applyTaskStatus(machine, heartbeat, status);
+      if (placement) reported.add(placement);
       else this.addOrphanCommands(machine, status, stops, forgets);
     }
     const starts: WorkerCommand[] = [];
-    for (const [key, placement] of machine.placements) {
+    for (const placement of machine.placements) {
       if (placement.agentEpoch !== heartbeat.agentEpoch) continue;
-      if (!reported.has(key) && placement.stage !== 'recording')
+      if (!reported.has(placement) && placement.stage !== 'recording')
         this.handleMissing(machine, placement, heartbeat, starts);
       else if (placement.stop && placement.stage === 'reported') {
         stops.push(stopCommand(placement, placement.stop.graceMs));
@@ -170,22 +170,21 @@
     for (const status of heartbeat.tasks) this.applyTaskStatus(machine, heartbeat, status);
   }
 
-  /** Applies the status of one task; returns false if it matches no recorded placement. */
+  /** Applies the status of one task; returns its recorded placement, or null if there is none. */
   private applyTaskStatus(
     machine: Machine,
     heartbeat: WorkerHeartbeat,
     status: TaskStatus,
-  ): boolean {
-    const key = taskKey(status.job, status.task);
-    const placement = machine.placements.get(key);
+  ): Placement | null {
+    const placement = machine.placements.find(status.job, status.task);
     if (placement?.attempt !== status.attempt || placement.agentEpoch !== heartbeat.agentEpoch)
-      return false;
+      return null;
     if (status.state === 'exited') {
-      machine.placements.delete(key);
-      machine.unrecordedExits.add(startKey(status.job, status.task, status.attempt));
+      machine.placements.delete(placement);
+      machine.unacknowledgedExits.add(status.job, status.task, status.attempt);
       machine.cancelFetch(placement.job.spec.image);
       this.events.exited(placement, status.exitReason ?? 'error', status.checkpointed);
-      return true;
+      return placement;
     }
     markReported(placement);
     const previousState = placement.state;
@@ -198,7 +197,7 @@
       );
     }
     if (status.state === 'running' && previousState !== 'running') this.events.running(placement);
-    return true;
+    return placement;
   }
 
   /**
@@ -252,7 +251,7 @@
   ): void {
     const { job, task, attempt } = status;
     if (status.state !== 'exited') stops.push({ kind: 'stop', job, task, attempt, graceMs: 0 });
-    else if (!machine.unrecordedExits.has(startKey(job, task, attempt))) {
+    else if (!machine.unacknowledgedExits.has(job, task, attempt)) {
       forgets.push({ kind: 'forget', job, task, attempt });
     }
   }
@@ -285,7 +284,7 @@
   }
 
   private markLost(machine: Machine, placement: Placement): void {
-    machine.placements.delete(taskKey(placement.job.id, placement.task));
+    machine.placements.delete(placement);
     machine.cancelFetch(placement.job.spec.image);
     this.events.lost(placement);
   }
@@ -300,7 +299,7 @@
   acknowledgeExit(placement: Placement): void {
     this.machines
       .get(placement.machine)
-      ?.unrecordedExits.delete(startKey(placement.job.id, placement.task, placement.attempt));
+      ?.unacknowledgedExits.delete(placement.job.id, placement.task, placement.attempt);
   }
 
   /** Removes a machine whose release the cloud has confirmed. */
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -12,17 +12,11 @@
 import { MachinePlacements } from './machine-placements.js';
 import type { MachineType, Resources } from './resources.js';
 import { subtract } from './resources.js';
+import { UnacknowledgedExits } from './unacknowledged-exits.js';
 
 /** A machine is faulty once this many jobs that run well elsewhere have failed on it. */
 const FAULTY_MIN_FAILED_JOBS = 2;
 
-/** Key of a task. */
-export const taskKey = (job: string, task: number): string => `${job}/${task}`;
-
-/** Key of one attempt to run a task. */
-export const startKey = (job: string, task: number, attempt: number): string =>
-  `${job}/${task}/${attempt}`;
-
 /** One machine and the placements that may be on it. Times are monotonic, in milliseconds. */
 export class Machine {
   type: MachineType | null = null;
@@ -58,8 +52,7 @@
   /** Agent epochs that ended although heartbeats were answered: the worker misses the answers. */
   unansweredEpochs = 0;
   readonly placements = new MachinePlacements<Placement>();
-  /** Keys of exited attempts whose exit is not in the store yet; the worker must keep them. */
-  readonly unrecordedExits = new Set<string>();
+  readonly unacknowledgedExits = new UnacknowledgedExits();
   idleSince: number;
   private readonly failedJobs: FailedJobs;
   private readonly imageCache = new ImageCache((image) => this.placements.usesImage(image));
@@ -140,7 +133,7 @@
     if (this.agentEpoch >= 0 && now - this.steadySince > maxSteadyMs) this.unansweredEpochs++;
     this.agentEpoch = agentEpoch;
     this.steadySince = now;
-    this.unrecordedExits.clear();
+    this.unacknowledgedExits.clear();
   }
 
   /** Records that a task of the job failed on this machine. */
--- a/src/fleet/stop-command-sender.ts
+++ b/src/fleet/stop-command-sender.ts
@@ -11,6 +11,12 @@
 } from '../wire/worker-heartbeat.js';
 import type { Machine } from './machine.js';
 
+/**
+ * The most commands in one request, well within the body that a worker accepts. Further stops are sent in
+ * the answers to heartbeats.
+ */
+const MAX_COMMANDS_PER_REQUEST = 400;
+
 /** Returns the transport to the worker at an address. */
 export type WorkerTransportFactory = (address: string) => Transport;
 
@@ -41,8 +47,9 @@
    */
   add(machine: Machine, command: WorkerCommand): void {
     const commands = this.queuedCommands.get(machine);
-    if (commands) commands.push(command);
-    else if (this.inFlight + this.queuedCommands.size < this.maxInFlight) {
+    if (commands) {
+      if (commands.length < MAX_COMMANDS_PER_REQUEST) commands.push(command);
+    } else if (this.inFlight + this.queuedCommands.size < this.maxInFlight) {
       if (this.queuedCommands.size === 0) queueMicrotask(() => this.flush());
       this.queuedCommands.set(machine, [command]);
     }
--- a/src/jobs/job-record-writer.ts
+++ b/src/jobs/job-record-writer.ts
@@ -13,6 +13,7 @@
 import { tasksPerRange, type JobRecord } from './records.js';
 import type { LayoutPolicy } from './run-layout.js';
 import { markRecordDeleted, TransactionCommitter } from './transaction-committer.js';
+import { WriteAdmission } from './write-admission.js';
 import { WriteRejections } from './write-rejections.js';
 
 /** Maximum number of batch intervals for which task exits are delayed while writes are queued. */
@@ -29,6 +30,21 @@
   exits: Placement[];
 }
 
+/** Dependencies of `JobRecordWriter`. */
+export interface JobRecordWriterContext {
+  readonly store: Store;
+  readonly runtime: Runtime;
+  readonly term: Term;
+  readonly limits: StoreLimits;
+  readonly layoutPolicy: LayoutPolicy;
+  /** How long task exits are delayed to share a write, in milliseconds. */
+  readonly exitBatchMs: number;
+  readonly memoryMb: number;
+  readonly events: JobRecordEvents;
+  /** Fences of transactions that start tasks, in addition to the leader key. */
+  readonly startFences?: readonly StartFence[];
+}
+
 /** What the writer reports back to the leader. */
 export interface JobRecordEvents {
   /** Another controller changed the job record: its user cancelled the job. */
@@ -57,16 +73,13 @@
   private readonly builder: TransactionBuilder;
   private readonly committer: TransactionCommitter;
 
-  constructor(
-    private readonly store: Store,
-    private readonly runtime: Runtime,
-    private readonly term: Term,
-    limits: StoreLimits,
-    private readonly layoutPolicy: LayoutPolicy,
-    private readonly exitBatchMs: number,
-    private readonly events: JobRecordEvents,
-    private readonly startFences: readonly StartFence[] = [],
-  ) {
+  private readonly admission: WriteAdmission;
+  private readonly startFences: readonly StartFence[];
+
+  constructor(private readonly context: JobRecordWriterContext) {
+    const { store, runtime, term, limits, layoutPolicy, exitBatchMs, events } = context;
+    this.startFences = context.startFences ?? [];
+    this.admission = new WriteAdmission(context.memoryMb);
     this.rejections = new WriteRejections(limits, exitBatchMs);
     this.leftovers = new LeftoverRecords(store, runtime, term);
     // Records are left behind only once all controllers support it: a leader of an earlier version
@@ -81,7 +94,7 @@
       jobChanged: (job, version, record) => events.jobChanged(job, version, record),
       rejected: (job, changes, error) => this.onRejected(job, changes, error),
       startConditionFailed: async (condition) => {
-        const fence = startFences.find(
+        const fence = this.startFences.find(
           (startFence) => startFence.condition().key === condition.key,
         );
         await fence?.conditionFailed(condition);
@@ -93,19 +106,23 @@
     if (
       job.isWriteInFlight ||
       job.isUnreadable ||
-      this.term.signal.aborted ||
+      this.context.term.signal.aborted ||
       !this.needsWrite(job)
     )
       return;
-    if (this.rejections.retryAt(job) > this.runtime.clock.now()) return;
+    if (this.rejections.retryAt(job) > this.context.runtime.clock.now()) return;
+    if (!this.admission.admit(job)) return;
     job.isWriteInFlight = true;
     void this.write(job)
       .catch((error: unknown) => {
-        if (this.term.signal.aborted) return;
-        this.events.inconsistencyDetected(`${job.id}: ${String(error)}`);
+        if (this.context.term.signal.aborted) return;
+        this.context.events.inconsistencyDetected(`${job.id}: ${String(error)}`);
       })
       .finally(() => {
         job.isWriteInFlight = false;
+        this.admission.end(job);
+        for (let next = this.admission.next(job); next; next = this.admission.next(job))
+          this.flush(next);
         this.flush(job);
       });
   }
@@ -139,8 +156,8 @@
 
   private async waitForExits(job: Job): Promise<void> {
     for (let i = 0; i < MAX_EXIT_BATCHES; i++) {
-      await this.runtime.clock.sleep(this.exitBatchMs, this.term.signal);
-      if (this.store.queuedWrites === 0 || !job.dirty) return;
+      await this.context.runtime.clock.sleep(this.context.exitBatchMs, this.context.term.signal);
+      if (this.context.store.queuedWrites === 0 || !job.dirty) return;
     }
   }
 
@@ -153,7 +170,7 @@
   }
 
   private nextWriteId(): string {
-    return `${this.term.id}/${++this.writeCount}`;
+    return `${this.context.term.id}/${++this.writeCount}`;
   }
 
   private async write(job: Job): Promise<void> {
@@ -168,6 +185,7 @@
     const wasDirty = transaction.sections.filter((section) => section.dirty);
     transaction.isBackground = job.isRewriting && wasDirty.length === 0;
     for (const section of transaction.sections) section.dirty = false;
+    this.admission.begin(job, transaction.bytes);
     const revision = await this.committer.commit(job, writeId, transaction);
     if (revision === null) {
       for (const section of wasDirty) section.dirty = true;
@@ -209,12 +227,12 @@
       if (phase === job.phase) job.isPhaseStored = true;
       if (transaction.isArchiving) job.isArchived = true;
       this.leftovers.add(transaction.leftovers);
-      this.events.endRecorded(job, phase);
+      this.context.events.endRecorded(job, phase);
     }
     job.unrecordedExits.remove(exits);
-    this.events.startsRecorded(starts);
-    this.events.exitsRecorded(exits);
-    if (job.isArchived) this.events.archived(job);
+    this.context.events.startsRecorded(starts);
+    this.context.events.exitsRecorded(exits);
+    if (job.isArchived) this.context.events.archived(job);
   }
 
   /**
@@ -223,17 +241,17 @@
    */
   private switchLayoutIfNeeded(job: Job): void {
     if (job.layout.kind === 'ranged' || job.phase !== 'open') return;
-    if (!this.layoutPolicy.rangesReadable()) return;
-    if (!this.layoutPolicy.rangesWanted() && !this.rejections.has(job)) return;
+    if (!this.context.layoutPolicy.rangesReadable()) return;
+    if (!this.context.layoutPolicy.rangesWanted() && !this.rejections.has(job)) return;
     const perRange = tasksPerRange(this.rejections.limitsFor(job).valueBytes);
     job.switchToRangedRecords(perRange);
     this.rejections.layoutChanged(job);
-    this.runtime.log.debug({ job: job.id, perRange }, 'switching to ranged run records');
+    this.context.runtime.log.debug({ job: job.id, perRange }, 'switching to ranged run records');
   }
 
   /** Logs the first rejected write of a job and schedules a retry, which delays only this job. */
   private onRejected(job: Job, changes: Change[], error: RequestRejectedError): void {
-    const { clock, log } = this.runtime;
+    const { clock, log } = this.context.runtime;
     const isFirst = !this.rejections.has(job);
     const retryDelayMs = this.rejections.add(job, clock.now());
     job.isRewriting = false;
@@ -245,6 +263,6 @@
       );
       log.error({ job: job.id, error: String(error), changes: sizes }, 'job write rejected');
     }
-    void clock.sleep(retryDelayMs, this.term.signal).then(() => this.flush(job));
+    void clock.sleep(retryDelayMs, this.context.term.signal).then(() => this.flush(job));
   }
 }
--- a/src/jobs/job-transaction.ts
+++ b/src/jobs/job-transaction.ts
@@ -25,6 +25,8 @@
 export interface JobTransaction {
   conditions: Condition[];
   changes: Change[];
+  /** Approximate size of the run records that it writes. */
+  bytes: number;
   /** Sections whose records it writes. */
   sections: Section[];
   /** Records that it deletes. */
@@ -69,6 +71,7 @@
     return {
       conditions: [{ key: KEYS.leader, version: this.term.fencingToken }],
       changes: [],
+      bytes: 0,
       sections: [],
       deletedRecords: [],
       jobRecord: null,
@@ -150,15 +153,15 @@
 
   private addSections(job: Job, writeId: string, transaction: JobTransaction): void {
     const limits = this.rejections.limitsFor(job);
-    let bytes = 0;
     for (const { section, record } of this.recordsToWrite(job, writeId, limits.valueBytes)) {
-      bytes += jsonBytes(record) + BYTES_PER_OPERATION;
+      const bytes = transaction.bytes + jsonBytes(record) + BYTES_PER_OPERATION;
       // One change is reserved for the job record.
       if (transaction.changes.length >= limits.txnOps - 1) return;
       if (bytes > MAX_TRANSACTION_BYTES && transaction.changes.length > 0) return;
       transaction.conditions.push({ key: section.key, version: section.version });
       transaction.changes.push({ put: section.key, value: record });
       transaction.sections.push(section);
+      transaction.bytes = bytes;
     }
   }
 
--- a/src/jobs/tracked-job.ts
+++ b/src/jobs/tracked-job.ts
@@ -1,48 +1,19 @@
 /** Jobs and placements as the leader tracks them. */
 
-import type { TaskState } from '../wire/worker-heartbeat.js';
-import { CompletedTasks } from './completed-tasks.js';
 import { FailureHistory } from './failure-history.js';
-import {
-  newGangState,
-  requeueGang,
-  restoreGang,
-  toGangRecord,
-  type GangState,
-} from './gang-phase.js';
-import { JobPlacements, type StopRequest } from './job-placements.js';
+import { newGangState, toGangRecord, type GangState } from './gang-phase.js';
+import { JobPlacements } from './job-placements.js';
 import type { JobPhase, JobSpec } from './job.js';
-import {
-  toRangedEntries,
-  toIndexedEntries,
-  startsInRangedRecord,
-  startsInIndexedRecord,
-  mentionedTasks,
-  type RecordedStart,
-} from './placed-entries.js';
-import { isUnrecorded, type PlacementStage } from './placement-stage.js';
+import { toRangedEntries, toIndexedEntries } from './placed-entries.js';
+import { isUnrecorded } from './placement-stage.js';
 import { WRITE_ID, type GangRecord, type RangedRunRecord, type RunRecord } from './records.js';
-import { RunLayout, type Section } from './run-layout.js';
+import { RunLayout, type Section, type StoredSection } from './run-layout.js';
+import { TaskPlacement, type StartGroup } from './task-placement.js';
+import { TaskSet, type TaskRanges } from './task-set.js';
 import { UnrecordedExits } from './unrecorded-exits.js';
 
-/**
- * A placement: one start of one task on a machine. It occupies its resources until it is proven
- * gone. Times are monotonic (ms).
- */
-export interface Placement extends RecordedStart {
-  job: Job;
-  stage: PlacementStage;
-  state: TaskState | null;
-  placedAt: number;
-  runningSince: number | null;
-  stop: StopRequest | null;
-}
-
-/** All run records of one job in the store. */
-export interface StoredRuns {
-  indexed: { index: number; version: number; record: RunRecord }[];
-  ranged: { key: string; version: number; record: RangedRunRecord }[];
-}
+/** A placement of a task of a tracked job. */
+export type Placement = TaskPlacement<Job>;
 
 /** A job as the leader tracks it. */
 export class Job {
@@ -53,13 +24,13 @@
   readonly layout: RunLayout;
   /** Its indexed records are being rewritten as ranged ones in the background. */
   isRewriting = false;
-  private readonly done: CompletedTasks;
+  private readonly done: TaskSet;
   readonly failures: FailureHistory;
   /**
-   * The number of stops without a checkpoint that this leader knows of, for each task that is not done;
-   * gangs have none, since their tasks are not moved.
+   * The tasks, not done yet, that this leader has stopped without a checkpoint; none of gangs, since their
+   * tasks are not moved.
    */
-  readonly stopsWithoutCheckpoint = new Map<number, number>();
+  readonly stoppedWithoutCheckpoint: TaskSet;
   readonly unrecordedExits = new UnrecordedExits<Placement>();
   isWriteInFlight = false;
   /** A delayed write of task exits is scheduled. */
@@ -95,7 +66,8 @@
   ) {
     this.failures = new FailureHistory(heartbeatIntervalMs);
     this.readyAt = submittedAt;
-    this.done = new CompletedTasks(spec.tasks);
+    this.done = new TaskSet(spec.tasks);
+    this.stoppedWithoutCheckpoint = new TaskSet(spec.tasks);
     this.layout = new RunLayout(id, spec.tasks, tasksPerIndexedRecord);
     this.gang = spec.kind === 'gang' ? newGangState() : null;
   }
@@ -146,7 +118,7 @@
 
   markDone(task: number): void {
     if (!this.done.add(task)) return;
-    this.stopsWithoutCheckpoint.delete(task);
+    this.stoppedWithoutCheckpoint.remove(task);
     this.placements.recordDone(task);
     this.markDirty(task);
   }
@@ -225,75 +197,36 @@
     return record ? { gang: record } : {};
   }
 
-  /**
-   * Restores what earlier leaders stored; the caller adds the placements to their machines. Ranged
-   * records override indexed ones, see `RunLayout`.
-   */
-  restore(stored: StoredRuns, perRange: number, now: number, wall: number): Iterable<Placement> {
-    const wallToMonotonicMs = now - wall;
-    for (const { index, version, record } of stored.indexed) {
-      this.layout.indexedSection(index).version = version;
-      this.attempt = Math.max(this.attempt, record.attempt);
-      this.done.addRanges(record.done);
-      if (this.gang && record.gang) restoreGang(this.gang, record.gang, now, wallToMonotonicMs);
-      for (const start of startsInIndexedRecord(record)) this.restorePlacement(start, now);
-    }
-    const ranged = [...stored.ranged].sort((a, b) => a.record.from - b.record.from);
-    for (const { record } of ranged) this.restoreRange(record, now, wallToMonotonicMs);
-    this.restoreLayout(stored.indexed, ranged, perRange);
-    this.placements.recount();
-    return this.placements.values();
+  // ---- restoration, see `JobRestoration`
+
+  /** Marks stored ranges of tasks as completed. */
+  restoreDone(ranges: TaskRanges): void {
+    this.done.addRanges(ranges);
   }
 
-  private restoreLayout(
-    indexed: StoredRuns['indexed'],
-    ranged: StoredRuns['ranged'],
-    perRange: number,
-  ): void {
-    const sections = ranged.map(({ key, version, record }) => ({
-      key,
-      version,
-      from: record.from,
-      to: Math.min(record.to, this.spec.tasks),
-    }));
-    const isEmpty = (from: number, to: number): boolean => this.isEmpty(from, to);
-    this.hasMismatchedLayout = indexed.some(
-      ({ index, record }) => !this.layout.containsTasks(index, mentionedTasks(record)),
-    );
-    if (this.hasMismatchedLayout)
-      this.layout.restoreMismatched(indexed, sections, perRange, isEmpty);
-    else if (ranged.length > 0) this.layout.restoreRanged(sections, perRange, isEmpty);
+  /** Adds a start that an earlier leader stored. */
+  restorePlacement(group: StartGroup<Job>, task: number): void {
+    this.placements.set(task, new TaskPlacement(group, task, 'recovered'));
   }
 
-  private restoreRange(record: RangedRunRecord, now: number, wallToMonotonicMs: number): void {
-    for (let task = record.from; task < record.to && task < this.spec.tasks; task++) {
+  /** Drops what was restored of the tasks from `from` (inclusive) to `to` (exclusive). */
+  clearTasks(from: number, to: number): void {
+    for (let task = from; task < to && task < this.spec.tasks; task++) {
       this.placements.delete(task);
       this.done.remove(task);
     }
-    this.attempt = Math.max(this.attempt, record.attempt);
-    this.done.addRanges(record.done);
-    if (this.gang && record.from === 0) {
-      requeueGang(this.gang);
-      if (record.gang) restoreGang(this.gang, record.gang, now, wallToMonotonicMs);
-    }
-    for (const start of startsInRangedRecord(record)) this.restorePlacement(start, now);
   }
 
-  private restorePlacement(start: RecordedStart, now: number): void {
-    const { task, attempt, machine, agentEpoch, zone } = start;
-    // Not `...start`: an object with copied fields takes more memory.
-    this.placements.set(task, {
-      job: this,
-      task,
-      attempt,
-      machine,
-      agentEpoch,
-      zone,
-      stage: 'recovered',
-      state: null,
-      placedAt: now,
-      runningSince: null,
-      stop: null,
-    });
+  /** Restores the layout of the stored records; `ranged` are in order of their first tasks. */
+  restoreLayout(
+    indexed: { index: number; version: number }[],
+    ranged: StoredSection[],
+    isMismatched: boolean,
+    perRange: number,
+  ): void {
+    const isEmpty = (from: number, to: number): boolean => this.isEmpty(from, to);
+    this.hasMismatchedLayout = isMismatched;
+    if (isMismatched) this.layout.restoreMismatched(indexed, ranged, perRange, isEmpty);
+    else if (ranged.length > 0) this.layout.restoreRanged(ranged, perRange, isEmpty);
   }
 }
--- a/src/scheduler/opportunistic-drain.ts
+++ b/src/scheduler/opportunistic-drain.ts
@@ -96,7 +96,7 @@
   let lostMachineMs = 0;
   let occupiedMs = 0;
   for (const candidate of tasks) {
-    if (candidate.isStopping || candidate.isGangMember || candidate.stopsWithoutCheckpoint > 0)
+    if (candidate.isStopping || candidate.isGangMember || candidate.wasStoppedWithoutCheckpoint)
       return false;
     if (candidate.spec.checkpointMs === 0 && candidate.lostWorkMs > candidate.remainingMs)
       return false;
--- a/src/scheduler/scheduling-model.ts
+++ b/src/scheduler/scheduling-model.ts
@@ -115,8 +115,8 @@
   priority: Priority;
   /** Run time of the task that would be lost and repeated, in milliseconds. */
   lostWorkMs: number;
-  /** Number of times it was stopped without a checkpoint. */
-  stopsWithoutCheckpoint: number;
+  /** Whether it was stopped without a checkpoint before. */
+  wasStoppedWithoutCheckpoint: boolean;
   /** Expected remaining run time, based on the owner's estimate. */
   remainingMs: number;
   /** True for tasks of gangs, which stop as a whole and are never preempted individually. */
--- a/test/fakes/ending-job.ts
+++ b/test/fakes/ending-job.ts
@@ -18,12 +18,14 @@
 import type { StopCommandSender } from '../../src/fleet/stop-command-sender.js';
 import type { JobKind } from '../../src/jobs/job.js';
 import { tasksPerRange, tasksPerRecord, WRITE_ID, type RunRecord } from '../../src/jobs/records.js';
-import { Job, type Placement, type StoredRuns } from '../../src/jobs/tracked-job.js';
+import { JobRestoration } from '../../src/jobs/job-restoration.js';
+import { TaskPlacement } from '../../src/jobs/task-placement.js';
+import { Job, type Placement } from '../../src/jobs/tracked-job.js';
 import { OPERATOR_DEFAULTS } from '../../src/settings/operator.js';
 import type { ExitReason, TaskStatus } from '../../src/wire/worker-heartbeat.js';
 import type { Runtime } from '@leverhatch/core/supervised-task';
 import { FakeClock } from './clock.js';
-import { SPEC, TYPE } from './samples.js';
+import { SPEC, startGroup, TYPE } from './samples.js';
 import { settings } from './sample-settings.js';
 
 const JOB_ID = 'req-1';
@@ -112,22 +114,12 @@
 
   private placeAll(stage: StartStage): void {
     const { job, clock } = this;
+    const groups = MACHINE_IDS.map((machine) => startGroup(job, { machine }));
     for (let task = 0; task < job.spec.tasks; task++) {
       const isRunning = stage === 'running' || (stage === 'half unrecorded' && task % 2 === 0);
-      // A plain literal, as in the product: copied fields would take twice the memory.
-      const placement: Placement = {
-        job,
-        task,
-        attempt: 1,
-        machine: machineOf(task),
-        agentEpoch: 1,
-        zone: 'a',
-        stage: isRunning ? 'reported' : 'recording',
-        state: isRunning ? 'running' : null,
-        placedAt: 0,
-        runningSince: null,
-        stop: null,
-      };
+      const placementStage = isRunning ? 'reported' : 'recording';
+      const placement = new TaskPlacement(groups[task % MACHINES]!, task, placementStage);
+      if (isRunning) placement.state = 'running';
       job.placements.set(task, placement);
       this.fleet.addPlacement(placement, clock.now());
     }
@@ -224,19 +216,17 @@
   /** The same job as the next leader restores it from the records. */
   takeOver(): EndingJob {
     const { spec } = this.job;
-    const indexed: StoredRuns['indexed'] = [];
     const perRecord = tasksPerRecord(VALUE_BYTES);
+    const restored = new Job(JOB_ID, spec, 0, 1, perRecord);
+    const restoration = new JobRestoration(restored);
     for (let index = 0; index * perRecord < spec.tasks; index++) {
       const section = this.job.layout.indexedSection(index);
       const record = this.job.toRecord(section, 'w', (at) => at) as RunRecord;
-      indexed.push({ index, version: 1, record });
+      restoration.addIndexed(index, 1, record);
     }
-    const restored = new Job(JOB_ID, spec, 0, 1, perRecord);
-    restored.restore({ indexed, ranged: [] }, tasksPerRange(VALUE_BYTES), 0, 0);
+    restoration.finish(tasksPerRange(VALUE_BYTES), 0, 0);
     return new EndingJob(spec.kind, spec.tasks, 'running', restored);
   }
 }
 
 const MACHINE_IDS = Array.from({ length: MACHINES }, (_, i) => `host-${i}`);
-
-const machineOf = (task: number): string => MACHINE_IDS[task % MACHINES]!;
--- a/test/fakes/placed-tasks.ts
+++ b/test/fakes/placed-tasks.ts
@@ -3,10 +3,11 @@
  * can be limited to that of a deployed controller.
  */
 import { parentPort, workerData } from 'node:worker_threads';
-import { Machine, taskKey } from '../../src/fleet/machine.js';
+import { Machine } from '../../src/fleet/machine.js';
 import { tasksPerRecord } from '../../src/jobs/records.js';
-import { Job, type Placement } from '../../src/jobs/tracked-job.js';
-import { MAX_TASKS, SPEC } from './samples.js';
+import { TaskPlacement, type StartGroup } from '../../src/jobs/task-placement.js';
+import { Job } from '../../src/jobs/tracked-job.js';
+import { MAX_TASKS, SPEC, startGroup } from './samples.js';
 
 /** The jobs and machines of one worker thread. */
 export interface PlacedTasksCase {
@@ -17,12 +18,10 @@
   valueBytes: number;
 }
 
-function place(job: Job, task: number, machine: Machine): void {
-  const start = { task, attempt: 1, machine: machine.id, agentEpoch: 1, zone: 'a' };
-  const state = { state: null, placedAt: 0, runningSince: null, stop: null };
-  const placement: Placement = { job, ...start, stage: 'recording', ...state };
+function place(job: Job, task: number, group: StartGroup<Job>, machine: Machine): void {
+  const placement = new TaskPlacement(group, task, 'recording');
   job.placements.set(task, placement);
-  machine.placements.set(taskKey(job.id, task), placement);
+  machine.placements.add(placement);
 }
 
 /** Returns the number of tasks on all machines. */
@@ -31,7 +30,9 @@
   for (let i = 0; i < jobs; i++) {
     const spec = { ...SPEC, tasks: MAX_TASKS };
     const job = new Job(`req-${i}`, spec, 0, 1, tasksPerRecord(valueBytes));
-    for (let task = 0; task < MAX_TASKS; task++) place(job, task, fleet[task % machines]!);
+    const groups = fleet.map(({ id }) => startGroup(job, { machine: id }));
+    for (let task = 0; task < MAX_TASKS; task++)
+      place(job, task, groups[task % machines]!, fleet[task % machines]!);
   }
   return fleet.reduce((sum, { placements }) => sum + placements.size, 0);
 }
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -1,5 +1,7 @@
 import type { MachineType } from '../../src/fleet/resources.js';
 import { Priority, type JobSpec } from '../../src/jobs/job.js';
+import { TaskPlacement, type StartGroup } from '../../src/jobs/task-placement.js';
+import type { Job, Placement } from '../../src/jobs/tracked-job.js';
 import type {
   JobView,
   MachineView,
@@ -123,3 +125,19 @@
   snapshotEveryS: 10,
   stowS: 1,
 };
+
+/** What the starts of a job on `host-1` have in common. */
+export const startGroup = (
+  job: Job,
+  overrides: Partial<StartGroup<Job>> = {},
+): StartGroup<Job> => ({
+  ...{ job, attempt: 1, machine: 'host-1', agentEpoch: 1, zone: 'a' },
+  ...overrides,
+});
+
+/** A start of a task that is not in the store yet. */
+export const unrecordedStart = (
+  job: Job,
+  task: number,
+  overrides: Partial<StartGroup<Job>> = {},
+): Placement => new TaskPlacement(startGroup(job, overrides), task, 'recording');
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,9 +2,10 @@
 import { test } from 'node:test';
 import { Fleet } from '../src/fleet/fleet.js';
 import type { Machine } from '../src/fleet/machine.js';
+import { TaskPlacement } from '../src/jobs/task-placement.js';
 import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import type { WorkerHeartbeat, TaskStatus } from '../src/wire/worker-heartbeat.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { SPEC, startGroup, TYPE } from './fakes/samples.js';
 
 const LEASE_MS = 10_000;
 const MAX_HEARTBEAT_AGE_MS = LEASE_MS / 3;
@@ -36,19 +37,8 @@
   }
 
   place(task: number, stage: Placement['stage'], agentEpoch = 1): Placement {
-    const placement: Placement = {
-      job: this.job,
-      task,
-      attempt: 1,
-      machine: 'host-1',
-      agentEpoch,
-      zone: 'a',
-      stage,
-      state: null,
-      placedAt: 0,
-      runningSince: null,
-      stop: null,
-    };
+    const placement = new TaskPlacement(startGroup(this.job, { agentEpoch }), task, stage);
+    this.job.placements.set(task, placement);
     this.fleet.addPlacement(placement, 0);
     return placement;
   }
--- a/test/headroom.test.ts
+++ b/test/headroom.test.ts
@@ -63,7 +63,7 @@
     spec: { ...SPEC, priority: Priority.Low, need: { cpus: 8, gpus: 8, memoryGb: 40 } },
     priority: Priority.Low,
     lostWorkMs: 0,
-    stopsWithoutCheckpoint: 0,
+    wasStoppedWithoutCheckpoint: false,
     remainingMs: 10_000,
     isGangMember: false,
     isStopping: false,
--- a/test/job-placements.test.ts
+++ b/test/job-placements.test.ts
@@ -1,22 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { MachinePlacements } from '../src/fleet/machine-placements.js';
-import { taskKey } from '../src/fleet/machine.js';
 import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import type { TaskState } from '../src/wire/worker-heartbeat.js';
 import { SeededRandom } from './fakes/random.js';
-import { SPEC } from './fakes/samples.js';
+import { SPEC, unrecordedStart } from './fakes/samples.js';
 
 const TASKS = 40;
 
 const STATES: TaskState[] = ['fetching', 'waiting', 'running', 'saving'];
 
-function createPlacement(job: Job, task: number): Placement {
-  const start = { task, attempt: 1, machine: 'host-1', agentEpoch: 1, zone: 'a' };
-  const state = { state: null, placedAt: 0, runningSince: null, stop: null };
-  return { job, ...start, stage: 'recording', ...state };
-}
-
 /** The counts of a job's placements, by going over all of them. */
 function countsByScan(job: Job): object {
   const placements = [...job.placements.values()];
@@ -51,7 +44,7 @@
   const task = pickBelow(random, TASKS);
   const placement = placements.get(task);
   const kind = pickBelow(random, 6);
-  if (kind <= 1 || !placement) placements.set(task, createPlacement(job, task));
+  if (kind <= 1 || !placement) placements.set(task, unrecordedStart(job, task));
   else if (kind === 2) placements.delete(task);
   else if (kind === 3) placements.setState(placement, STATES[pickBelow(random, STATES.length)]!);
   else if (kind === 4) placements.setStop(placement, { graceMs: pickBelow(random, 2) * 1000 });
@@ -75,7 +68,7 @@
 
 test('changes of a placement that was replaced or removed do not count', () => {
   const job = new Job('req-1', { ...SPEC, tasks: TASKS }, 0, 1, 100);
-  const [first, second] = [createPlacement(job, 0), createPlacement(job, 0)];
+  const [first, second] = [unrecordedStart(job, 0), unrecordedStart(job, 0)];
   job.placements.set(0, first);
   job.placements.set(0, second);
   job.placements.setState(first, 'running');
@@ -90,12 +83,28 @@
     (image, i) => new Job(`req-${i}`, { ...SPEC, image }, 0, 1, 100),
   );
   const placements = new MachinePlacements<Placement>();
-  for (const job of jobs) placements.set(taskKey(job.id, 0), createPlacement(job, 0));
-  placements.delete(taskKey('req-0', 0));
+  const [first, second, third] = jobs.map((job) => unrecordedStart(job, 0));
+  for (const placement of [first!, second!, third!]) placements.add(placement);
+  placements.delete(first!);
   assert.deepEqual([placements.usesImage('img-1'), placements.usesImage('img-2')], [true, true]);
-  placements.delete(taskKey('req-1', 0));
-  placements.delete(taskKey('req-1', 0));
+  placements.delete(second!);
+  placements.delete(second!);
   assert.deepEqual([placements.usesImage('img-1'), placements.usesImage('img-2')], [false, true]);
   placements.clear();
   assert.equal(placements.usesImage('img-2'), false);
 });
+
+test('a task is found on a machine only by the placement that is there', () => {
+  const job = new Job('req-1', { ...SPEC, tasks: TASKS }, 0, 1, 100);
+  const placements = new MachinePlacements<Placement>();
+  const [here, elsewhere] = [unrecordedStart(job, 0), unrecordedStart(job, 1)];
+  for (const placement of [here, elsewhere]) job.placements.set(placement.task, placement);
+  placements.add(here);
+  assert.equal(placements.find('req-1', 0), here);
+  assert.equal(placements.find('req-1', 1), undefined);
+  assert.equal(placements.find('req-2', 0), undefined);
+  job.placements.set(0, unrecordedStart(job, 0));
+  assert.equal(placements.find('req-1', 0), undefined, 'it was replaced by a start elsewhere');
+  placements.delete(here);
+  assert.equal(placements.size, 0);
+});
--- a/test/job-record-writer.test.ts
+++ b/test/job-record-writer.test.ts
@@ -2,13 +2,13 @@
 import { test } from 'node:test';
 import { Term } from '../src/election/term.js';
 import type { JobSpec } from '../src/jobs/job.js';
-import { JobRecordWriter } from '../src/jobs/job-record-writer.js';
+import { JobRecordWriter, type JobRecordEvents } from '../src/jobs/job-record-writer.js';
 import { Job } from '../src/jobs/tracked-job.js';
 import type { Runtime } from '@leverhatch/core/supervised-task';
 import { StoreLimits } from '../src/state/store-limits.js';
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
-import { SPEC } from './fakes/samples.js';
+import { SPEC, unrecordedStart } from './fakes/samples.js';
 import { FakeStore } from './fakes/store.js';
 import { fakeRandom, settings } from './fakes/simulated-cluster.js';
 
@@ -28,14 +28,19 @@
     },
   } as unknown as Store;
   const noop = (): void => undefined;
-  const writer = new JobRecordWriter(
+  const writer = new JobRecordWriter({
     store,
-    { clock } as unknown as Runtime,
-    new Term('t', 1, 0, Infinity),
-    new StoreLimits(settings().state),
-    { rangesReadable: () => false, leftoversKnown: () => false, rangesWanted: () => false },
-    2500,
-    {
+    runtime: { clock } as unknown as Runtime,
+    term: new Term('t', 1, 0, Infinity),
+    limits: new StoreLimits(settings().state),
+    layoutPolicy: {
+      rangesReadable: () => false,
+      leftoversKnown: () => false,
+      rangesWanted: () => false,
+    },
+    exitBatchMs: 2500,
+    memoryMb: settings().machine.memoryMb,
+    events: {
       jobChanged: noop,
       startsRecorded: noop,
       exitsRecorded: noop,
@@ -43,7 +48,7 @@
       endRecorded: noop,
       archived: noop,
     },
-  );
+  });
   return { clock, writer, priorities };
 }
 
@@ -72,7 +77,7 @@
   );
   const term = new Term('t', 1, 0, Infinity);
   const started: string[] = [];
-  const writer = new JobRecordWriter(store, runtime, term, store.limits, layouts, 10_000, {
+  const events: JobRecordEvents = {
     jobChanged: () => undefined,
     startsRecorded: (placements) =>
       started.push(...placements.map((placement) => `${placement.job.id}/${placement.task}`)),
@@ -80,24 +85,18 @@
     inconsistencyDetected: (message) => assert.fail(message),
     endRecorded: () => undefined,
     archived: () => undefined,
+  };
+  const writer = new JobRecordWriter({
+    ...{ store, runtime, term, limits: store.limits, layoutPolicy: layouts, events },
+    exitBatchMs: 10_000,
+    memoryMb: settings().machine.memoryMb,
   });
   return { clock, fakeStore, writer, term, errors, started, readable };
 }
 
 function place(trackedJob: Job, task: number, machine = 'host-000001'): void {
-  trackedJob.placements.set(task, {
-    job: trackedJob,
-    task,
-    attempt: ++trackedJob.attempt,
-    machine,
-    agentEpoch: 1,
-    zone: 'a',
-    stage: 'recording',
-    state: null,
-    placedAt: 0,
-    runningSince: null,
-    stop: null,
-  });
+  const attempt = ++trackedJob.attempt;
+  trackedJob.placements.set(task, unrecordedStart(trackedJob, task, { attempt, machine }));
   trackedJob.markDirty(task);
 }
 
--- a/test/large-job-writes.test.ts
+++ b/test/large-job-writes.test.ts
@@ -10,7 +10,7 @@
 import { StoreLimits } from '../src/state/store-limits.js';
 import type { Change, Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
-import { MAX_TASKS, SPEC } from './fakes/samples.js';
+import { MAX_TASKS, SPEC, unrecordedStart } from './fakes/samples.js';
 import { settings } from './fakes/simulated-cluster.js';
 
 /** Records are built and searched a few times for each of their tasks, and some in vain. */
@@ -42,9 +42,7 @@
   }
 
   private createPlacement(task: number): Placement {
-    const start = { attempt: 1, machine: `host-${task % MACHINES}`, agentEpoch: 1, zone: 'a' };
-    const state = { state: null, placedAt: 0, runningSince: null, stop: null };
-    const placement: Placement = { job: this.job, task, ...start, stage: 'recording', ...state };
+    const placement = unrecordedStart(this.job, task, { machine: `host-${task % MACHINES}` });
     const countRead = (): number => {
       this.reads++;
       return task;
@@ -66,14 +64,19 @@
     },
   } as unknown as Store;
   const noop = (): void => undefined;
-  const writer = new JobRecordWriter(
+  const writer = new JobRecordWriter({
     store,
-    { clock: new FakeClock() } as unknown as Runtime,
-    new Term('t', 1, 0, Infinity),
-    new StoreLimits(settings().state),
-    { rangesReadable: () => false, leftoversKnown: () => false, rangesWanted: () => false },
-    2500,
-    {
+    runtime: { clock: new FakeClock() } as unknown as Runtime,
+    term: new Term('t', 1, 0, Infinity),
+    limits: new StoreLimits(settings().state),
+    layoutPolicy: {
+      rangesReadable: () => false,
+      leftoversKnown: () => false,
+      rangesWanted: () => false,
+    },
+    exitBatchMs: 2500,
+    memoryMb: settings().machine.memoryMb,
+    events: {
       jobChanged: noop,
       startsRecorded: (placements) => {
         placements.forEach(markRecorded);
@@ -86,7 +89,7 @@
       endRecorded: noop,
       archived: noop,
     },
-  );
+  });
   return { writer, started, exited };
 }
 
--- a/test/production-samples.test.ts
+++ b/test/production-samples.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Job, type StoredRuns } from '../src/jobs/tracked-job.js';
+import { Job } from '../src/jobs/tracked-job.js';
 import { parseJob, parseProvisioning, parseRun, tasksPerRecord } from '../src/jobs/records.js';
-import { groupRunRecords } from '../src/jobs/run-reader.js';
+import { RunRecordReader } from '../src/jobs/run-reader.js';
 import { Decoder, encode } from '../src/peer/frames.js';
 import { jobIdFromKey, parseRunKey } from '../src/state/keys.js';
 import { inCurrentNames } from './fakes/released-samples.js';
@@ -12,7 +12,7 @@
 const PER_RECORD = tasksPerRecord(settings().state.valueBytes);
 
 /** The jobs that the version in production left open, restored as by a new leader. */
-function restored(): { jobs: Map<string, Job>; runs: Map<Job, StoredRuns>; wall: number } {
+function restored(): { jobs: Map<string, Job>; wall: number } {
   const { keys, wall } = productionStore();
   const jobs = new Map<string, Job>();
   for (const [key, { value, stamp }] of Object.entries(keys)) {
@@ -24,10 +24,11 @@
   const entries = Object.entries(keys)
     .filter(([key]) => key.startsWith('runs/'))
     .map(([key, { value, stamp }]) => ({ key, value, version: stamp }));
-  const { runs, unreadable } = groupRunRecords(entries, (id) => jobs.get(id) ?? null);
-  assert.deepEqual(unreadable, []);
-  for (const [job, stored] of runs) job.restore(stored, 128, 5000, wall);
-  return { jobs, runs, wall };
+  const reader = new RunRecordReader((id) => jobs.get(id) ?? null);
+  reader.read(entries);
+  assert.deepEqual(reader.unreadable, []);
+  for (const restoration of reader.restorations.values()) restoration.finish(128, 5000, wall);
+  return { jobs, wall };
 }
 
 test('every record of the version in production is parsed', () => {
@@ -47,17 +48,20 @@
 });
 
 test('run records written before the upgrade is complete are identical to those of production', () => {
-  const { runs, wall } = restored();
-  assert.ok(runs.size >= 4);
-  for (const [job, { indexed }] of runs) {
-    for (const { index, record } of indexed) {
-      const section = job.layout.indexedSection(index);
-      const written = job.toRecord(section, record.w, (monotonicMs) => wall + monotonicMs - 5000);
-      assert.equal(section.key, `runs/${job.id}/${index}`);
-      const { value } = productionStore().keys[section.key]!;
-      assert.equal(JSON.stringify(written), JSON.stringify(value));
-    }
+  const { jobs, wall } = restored();
+  const written = new Set<Job>();
+  for (const [key, { value }] of Object.entries(productionStore().keys)) {
+    const parsedKey = parseRunKey(key);
+    if (parsedKey?.kind !== 'indexed') continue;
+    const job = jobs.get(parsedKey.job)!;
+    const section = job.layout.indexedSection(parsedKey.number);
+    assert.equal(section.key, key);
+    const { w: writeId } = parseRun(value)!;
+    const record = job.toRecord(section, writeId, (monotonicMs) => wall + monotonicMs - 5000);
+    assert.equal(JSON.stringify(record), JSON.stringify(value));
+    written.add(job);
   }
+  assert.ok(written.size >= 4);
 });
 
 test('the job record, the leader key, provisioning records and machine types have the shape of production', async () => {
--- a/test/record-transactions.test.ts
+++ b/test/record-transactions.test.ts
@@ -8,7 +8,7 @@
 import type { WriteRejections } from '../src/jobs/write-rejections.js';
 import type { Runtime } from '@leverhatch/core/supervised-task';
 import { FakeClock } from './fakes/clock.js';
-import { MAX_TASKS, SPEC } from './fakes/samples.js';
+import { MAX_TASKS, SPEC, unrecordedStart } from './fakes/samples.js';
 
 const LIMITS = { txnOps: 20, valueBytes: 16 * 1024 };
 
@@ -37,10 +37,7 @@
   const placements = new CountingPlacements();
   Object.defineProperty(job, 'placements', { value: placements });
   for (let task = 0; task < MAX_TASKS; task++) {
-    const machine = `host-${task % MACHINES}`;
-    const start = { task, attempt: 1, machine, agentEpoch: 1, zone: 'a' };
-    const state = { state: null, placedAt: 0, runningSince: null, stop: null };
-    placements.set(task, { job, ...start, stage: 'recording', ...state });
+    placements.set(task, unrecordedStart(job, task, { machine: `host-${task % MACHINES}` }));
     job.markDirty(task);
   }
   return { job, placements };
--- a/test/released-samples.test.ts
+++ b/test/released-samples.test.ts
@@ -2,14 +2,14 @@
 import { test } from 'node:test';
 import type { Resources } from '../src/fleet/resources.js';
 import { readDependencies } from '../src/jobs/dependencies.js';
-import { Job, type StoredRuns } from '../src/jobs/tracked-job.js';
+import { Job } from '../src/jobs/tracked-job.js';
 import {
   parseJob,
   parseDependencyChunk,
   parseProvisioning,
   tasksPerRecord,
 } from '../src/jobs/records.js';
-import { groupRunRecords } from '../src/jobs/run-reader.js';
+import { RunRecordReader } from '../src/jobs/run-reader.js';
 import { Decoder, encode } from '../src/peer/frames.js';
 import { jobIdFromKey } from '../src/state/keys.js';
 import type { Store } from '../src/state/store.js';
@@ -36,8 +36,8 @@
     .filter(([key]) => key.startsWith(prefix))
     .map(([key, { value, stamp }]) => ({ key, value, version: stamp }));
 
-/** The run records of a sample by open job; the jobs are restored as by a new leader. */
-function restored(sample: ReleasedSample): Map<Job, StoredRuns> {
+/** The open jobs of a sample that have run records, restored as by a new leader. */
+function restored(sample: ReleasedSample): Job[] {
   const jobs = new Map<string, Job>();
   for (const { key, value, version } of itemsWithPrefix(sample.keys, 'jobs/')) {
     const record = parseJob(value);
@@ -46,19 +46,18 @@
     const id = jobIdFromKey(key);
     jobs.set(id, new Job(id, record.spec, record.at!, version, PER_RECORD));
   }
-  const { runs, unreadable } = groupRunRecords(
-    itemsWithPrefix(sample.keys, 'runs/'),
-    (id) => jobs.get(id) ?? null,
-  );
-  assert.deepEqual(unreadable, []);
-  for (const [job, stored] of runs) job.restore(stored, PER_RANGE, 5000, sample.wall);
-  return runs;
+  const reader = new RunRecordReader((id) => jobs.get(id) ?? null);
+  reader.read(itemsWithPrefix(sample.keys, 'runs/'));
+  assert.deepEqual(reader.unreadable, []);
+  for (const restoration of reader.restorations.values())
+    restoration.finish(PER_RANGE, 5000, sample.wall);
+  return [...reader.restorations.keys()];
 }
 
 for (const [when, sample] of Object.entries(releasedStores())) {
   test(`every record that 104c759 leaves is parsed (${when} all controllers had member records)`, async () => {
     const { keys, jobs, beforehand } = sample;
-    const byId = new Map([...restored(sample).keys()].map((job) => [job.id, job]));
+    const byId = new Map(restored(sample).map((job) => [job.id, job]));
     const array = byId.get(jobs.array)!;
     assert.deepEqual([array.doneCount, array.placements.size], [20, 130]);
     assert.equal(byId.get(jobs.service)!.placements.size, 3);
@@ -80,7 +79,7 @@
   });
 
   test(`run records are written byte for byte as by 104c759 (${when})`, () => {
-    for (const [job] of restored(sample)) {
+    for (const job of restored(sample)) {
       const { sections } = job.layout;
       const covered = sections.reduce((sum, { from, to }) => sum + to - from, 0);
       assert.equal(covered, job.spec.tasks, 'there is a section for every task');
@@ -160,7 +159,7 @@
 /** Task, attempt and machine of each start that a sample records, by job. */
 function placementsOf(sample: ReleasedSample): Map<string, [number, number, string][]> {
   const byJob = new Map<string, [number, number, string][]>();
-  for (const [job] of restored(sample)) {
+  for (const job of restored(sample)) {
     byJob.set(
       job.id,
       [...job.placements.values()].map((placement) => [
--- a/test/run-layout.test.ts
+++ b/test/run-layout.test.ts
@@ -5,13 +5,13 @@
 import { JobRecordWriter } from '../src/jobs/job-record-writer.js';
 import { Job, type Placement } from '../src/jobs/tracked-job.js';
 import { markRecorded } from '../src/jobs/placement-stage.js';
-import { groupRunRecords } from '../src/jobs/run-reader.js';
+import { RunRecordReader } from '../src/jobs/run-reader.js';
 import { tasksPerRange, tasksPerRecord } from '../src/jobs/records.js';
 import type { Runtime } from '@leverhatch/core/supervised-task';
 import type { StoreLimits } from '../src/state/store-limits.js';
 import { Store } from '../src/state/store.js';
 import { FakeClock } from './fakes/clock.js';
-import { SPEC } from './fakes/samples.js';
+import { SPEC, unrecordedStart } from './fakes/samples.js';
 import { FakeStore, type RequestOutcome } from './fakes/store.js';
 import { fakeRandom, settings } from './fakes/simulated-cluster.js';
 
@@ -52,18 +52,19 @@
       1000,
     );
     this.limits = store.limits;
-    this.writer = new JobRecordWriter(
+    this.writer = new JobRecordWriter({
       store,
-      runtime as unknown as Runtime,
-      this.term,
-      store.limits,
-      {
+      runtime: runtime as unknown as Runtime,
+      term: this.term,
+      limits: store.limits,
+      layoutPolicy: {
         rangesReadable: () => this.rangesReadable,
         leftoversKnown: () => this.rangesReadable,
         rangesWanted: () => this.rangesWanted,
       },
-      10_000,
-      {
+      exitBatchMs: 10_000,
+      memoryMb: base.machine.memoryMb,
+      events: {
         jobChanged: () => undefined,
         startsRecorded: (placements) => {
           for (const placement of placements) {
@@ -76,25 +77,16 @@
         archived: () => undefined,
         endRecorded: () => undefined,
       },
-    );
+    });
   }
 
   placeTask(task: number): void {
     const { job } = this;
     if (job.isDone(task) || job.placements.has(task)) return;
-    job.placements.set(task, {
-      job,
-      task,
-      attempt: ++job.attempt,
-      machine: `host-${String(Math.floor(this.random() * 1000)).padStart(6, '0')}`,
-      agentEpoch: 1,
-      zone: 'gandhinagar-dc',
-      stage: 'recording',
-      state: null,
-      placedAt: 0,
-      runningSince: null,
-      stop: null,
-    });
+    const attempt = ++job.attempt;
+    const machine = `host-${String(Math.floor(this.random() * 1000)).padStart(6, '0')}`;
+    const start = { attempt, machine, zone: 'gandhinagar-dc' };
+    job.placements.set(task, unrecordedStart(job, task, start));
     job.markDirty(task);
   }
 
@@ -113,9 +105,11 @@
     const entries = [...this.fakeStore.keys]
       .filter(([key]) => key.startsWith('runs/'))
       .map(([key, stored]) => ({ key, value: stored.value, version: stored.stamp }));
-    const { runs, unreadable } = groupRunRecords(entries, () => job);
-    assert.deepEqual(unreadable, []);
-    for (const stored of runs.values()) job.restore(stored, tasksPerRange(SMALL_VALUE_BYTES), 0, 0);
+    const reader = new RunRecordReader(() => job);
+    reader.read(entries);
+    assert.deepEqual(reader.unreadable, []);
+    for (const restoration of reader.restorations.values())
+      restoration.finish(tasksPerRange(SMALL_VALUE_BYTES), 0, 0);
     return job;
   }
 
--- a/test/scheduling-cycle.test.ts
+++ b/test/scheduling-cycle.test.ts
@@ -50,7 +50,7 @@
     spec: view.spec,
     priority: view.priority,
     lostWorkMs: 0,
-    stopsWithoutCheckpoint: 0,
+    wasStoppedWithoutCheckpoint: false,
     remainingMs: 10_000,
     isGangMember: false,
     isStopping: false,
@@ -74,7 +74,7 @@
     spec: running.spec,
     priority: running.priority,
     lostWorkMs: 0,
-    stopsWithoutCheckpoint: 0,
+    wasStoppedWithoutCheckpoint: false,
     remainingMs: 10_000,
     isGangMember: false,
     isStopping: false,
@@ -123,7 +123,7 @@
     spec: batch.spec,
     priority: batch.priority,
     lostWorkMs: machine === 'm1' ? 0 : 5000,
-    stopsWithoutCheckpoint: 0,
+    wasStoppedWithoutCheckpoint: false,
     remainingMs: 10_000,
     isGangMember: false,
     isStopping: false,
@@ -455,6 +455,6 @@
   assert.deepEqual(run({}, 4).drainableMachines, ['m1']);
   // A task that was already stopped without a checkpoint, or that would lose more work than is left
   // of it, is not moved: it might never finish.
-  assert.deepEqual(run({ stopsWithoutCheckpoint: 1 }, 4).drainableMachines, []);
+  assert.deepEqual(run({ wasStoppedWithoutCheckpoint: true }, 4).drainableMachines, []);
   assert.deepEqual(run({ lostWorkMs: 40_000 }, 4).drainableMachines, []);
 });
--- a/test/service-rollouts.test.ts
+++ b/test/service-rollouts.test.ts
@@ -21,7 +21,7 @@
   const job = { id: JOB, spec: { image: 'v1' }, placements: new Map<number, Placement>() };
   const placement = {
     ...{ job, task: 0, attempt: 1, machine: machine.id, agentEpoch: 1, zone: 'a' },
-    ...{ stage: 'reported', state: 'running', placedAt: 0, runningSince: 0, stop: null },
+    ...{ stage: 'reported', state: 'running', runningSince: 0, stop: null },
   } as unknown as Placement;
   job.placements.set(0, placement);
   change(machine, placement);
--- a/test/stop-command-sender.test.ts
+++ b/test/stop-command-sender.test.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Fleet } from '../src/fleet/fleet.js';
+import { markRecorded } from '../src/jobs/placement-stage.js';
 import type { Placement } from '../src/jobs/tracked-job.js';
 import { Job } from '../src/jobs/tracked-job.js';
 import type { WorkerHeartbeat } from '../src/wire/worker-heartbeat.js';
-import { SPEC, TYPE } from './fakes/samples.js';
+import { SPEC, TYPE, unrecordedStart } from './fakes/samples.js';
 import { SimulatedCluster } from './fakes/simulated-cluster.js';
 
 test('tasks of a cancelled batch job stop at once, or with the next heartbeat if direct commands are lost', async () => {
@@ -70,21 +71,12 @@
   fleet.applyHeartbeat(heartbeat(1, []), TYPE, 100, true);
   const machine = fleet.machines.get('host-1')!;
   const job = new Job('req-1', SPEC, 0, 1, 100);
-  const createPlacement = (task: number): Placement => ({
-    job,
-    task,
-    attempt: 1,
-    machine: 'host-1',
-    agentEpoch: 1,
-    zone: 'a',
-    stage: 'recorded',
-    state: null,
-    placedAt: 0,
-    runningSince: null,
-    stop: null,
-  });
-  const [first, second] = [createPlacement(0), createPlacement(1)];
-  for (const placement of [first, second]) fleet.addPlacement(placement, 100);
+  const [first, second] = [unrecordedStart(job, 0), unrecordedStart(job, 1)];
+  for (const placement of [first, second]) {
+    markRecorded(placement);
+    job.placements.set(placement.task, placement);
+    fleet.addPlacement(placement, 100);
+  }
   // Both starts are in the response to a heartbeat, and a direct stop of the first task overtakes it.
   assert.equal(fleet.applyHeartbeat(heartbeat(2, []), TYPE, 200, true).length, 2);
   first.stop = { graceMs: 0 };
--- a/test/task-stopper.test.ts
+++ b/test/task-stopper.test.ts
@@ -33,7 +33,7 @@
   const countedStops = (kind: JobKind, stop: (ending: EndingJob) => void): number => {
     const ending = new EndingJob(kind, 10, 'running');
     stop(ending);
-    return ending.job.stopsWithoutCheckpoint.size;
+    return ending.job.stoppedWithoutCheckpoint.count;
   };
   assert.equal(
     countedStops('gang', (ending) => ending.timeOut()),
