A leader places no more tasks than it has memory to track

Cause: placements, candidates for preemption and transactions grow with the tasks on machines, and nothing bounded those. Open jobs are bounded by their number, not by their tasks.

A task without a slot finds no capacity in any part that plans: starts, gangs, backfill, opportunistic work, preemption, reservations, scale-out and headroom. A gang that waits for slots keeps the free ones except for a reserve, unless running replicas mean that it can never get them. A new leader that finds more starts none until enough have ended. Candidates are computed when they are read.

--- a/src/control/extensions/team-quotas.ts
+++ b/src/control/extensions/team-quotas.ts
@@ -16,7 +16,7 @@
 import type { QuotaLimitedTasks } from '../../scheduler/scheduling-model.js';
 import type { ExtensionHost, TermExtension } from './extension.js';
 import type { QuotaTransferOptions } from './quota-transfer-options.js';
-import { lostWorkMs } from '../scheduling/snapshot.js';
+import { lostWorkMs } from '../scheduling/placed-candidate.js';
 import { teamUsage } from '../scheduling/team-usage.js';
 import { termPort } from './term-port.js';
 import { withdrawUnrecordedStarts } from './unrecorded-starts.js';
--- a/src/control/leader-parts.ts
+++ b/src/control/leader-parts.ts
@@ -28,6 +28,7 @@
 import { DependencyTracker } from './dependencies/dependency-tracker.js';
 import { ExpectedDemand } from './scheduling/expected-demand.js';
 import { SchedulingLoop } from './scheduling/scheduling-loop.js';
+import { trackedTasksLimit } from './scheduling/tracked-tasks-limit.js';
 import type { Extension, TeamQuotaMap } from './extensions/extension.js';
 import { GangGate } from './admission/gang-gate.js';
 import { GangTimeouts } from './admission/gang-timeouts.js';
@@ -239,6 +240,7 @@
   private createHeartbeatHandler(): HeartbeatHandler {
     const { runtime, settings } = this.context;
     return new HeartbeatHandler({
+      maxTrackedTasks: this.maxTrackedTasks,
       runtime,
       settings,
       term: this.term,
@@ -291,6 +293,7 @@
       reconciler: this.reconciler,
       extensions: this.extensions,
       expectedDemand: this.expectedDemand,
+      maxTrackedTasks: this.maxTrackedTasks,
       gangGate: this.gangGate,
       gangTimeouts: this.createGangTimeouts(),
       taskLifecycle: this.taskLifecycle,
@@ -398,6 +401,11 @@
     });
   }
 
+  /** Number of tasks that this controller has memory to track. */
+  private get maxTrackedTasks(): number {
+    return trackedTasksLimit(this.context.settings.machine.memoryMb);
+  }
+
   get now(): number {
     return this.context.runtime.clock.now();
   }
--- a/src/control/reconciliation/heartbeat-handler.ts
+++ b/src/control/reconciliation/heartbeat-handler.ts
@@ -18,6 +18,12 @@
 /** Longest hold for any heartbeat interval; well within the 4 s after which workers time out. */
 export const MAX_HOLD_MS = 2200;
 
+/**
+ * The share of the tasks that a leader tracks for which it holds heartbeats while it reads the records,
+ * which take memory at the same time.
+ */
+const MAX_HELD_TASKS_RATIO = 1 / 4;
+
 /** The longest hold of an answer for a fleet with this heartbeat interval. */
 export const longestHoldMs = (heartbeatIntervalMs: number): number =>
   Math.min(heartbeatIntervalMs * HOLD_RATIO, MAX_HOLD_MS);
@@ -36,6 +42,8 @@
   readonly longPoll: LongPoll;
   readonly workerLiveness: Pick<WorkerLiveness, 'recordHeartbeat'>;
   readonly jobRecords: Pick<JobRecordWatcher, 'isRecovered' | 'recoveredSignal'>;
+  /** Number of tasks that this controller has memory to track. */
+  readonly maxTrackedTasks: number;
   machineTypes(): ReadonlyMap<string, MachineType>;
   mayRenewWorkerLeases(now: number): boolean;
   requestSchedule(): void;
@@ -43,6 +51,9 @@
 
 /** Applies worker heartbeats to the fleet, and decides what to answer and when. */
 export class HeartbeatHandler {
+  /** Number of tasks in the heartbeats that are held until recovery is complete. */
+  private tasksHeldForRecovery = 0;
+
   constructor(private readonly context: HeartbeatHandlerContext) {}
 
   /** The commands to answer; null if the worker's lease must not be renewed now. */
@@ -59,11 +70,16 @@
 
   /**
    * Holds a heartbeat until recovery is complete: before that it is unknown which tasks on the machine
-   * are cancelled. Recovery usually completes within the time that a worker waits for its answer.
+   * are cancelled. Recovery usually completes within the time that a worker waits for its answer. Beyond
+   * a bound on the tasks in them, workers are turned away at once and come back.
    */
   private async afterRecovery(heartbeat: WorkerHeartbeat): Promise<WorkerCommand[] | null> {
-    const { jobRecords, runtime } = this.context;
+    const { jobRecords, runtime, maxTrackedTasks } = this.context;
+    const tasks = heartbeat.tasks.length;
+    if (this.tasksHeldForRecovery + tasks > maxTrackedTasks * MAX_HELD_TASKS_RATIO) return null;
+    this.tasksHeldForRecovery += tasks;
     await runtime.clock.sleep(MAX_HOLD_MS, jobRecords.recoveredSignal);
+    this.tasksHeldForRecovery -= tasks;
     return jobRecords.isRecovered &&
       this.context.mayRenewWorkerLeases(this.context.runtime.clock.now())
       ? this.apply(heartbeat, false)
--- a/src/control/scheduling/plan-applier.ts
+++ b/src/control/scheduling/plan-applier.ts
@@ -4,7 +4,7 @@
 import type { MachineProvisioner } from '../../fleet/machine-provisioner.js';
 import type { JobRecordWriter } from '../../jobs/job-record-writer.js';
 import { TaskPlacement } from '../../jobs/task-placement.js';
-import type { Job } from '../../jobs/tracked-job.js';
+import type { Job, Placement } from '../../jobs/tracked-job.js';
 import type { SchedulingPlan } from '../../scheduler/scheduling-model.js';
 import { isGangJob, type GangGate } from '../admission/gang-gate.js';
 import type { GangTimeouts } from '../admission/gang-timeouts.js';
@@ -20,7 +20,10 @@
   readonly reconciler: Pick<MachineReconciler, 'scaleIn'>;
   readonly gangGate: Pick<GangGate, 'admit' | 'onPlaced'>;
   readonly gangTimeouts: Pick<GangTimeouts, 'bootMs'>;
-  readonly taskStopper: Pick<TaskStopper, 'stop' | 'preemptionGraceMs'>;
+  readonly taskStopper: Pick<
+    TaskStopper,
+    'stop' | 'stopAll' | 'preemptionGraceMs' | 'checkpointGraceMs'
+  >;
   readonly recordWriter: Pick<JobRecordWriter, 'flush'>;
 }
 
@@ -57,11 +60,7 @@
     }
     for (const { job, task } of plan.stops) {
       const placement = this.context.jobs.get(job)?.placements.get(task);
-      if (placement)
-        this.context.taskStopper.stop(
-          placement,
-          this.context.taskStopper.preemptionGraceMs(placement.job),
-        );
+      if (placement) this.preempt(placement);
     }
     for (const job of touched) this.context.recordWriter.flush(job);
     if (!mayScaleOut) return;
@@ -69,6 +68,13 @@
     this.context.reconciler.scaleIn(plan, now);
   }
 
+  private preempt(placement: Placement): void {
+    const { taskStopper } = this.context;
+    const { job } = placement;
+    if (job.gang) taskStopper.stopAll(job, taskStopper.checkpointGraceMs(job));
+    else taskStopper.stop(placement, taskStopper.preemptionGraceMs(job));
+  }
+
   private jobOf(id: string): Job {
     const job = this.context.jobs.get(id);
     if (!job) throw new StalePlanError('job', id);
--- a/src/control/scheduling/scheduling-loop.ts
+++ b/src/control/scheduling/scheduling-loop.ts
@@ -20,6 +20,7 @@
 import { CycleSizer } from './cycle-sizer.js';
 import type { QuotaWaitLog } from './quota-wait-log.js';
 import { PlanApplier, taskCount, type PlanApplierContext } from './plan-applier.js';
+import { SlotShortageLog } from './slot-shortage-log.js';
 import { takeSnapshot, type SnapshotSources } from './snapshot.js';
 
 /** Dependencies of `SchedulingLoop`. */
@@ -59,9 +60,11 @@
   private readonly cycleSizer = new CycleSizer(() => this.context.leaderLeaseMs);
 
   private readonly planApplier: PlanApplier;
+  private readonly slotShortageLog: SlotShortageLog;
 
   constructor(private readonly context: SchedulingLoopContext) {
     this.planApplier = new PlanApplier(context);
+    this.slotShortageLog = new SlotShortageLog(context.runtime.log);
   }
 
   /** Requests a scheduling cycle, after a change that it should take into account. */
@@ -138,6 +141,7 @@
     const isSettled =
       now - this.context.term.startedAt > this.context.settings.workers.heartbeatIntervalMs * 3;
     const fullSnapshot = this.takeSnapshot(now);
+    this.slotShortageLog.observe(fullSnapshot.slots);
     const snapshot = this.cycleSizer.limit(fullSnapshot);
     // `schedule` updates the usage in the snapshot, so the teams are copied before the cycle.
     const teamsBefore = new Map(
@@ -178,6 +182,7 @@
           [...snapshot.teams].map(([name, team]) => [name, team.used.gpus]),
         ),
         quotaLimited: Object.fromEntries(plan.quotaLimited),
+        slots: snapshot.slots,
         queuedWrites: this.context.store.queuedWrites,
         tookMs,
       },
--- a/src/control/scheduling/snapshot.ts
+++ b/src/control/scheduling/snapshot.ts
@@ -6,7 +6,7 @@
 import type { Fleet } from '../../fleet/fleet.js';
 import type { MachineProvisioner } from '../../fleet/machine-provisioner.js';
 import type { Machine } from '../../fleet/machine.js';
-import type { Job, Placement } from '../../jobs/tracked-job.js';
+import type { Job } from '../../jobs/tracked-job.js';
 import type { MachineType } from '../../fleet/resources.js';
 import type {
   JobView,
@@ -15,7 +15,9 @@
   ReplicaView,
   Snapshot,
   TeamView,
+  PreemptibleJob,
   PreemptionCandidate,
+  SlotUsage,
 } from '../../scheduler/scheduling-model.js';
 import { provisionedMachines } from '../../scheduler/machine-view.js';
 import { pipelineUrgency, type StepUrgency } from '../../scheduler/pipelines.js';
@@ -26,7 +28,9 @@
 import type { ExpectedDemand } from './expected-demand.js';
 import { requiredConcurrency } from './opportunistic-work.js';
 import { openJobs, pipelineSteps, type PipelineSources } from './pipeline-steps.js';
+import { CandidateJob, PlacedCandidate } from './placed-candidate.js';
 import { teamUsage } from './team-usage.js';
+import { UNRECORDED_EXITS_RATIO } from './tracked-tasks-limit.js';
 
 /**
  * Fraction of a boot time for which work without GPUs waits for capacity that other such work frees,
@@ -35,9 +39,6 @@
  */
 const BACKFILL_WAIT_BOOTS = 0.25;
 
-/** Minimum expected remaining time of a running task, as a fraction of its estimate. */
-const MIN_REMAINING_RATIO = 0.25;
-
 /** The state from which a snapshot is taken. */
 export interface SnapshotSources extends PipelineSources {
   readonly runtime: Pick<Runtime, 'clock'>;
@@ -47,6 +48,8 @@
   readonly reconciler: Pick<MachineReconciler, 'idleTimeoutMs'>;
   readonly extensions: Pick<TermExtensions, 'startableTasks' | 'placementLimit' | 'mayMove'>;
   readonly expectedDemand: ExpectedDemand;
+  /** Number of tasks that this controller has memory to track. */
+  readonly maxTrackedTasks: number;
   /** The current quota of each team. */
   quotas(): TeamQuotaMap;
 }
@@ -83,9 +86,11 @@
     expectedTasks: sources.expectedDemand.observe(now, context.longestBootMs),
     cpusFreedSoon: cpusFreedSoon(sources),
     teams: teamViews(sources),
+    slots: slotUsage(sources),
     types,
     offers: offers(context),
     preemptionCandidates: preemptionCandidates(context),
+    preemptibleJobs: () => preemptibleJobs(context),
     movableReplicas: movableReplicas(sources),
     isGateClosed: [...openJobs(sources.jobs)].some((job) => job.gang?.holdsGate),
   };
@@ -254,11 +259,18 @@
   return teams;
 }
 
-/** The work, in milliseconds, that a task would lose if it were stopped now without a checkpoint. */
-export function lostWorkMs({ job, runningSince }: Placement, now: number): number {
-  const ranMs = runningSince === null ? 0 : now - runningSince;
-  const { checkpointMs } = job.spec;
-  return checkpointMs > 0 ? Math.min(ranMs, checkpointMs) : ranMs;
+/** The placement slots in use: by placements, and by more exits that are not stored than usual. */
+function slotUsage({ jobs, maxTrackedTasks: limit }: SnapshotSources): SlotUsage {
+  let used = 0;
+  let replicas = 0;
+  let exits = 0;
+  for (const { spec, placements, unrecordedExits } of jobs.values()) {
+    used += placements.size;
+    exits += unrecordedExits.size;
+    if (spec.kind === 'service') replicas += placements.size;
+  }
+  used += Math.max(0, exits - limit * UNRECORDED_EXITS_RATIO);
+  return { limit, used, replicas };
 }
 
 function offers({ sources, types }: SnapshotContext): InstanceOffer[] {
@@ -274,33 +286,34 @@
   return list;
 }
 
-function preemptionCandidates({ sources, now, urgencies }: SnapshotContext): PreemptionCandidate[] {
+function preemptionCandidates(context: SnapshotContext): PreemptionCandidate[] {
   const list: PreemptionCandidate[] = [];
-  for (const job of sources.jobs.values()) {
+  for (const job of context.sources.jobs.values()) {
     if (job.spec.kind === 'service') continue;
-    const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
-    for (const placement of job.placements.values()) {
-      const ranMs = placement.runningSince === null ? 0 : now - placement.runningSince;
-      const { estimateMs } = job.spec;
-      list.push({
-        job: job.id,
-        task: placement.task,
-        machine: placement.machine,
-        spec: job.spec,
-        priority,
-        lostWorkMs: lostWorkMs(placement, now),
-        wasStoppedWithoutCheckpoint: job.stoppedWithoutCheckpoint.has(placement.task),
-        remainingMs: Math.max(estimateMs - ranMs, estimateMs * MIN_REMAINING_RATIO),
-        isGangMember: job.gang !== null,
-        // A retry of a job that fails everywhere ends soon, so no machine is provisioned in place of
-        // the capacity that it holds.
-        isStopping: placement.stop !== null || job.phase !== 'open' || job.failures.isSuspected,
-      });
-    }
+    for (const candidate of candidatesOf(context, job)) list.push(candidate);
   }
   return list;
 }
 
+function preemptibleJobs(context: SnapshotContext): PreemptibleJob[] {
+  const list: PreemptibleJob[] = [];
+  for (const job of openJobs(context.sources.jobs)) {
+    if (job.spec.kind === 'array' || job.placements.size === 0) continue;
+    list.push({ isGang: job.gang !== null, tasks: [...candidatesOf(context, job)] });
+  }
+  return list;
+}
+
+function* candidatesOf(
+  { now, urgencies }: SnapshotContext,
+  job: Job,
+): Iterable<PreemptionCandidate> {
+  const priority = urgencies.get(job.id)?.priority ?? job.spec.priority;
+  const candidateJob = new CandidateJob(job, priority, now);
+  for (const placement of job.placements.values())
+    yield new PlacedCandidate(candidateJob, placement);
+}
+
 /** Replicas that consolidation may move; none while one of any open service is stopping. */
 function movableReplicas(sources: SnapshotSources): ReplicaView[] {
   const list: ReplicaView[] = [];
--- a/src/jobs/unrecorded-exits.ts
+++ b/src/jobs/unrecorded-exits.ts
@@ -16,8 +16,15 @@
  */
 export class UnrecordedExits<E extends TaskExit> {
   private readonly blocks = new Map<number, E[]>();
+  private count = 0;
+
+  /** Number of exits. */
+  get size(): number {
+    return this.count;
+  }
 
   add(exit: E): void {
+    this.count++;
     const block = this.blocks.get(blockOf(exit));
     if (block) block.push(exit);
     else this.blocks.set(blockOf(exit), [exit]);
@@ -42,7 +49,9 @@
   remove(stored: readonly E[]): void {
     const removed = new Set(stored);
     for (const index of new Set(stored.map(blockOf))) {
-      const left = (this.blocks.get(index) ?? []).filter((exit) => !removed.has(exit));
+      const block = this.blocks.get(index) ?? [];
+      const left = block.filter((exit) => !removed.has(exit));
+      this.count -= block.length - left.length;
       if (left.length > 0) this.blocks.set(index, left);
       else this.blocks.delete(index);
     }
--- a/src/scheduler/backfill.ts
+++ b/src/scheduler/backfill.ts
@@ -36,7 +36,7 @@
    */
   schedule(): void {
     this.startDeferred();
-    const { snapshot, reservations } = this.context;
+    const { snapshot, reservations, slots } = this.context;
     let { cpusFreedSoon } = snapshot;
     const upcoming = snapshot.upcomingJobs.map((job) => ({
       job,
@@ -48,8 +48,9 @@
       const waitsForRunning =
         cpus > 0 ? Math.min(missing, Math.floor(cpusFreedSoon / cpus)) : missing;
       cpusFreedSoon -= waitsForRunning * cpus;
-      const uncovered = missing - waitsForRunning;
+      const uncovered = slots.plannable(job, missing - waitsForRunning);
       const reserved = reservations.reserve(job, uncovered, rules);
+      slots.plan(reserved);
       reservations.reserveOrScaleOut(job, uncovered - reserved, rules);
     }
   }
--- a/src/scheduler/cycle-context.ts
+++ b/src/scheduler/cycle-context.ts
@@ -2,6 +2,7 @@
 import { CapacityFinder } from './capacity-finder.js';
 import { ContendedTypes } from './contended-types.js';
 import { withinGuarantee } from './job-order.js';
+import { PlacementSlots } from './placement-slots.js';
 import { Preemption } from './preemption.js';
 import { Reservations } from './reservations.js';
 import { ScaleOutPlan } from './scale-out-plan.js';
@@ -22,6 +23,7 @@
   upcomingMachines: MachineView[];
   /** Ids of the jobs within their team's guarantee. */
   guaranteed: ReadonlySet<string>;
+  slots: PlacementSlots;
   contended: ContendedTypes;
   finder: CapacityFinder;
   scaleOutPlan: ScaleOutPlan;
@@ -34,12 +36,16 @@
 
 /** Creates the initial state of a cycle. */
 export function createCycleContext(snapshot: Snapshot): CycleContext {
-  const { jobs, machines, teams, types, offers, preemptionCandidates } = snapshot;
+  const { jobs, machines, teams, types, offers } = snapshot;
   const upMachines = machines.filter((machine) => machine.isUp);
   const upcomingMachines = machines.filter((machine) => !machine.isUp);
   const dependents = jobs.filter((job) => !isOpportunistic(job));
   const contended = new ContendedTypes(dependents, types, upMachines);
   const guaranteed = withinGuarantee(jobs, teams);
+  const slots: PlacementSlots = new PlacementSlots(snapshot.slots, (job) =>
+    preemption.countPreemptible(job),
+  );
+  const preemption: Preemption = new Preemption(snapshot, upMachines, guaranteed, slots);
   const finder = new CapacityFinder(upMachines, contended);
   const scaleOutPlan = new ScaleOutPlan(offers, machines, upcomingMachines);
   return {
@@ -47,10 +53,18 @@
     upMachines,
     upcomingMachines,
     guaranteed,
+    slots,
     contended,
     finder,
     scaleOutPlan,
-    reservations: new Reservations(finder, contended, scaleOutPlan, upMachines, upcomingMachines),
-    preemption: new Preemption(preemptionCandidates, upMachines, teams, guaranteed),
+    reservations: new Reservations(
+      finder,
+      contended,
+      scaleOutPlan,
+      slots,
+      upMachines,
+      upcomingMachines,
+    ),
+    preemption,
   };
 }
--- a/src/scheduler/gang-reservations.ts
+++ b/src/scheduler/gang-reservations.ts
@@ -114,7 +114,9 @@
   private reserveIn(job: JobView, zone: string | null): boolean {
     const { spec } = job;
     const rules = new ZoneRules(spec, job.tasksByZone, zone);
-    let remaining = spec.tasks - this.reservations.reserve(job, spec.tasks, rules);
+    const reserved = this.reservations.reserve(job, spec.tasks, rules);
+    this.preemption.claimSlots(job, reserved);
+    let remaining = spec.tasks - reserved;
     if (remaining > 0)
       remaining -= this.preemption.freeCapacity(
         job,
@@ -124,7 +126,7 @@
         rules,
       );
     remaining -= this.reservations.reserveOnUpcoming(job, remaining, rules);
-    return this.scaleOutPlan.add(job, remaining, rules) === 0;
+    return this.reservations.scaleOut(job, remaining, rules) === 0;
   }
 
   private isGuaranteed(job: JobView): boolean {
--- a/src/scheduler/gang-scheduler.ts
+++ b/src/scheduler/gang-scheduler.ts
@@ -32,12 +32,24 @@
       this.backfill.defer(job, spec.tasks, new ZoneRules(spec, job.tasksByZone));
       return;
     }
-    if (!this.reservations.reserve(job)) return;
+    if (!this.hasSlotsSoon(job) || !this.reservations.reserve(job)) return;
     addTasks(team.used, spec, spec.tasks);
     const isGateTaken = this.context.snapshot.isGateClosed || this.admittedGang !== null;
     if (!job.gang?.holdsGate && !isGateTaken) this.admittedGang = job.id;
   }
 
+  /**
+   * Whether the gang gets its slots once stopping and preemptible tasks have exited. Otherwise the free
+   * slots are kept for it, unless even all of them would not be enough beside the replicas.
+   */
+  private hasSlotsSoon(job: JobView): boolean {
+    const { slots } = this.context;
+    const { tasks } = job.spec;
+    if (slots.obtainable(job, tasks) === tasks) return true;
+    if (slots.canEverHold(tasks)) slots.accumulate();
+    return false;
+  }
+
   /** True if the gang does not fit within its team's limit. */
   isQuotaLimited({ spec }: JobView, team: TeamView): boolean {
     return quotaHeadroom(team, spec) < spec.tasks;
--- a/src/scheduler/headroom.ts
+++ b/src/scheduler/headroom.ts
@@ -34,9 +34,11 @@
  */
 export function scaleOutHeadroom(context: CycleContext): void {
   const capacity = new RemainingCapacity(context);
+  const { slots } = context;
   for (const expected of context.snapshot.expectedTasks) {
     const job = expectedJob(expected);
-    let missing = expected.count;
+    let missing = Math.min(expected.count, slots.plannableTasks);
+    slots.plan(missing);
     missing -= capacity.takeFromUp(job, missing);
     missing -= capacity.takeFromUpcoming(job, missing);
     context.scaleOutPlan.add(job, missing, new ZoneRules(job.spec, job.tasksByZone));
--- a/src/scheduler/opportunistic-scheduler.ts
+++ b/src/scheduler/opportunistic-scheduler.ts
@@ -103,10 +103,12 @@
     const waiting = Math.min(work.waiting, quotaHeadroom(team, job.spec));
     if (waiting <= 0) return;
     this.isStarved = true;
-    const missing = Math.min(waiting, work.requiredConcurrency - work.running);
+    const { reservations, slots } = this.context;
+    const required = work.requiredConcurrency - work.running;
+    const missing = slots.plannable(job, Math.min(waiting, required));
     if (missing <= 0) return;
     addTasks(team.used, job.spec, missing);
-    this.context.reservations.reserveOrScaleOut(job, missing, rules);
+    reservations.reserveOrScaleOut(job, missing, rules);
   }
 
   private start(work: OpportunisticWork, maxTasks: number): void {
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -5,17 +5,27 @@
 import { fits, countFittingTasks, subtract, type Resources } from '../fleet/resources.js';
 import { outranks, rank } from './job-order.js';
 import { canUse, schedulingShape, type ZoneRules } from './placement-rules.js';
+import TinyQueue from 'tinyqueue';
+import type { PlacementSlots } from './placement-slots.js';
 import { PreemptionChoices, type PreemptionChoice } from './preemption-choices.js';
 import type {
   JobView,
   MachineView,
+  PreemptibleJob,
   PreemptionCandidate,
+  Snapshot,
   TaskId,
   TeamCapacity,
-  TeamView,
 } from './scheduling-model.js';
 import { addTasks, CAPACITY_TOLERANCE } from './team-capacity.js';
 
+/** A candidate and its place among those of its machine, which are in the order of preemption. */
+interface CandidatePosition {
+  candidate: PreemptionCandidate;
+  candidates: readonly PreemptionCandidate[];
+  position: number;
+}
+
 /**
  * The preemptions of one scheduling cycle. Tasks whose loss is smallest are preempted first.
  * Capacity that is already being freed is used before more tasks are preempted.
@@ -32,20 +42,24 @@
    * Number of stops when preemption last found too little capacity, by shape, priority and team.
    */
   private readonly exhaustedShapes = new Map<string, number>();
+  /** Numbers of tasks that could be preempted for slots, by priority and guaranteed team. */
+  private readonly preemptibleCounts = new Map<string, { count: number; stops: number }>();
+  /** The services and gangs on machines, once they were asked for. */
+  private sortedJobs: PreemptibleJob[] | null = null;
   /** The lowest priority (highest number) among the candidates. */
   private lowestPriority = -Infinity;
 
   constructor(
-    candidates: PreemptionCandidate[],
+    private readonly snapshot: Pick<Snapshot, 'preemptionCandidates' | 'preemptibleJobs' | 'teams'>,
     private readonly upMachines: MachineView[],
-    private readonly teams: ReadonlyMap<string, TeamView>,
     private readonly guaranteed: ReadonlySet<string>,
+    private readonly slots: PlacementSlots,
   ) {
     for (const machine of upMachines)
       this.stoppingByMachine.set(machine.id, { cpus: 0, gpus: 0, memoryGb: 0 });
-    for (const candidate of candidates) this.addCandidate(candidate);
+    for (const candidate of snapshot.preemptionCandidates) this.addCandidate(candidate);
     for (const list of this.candidatesByMachine.values()) {
-      list.sort((a, b) => b.priority - a.priority || a.lostWorkMs - b.lostWorkMs);
+      list.sort(byPreemptionOrder);
     }
   }
 
@@ -83,14 +97,50 @@
     const isUnrestricted = machines === this.upMachines && this.hasNoPlacementLimits(job);
     if (isUnrestricted && this.exhaustedShapes.get(key) === this.stops.length) return 0;
     const allowed = machines.filter((machine) => canUse(job, machine));
-    let found = this.claimStopping(job, count, allowed, rules);
+    const withSlot = this.slots.obtainable(job, count);
+    let found = this.claimStopping(job, withSlot, allowed, rules);
+    this.claimSlots(job, found);
     if (found < count) found += this.preempt(job, count - found, isGuaranteed, allowed, rules);
-    if (isUnrestricted && found < count) this.exhaustedShapes.set(key, this.stops.length);
+    // Another job of this shape may hold fewer slots.
+    const hadSlots = withSlot === count;
+    if (isUnrestricted && hadSlots && found < count)
+      this.exhaustedShapes.set(key, this.stops.length);
     return found;
   }
 
+  /**
+   * Claims slots for `count` tasks that have capacity. Where too few are free or being freed, stops the
+   * tasks whose loss is smallest, on any machine; then replicas and whole gangs.
+   */
+  claimSlots(job: JobView, count: number): void {
+    const shortage = this.slots.shortage(count);
+    if (shortage > 0) {
+      const stopped = this.preemptForSlots(job, shortage);
+      if (stopped < shortage) this.preemptJobsForSlots(job, shortage - stopped);
+    }
+    this.slots.claim(job, count);
+  }
+
+  /** Counts the tasks that could be preempted for the slots of a job, on any machine. */
+  countPreemptible(job: JobView): number {
+    const isGuaranteed = this.guaranteed.has(job.id);
+    const key = `${job.priority}|${isGuaranteed ? job.spec.team : ''}`;
+    const known = this.preemptibleCounts.get(key);
+    const stops = this.preempted.size;
+    if (known) return Math.max(0, known.count - (stops - known.stops));
+    const isCounted = (candidate: PreemptionCandidate): boolean =>
+      this.mayPreemptForSlot(job, candidate);
+    let count = 0;
+    for (const { id } of this.upMachines)
+      count += this.candidatesByMachine.get(id)?.filter(isCounted).length ?? 0;
+    for (const { tasks } of this.preemptibleJobs) count += tasks.filter(isCounted).length;
+    this.preemptibleCounts.set(key, { count, stops });
+    return count;
+  }
+
   private addCandidate(candidate: PreemptionCandidate): void {
     if (candidate.isStopping) {
+      this.slots.addStopping();
       const stopping = this.stoppingByMachine.get(candidate.machine);
       if (stopping) subtract(stopping, candidate.spec.need, -1);
       return;
@@ -102,6 +152,57 @@
     this.lowestPriority = Math.max(this.lowestPriority, candidate.priority);
   }
 
+  /** Preempts up to `count` tasks for their slots; returns how many. */
+  private preemptForSlots(job: JobView, count: number): number {
+    let stopped = 0;
+    for (const candidate of this.inPreemptionOrder()) {
+      if (stopped === count) break;
+      if (!this.mayPreemptForSlot(job, candidate)) continue;
+      this.preemptTask(candidate);
+      stopped++;
+    }
+    return stopped;
+  }
+
+  /** Preempts up to `count` replicas for their slots, or whole gangs; lowest priorities first. */
+  private preemptJobsForSlots(job: JobView, count: number): void {
+    let stopped = 0;
+    for (const { isGang, tasks } of this.preemptibleJobs) {
+      for (const [i, candidate] of tasks.entries()) {
+        if (stopped >= count && !isGang) return;
+        if (!this.mayPreemptForSlot(job, candidate)) continue;
+        // The stop of one member stops the gang.
+        this.preemptTask(candidate, !isGang || i === 0);
+        stopped++;
+      }
+      if (stopped >= count) return;
+    }
+  }
+
+  /** The services and gangs on machines, lowest priority first. */
+  private get preemptibleJobs(): PreemptibleJob[] {
+    this.sortedJobs ??= this.snapshot
+      .preemptibleJobs()
+      .sort((a, b) => (b.tasks[0]?.priority ?? 0) - (a.tasks[0]?.priority ?? 0));
+    return this.sortedJobs;
+  }
+
+  /** Yields the candidates of all machines: lowest priority first, then smallest loss. */
+  private *inPreemptionOrder(): Iterable<PreemptionCandidate> {
+    const queue = new TinyQueue<CandidatePosition>([], (a, b) =>
+      byPreemptionOrder(a.candidate, b.candidate),
+    );
+    const add = (candidates: readonly PreemptionCandidate[], position: number): void => {
+      const candidate = candidates[position];
+      if (candidate) queue.push({ candidate, candidates, position });
+    };
+    for (const { id } of this.upMachines) add(this.candidatesByMachine.get(id) ?? [], 0);
+    for (let next = queue.pop(); next; next = queue.pop()) {
+      yield next.candidate;
+      add(next.candidates, next.position + 1);
+    }
+  }
+
   private hasNoPlacementLimits({ spec, avoidedMachines }: JobView): boolean {
     return avoidedMachines.size === 0 && !spec.spread && !spec.oneZone;
   }
@@ -194,20 +295,25 @@
   }
 
   private applyChoice(job: JobView, { machine, candidates }: PreemptionChoice): void {
-    const stopping = this.stoppingOn(machine);
-    for (const candidate of candidates) {
-      this.preempted.add(candidate);
-      this.stops.push({ job: candidate.job, task: candidate.task });
-      subtract(stopping, candidate.spec.need, -1);
-      addTasks(this.stoppingOfTeam(candidate.spec.team), candidate.spec, 1);
-    }
+    for (const candidate of candidates) this.preemptTask(candidate);
+    this.slots.claim(job, 1);
     // Claims the capacity now, including any part that is already free, so that smaller tasks do
     // not take it before the stopping tasks exit.
     subtract(machine.free, job.spec.need, 1);
   }
 
+  /** `isTold`: the task is told to stop itself, and not by the stop of another one of its gang. */
+  private preemptTask(candidate: PreemptionCandidate, isTold = true): void {
+    this.preempted.add(candidate);
+    if (isTold) this.stops.push({ job: candidate.job, task: candidate.task });
+    const stopping = this.stoppingByMachine.get(candidate.machine);
+    if (stopping) subtract(stopping, candidate.spec.need, -1);
+    addTasks(this.stoppingOfTeam(candidate.spec.team), candidate.spec, 1);
+    this.slots.addStopping();
+  }
+
   private isOverGuarantee(name: string): boolean {
-    const team = this.teams.get(name);
+    const team = this.snapshot.teams.get(name);
     if (!team) return false;
     const { guarantee, used } = team;
     const stopping = this.stoppingOfTeam(name);
@@ -252,6 +358,23 @@
     return candidates.length > 0 && fits(need, capacity) ? { machine, candidates, loss } : null;
   }
 
+  /**
+   * Whether a task may be preempted for its slot. Unlike capacity, slots are also taken by tasks of other
+   * teams that use none of what is guaranteed to their team, which can be as small as one likes.
+   */
+  private mayPreemptForSlot(job: JobView, candidate: PreemptionCandidate): boolean {
+    const isGuaranteed = this.guaranteed.has(job.id);
+    if (candidate.isStopping || this.preempted.has(candidate)) return false;
+    if (this.mayPreempt(job, isGuaranteed, candidate)) return true;
+    const { team, need } = candidate.spec;
+    if (!isGuaranteed || team === job.spec.team) return false;
+    if (this.rankOf(candidate) <= rank(job.priority, isGuaranteed)) return false;
+    const guarantee = this.snapshot.teams.get(team)?.guarantee ?? { cpus: 0, gpus: 0 };
+    const usesGuaranteed =
+      (guarantee.cpus > 0 && need.cpus > 0) || (guarantee.gpus > 0 && need.gpus > 0);
+    return !usesGuaranteed;
+  }
+
   private mayPreempt(job: JobView, isGuaranteed: boolean, candidate: PreemptionCandidate): boolean {
     // A task that precedes this job in the scheduling order would take the capacity back in the
     // next cycle and be preempted again in the one after.
@@ -262,6 +385,10 @@
   }
 }
 
+/** Orders candidates: lowest priority first, then smallest loss. */
+const byPreemptionOrder = (a: PreemptionCandidate, b: PreemptionCandidate): number =>
+  b.priority - a.priority || a.lostWorkMs - b.lostWorkMs;
+
 /**
  * True if neither the job nor the candidate uses GPUs on a machine that has GPUs. Preemption would
  * gain nothing: the preempted task would only run again after the job, and CPU-only tasks free
--- a/src/scheduler/reservations.ts
+++ b/src/scheduler/reservations.ts
@@ -1,6 +1,7 @@
 /** Reserves capacity for tasks that cannot start in this scheduling cycle. */
 import type { JobView, MachineView } from './scheduling-model.js';
 import { placedCount, placeTasks } from './placement.js';
+import type { PlacementSlots } from './placement-slots.js';
 import type { ZoneRules } from './placement-rules.js';
 import type { ScaleOutPlan } from './scale-out-plan.js';
 import type { CapacityFinder } from './capacity-finder.js';
@@ -15,6 +16,7 @@
     private readonly finder: CapacityFinder,
     private readonly contended: ContendedTypes,
     private readonly scaleOutPlan: ScaleOutPlan,
+    private readonly slots: PlacementSlots,
     private readonly upMachines: MachineView[],
     private readonly upcomingMachines: MachineView[],
   ) {}
@@ -29,13 +31,23 @@
   /** Reserves capacity for up to `count` tasks on upcoming machines; returns how many fit. */
   reserveOnUpcoming(job: JobView, count: number, rules: ZoneRules): number {
     if (count <= 0) return 0;
-    return placedCount(placeTasks(job, count, this.upcomingMachines, rules, this.contended));
+    const placed = placeTasks(job, count, this.upcomingMachines, rules, this.contended);
+    const reserved = placedCount(placed);
+    this.slots.plan(reserved);
+    return reserved;
   }
 
   /** Reserves capacity on upcoming machines; scale-out covers the tasks that do not fit. */
   reserveOrScaleOut(job: JobView, count: number, rules: ZoneRules): void {
     if (count <= 0) return;
     const reserved = this.reserveOnUpcoming(job, count, rules);
-    this.scaleOutPlan.add(job, count - reserved, rules);
+    this.scaleOut(job, count - reserved, rules);
+  }
+
+  /** Plans machines for `count` tasks; returns the number of tasks without a suitable offer. */
+  scaleOut(job: JobView, count: number, rules: ZoneRules): number {
+    const missing = this.scaleOutPlan.add(job, count, rules);
+    this.slots.plan(count - missing);
+    return missing;
   }
 }
--- a/src/scheduler/scheduling-cycle.ts
+++ b/src/scheduler/scheduling-cycle.ts
@@ -95,7 +95,7 @@
 
   /** Starts the tasks of an array or service that fit; preempts or scales out for the rest. */
   private scheduleTasks(job: JobView, team: TeamView): void {
-    const { upMachines, guaranteed, preemption, reservations } = this.context;
+    const { upMachines, guaranteed, preemption, reservations, slots } = this.context;
     const count = Math.min(job.waitingTasks, quotaHeadroom(team, job.spec));
     this.recordQuotaLimited(job.spec, job.waitingTasks - count);
     if (count <= 0) return;
@@ -107,6 +107,7 @@
       this.backfill.defer(job, missing, rules);
       return;
     }
+    missing = Math.min(missing, slots.obtainable(job, missing));
     if (missing <= 0) return;
     addTasks(team.used, job.spec, missing);
     const freed = preemption.freeCapacity(job, missing, guaranteed.has(job.id), upMachines, rules);
--- a/src/scheduler/scheduling-model.ts
+++ b/src/scheduler/scheduling-model.ts
@@ -128,6 +128,15 @@
   isStopping: boolean;
 }
 
+/**
+ * The tasks of a service or gang on machines. They are preempted only for placement slots, after all
+ * `preemptionCandidates`, and those of a gang only together.
+ */
+export interface PreemptibleJob {
+  isGang: boolean;
+  tasks: readonly PreemptionCandidate[];
+}
+
 /** A running replica of a service that could move to another machine. */
 export interface ReplicaView {
   job: string;
@@ -144,6 +153,16 @@
   price: number;
 }
 
+/** The placement slots of the leader, see `PlacementSlots`. */
+export interface SlotUsage {
+  /** Number of tasks that the leader has memory to track. */
+  limit: number;
+  /** Number of tasks that are tracked; more than `limit` if an earlier leader placed them. */
+  used: number;
+  /** Those of them that are replicas, which run until their job is cancelled. */
+  replicas: number;
+}
+
 /** Input of one scheduling cycle. The cycle modifies no other state. */
 export interface Snapshot {
   machines: MachineView[];
@@ -156,10 +175,13 @@
   /** CPUs used by running CPU-only tasks, most of which finish before a machine could boot. */
   cpusFreedSoon: number;
   teams: ReadonlyMap<string, TeamView>;
+  slots: SlotUsage;
   types: MachineType[];
   /** Offers available to scale-out, without those that the cloud recently refused. */
   offers: InstanceOffer[];
   preemptionCandidates: PreemptionCandidate[];
+  /** Services and gangs on machines; called only if placement slots are short. */
+  preemptibleJobs(): PreemptibleJob[];
   /** Replicas that may be moved; empty while a move is in progress. */
   movableReplicas: ReplicaView[];
   /** True while an admitted gang has not started; no other gang is admitted meanwhile (KEP-349). */
--- a/src/scheduler/task-starter.ts
+++ b/src/scheduler/task-starter.ts
@@ -21,7 +21,10 @@
     machines: MachineView[],
     keepGpuShare = false,
   ): number {
-    const placed = this.context.finder.placeTasks(job, count, rules, machines, keepGpuShare);
+    const { finder, slots } = this.context;
+    const maxTasks = slots.startable(job, count);
+    if (maxTasks <= 0) return 0;
+    const placed = finder.placeTasks(job, maxTasks, rules, machines, keepGpuShare);
     if (placed.length === 0) return 0;
     const started = placedCount(placed);
     addTasks(team.used, job.spec, started);
@@ -32,7 +35,8 @@
   /** Starts a gang if all its tasks fit on free capacity; returns whether it was started. */
   startGangIfItFits(job: JobView, team: TeamView): boolean {
     const { spec } = job;
-    const { finder, upMachines, contended } = this.context;
+    const { finder, slots, upMachines, contended } = this.context;
+    if (slots.startable(job, spec.tasks) < spec.tasks) return false;
     if (quotaHeadroom(team, spec) < spec.tasks || finder.isFull(spec, upMachines)) return false;
     const placed = placeGang(job, upMachines, contended);
     if (!placed) return false;
@@ -42,6 +46,7 @@
   }
 
   private recordStart(job: JobView, placed: Placed[]): void {
+    this.context.slots.start(job, placedCount(placed));
     for (const { machine } of placed) {
       if (!isOpportunistic(job)) this.context.reservations.needed.add(machine.id);
       recordImageFetch(job.spec, machine);
