--- a/src/jobs/job-placements.ts
+++ b/src/jobs/job-placements.ts
@@ -76,7 +76,7 @@
 
   /** Sets the reported state of a task. */
   setState(placement: P, state: TaskState): void {
-    this.update(placement, () => (placement.state = state));
+    if (placement.state !== state) this.update(placement, () => (placement.state = state));
   }
 
   /** Records that a task is to be stopped. */
