Tasks that are stopping, and exits that wait to be stored, count as slots that come free

Cause: replicas that were told to stop, and exits of preempted tasks that the store does not have yet, held their slots without being counted on, so that the next cycles preempted more tasks for the same work; a gang one of whose first members was stopping already was counted as preempted and not told.

--- a/src/control/scheduling/snapshot.ts
+++ b/src/control/scheduling/snapshot.ts
@@ -262,15 +262,19 @@
 /** The placement slots in use: by placements, and by more exits that are not stored than usual. */
 function slotUsage({ jobs, maxTrackedTasks: limit }: SnapshotSources): SlotUsage {
   let used = 0;
+  let stopping = 0;
   let replicas = 0;
   let exits = 0;
-  for (const { spec, placements, unrecordedExits } of jobs.values()) {
+  for (const { spec, phase, placements, unrecordedExits } of jobs.values()) {
     used += placements.size;
+    stopping += phase === 'open' ? placements.stoppingCount : placements.size;
     exits += unrecordedExits.size;
     if (spec.kind === 'service') replicas += placements.size;
   }
-  used += Math.max(0, exits - limit * UNRECORDED_EXITS_RATIO);
-  return { limit, used, replicas };
+  const excessExits = Math.max(0, exits - limit * UNRECORDED_EXITS_RATIO);
+  used += excessExits;
+  stopping += excessExits;
+  return { limit, used, stopping, replicas };
 }
 
 function offers({ sources, types }: SnapshotContext): InstanceOffer[] {
--- a/src/control/scheduling/tracked-tasks-limit.ts
+++ b/src/control/scheduling/tracked-tasks-limit.ts
@@ -8,7 +8,7 @@
  * The share of the limit up to which exits that are not stored yet come on top of it. They are stored some
  * seconds later, which the next starts should not wait for.
  */
-export const UNRECORDED_EXITS_RATIO = 1 / 8;
+export const UNRECORDED_EXITS_RATIO = 1 / 4;
 
 const BYTES_PER_MB = 1024 * 1024;
 
--- a/src/jobs/job-placements.ts
+++ b/src/jobs/job-placements.ts
@@ -46,6 +46,11 @@
     return this.runningIncomplete;
   }
 
+  /** Number of placements whose task was told to stop. */
+  get stoppingCount(): number {
+    return this.size - this.notStopping;
+  }
+
   /** Whether a task was told to stop with a grace period and is not gone yet. */
   get hasStopWithGrace(): boolean {
     return this.stoppingWithGrace > 0;
--- a/src/scheduler/placement-slots.ts
+++ b/src/scheduler/placement-slots.ts
@@ -19,7 +19,7 @@
   /** Slots that tasks could take now. */
   private free: number;
   /** Slots that stopping tasks will free. */
-  private stopping = 0;
+  private stopping: number;
   /** Number of tasks beyond the limit; those that stop free no slots until it is zero. */
   private deficit: number;
   /** Slots that no task has taken and no planned machine is for. */
@@ -32,8 +32,11 @@
     private readonly usage: SlotUsage,
     private readonly countPreemptible: (job: JobView) => number,
   ) {
-    this.free = Math.max(0, usage.limit - usage.used);
-    this.deficit = Math.max(0, usage.used - usage.limit);
+    const { limit, used, stopping } = usage;
+    const excess = Math.max(0, used - limit);
+    this.free = Math.max(0, limit - used);
+    this.stopping = Math.max(0, stopping - excess);
+    this.deficit = Math.max(0, excess - stopping);
     this.unplanned = this.free;
   }
 
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -130,6 +130,8 @@
     if (known) return Math.max(0, known.count - (stops - known.stops));
     const isCounted = (candidate: PreemptionCandidate): boolean =>
       this.mayPreemptForSlot(job, candidate);
+    const lowestPriority = Math.max(this.lowestPriority, lowestPriorityOf(this.preemptibleJobs));
+    if (!isGuaranteed && !outranks(job.priority, lowestPriority)) return 0;
     let count = 0;
     for (const { id } of this.upMachines)
       count += this.candidatesByMachine.get(id)?.filter(isCounted).length ?? 0;
@@ -140,7 +142,6 @@
 
   private addCandidate(candidate: PreemptionCandidate): void {
     if (candidate.isStopping) {
-      this.slots.addStopping();
       const stopping = this.stoppingByMachine.get(candidate.machine);
       if (stopping) subtract(stopping, candidate.spec.need, -1);
       return;
@@ -168,14 +169,15 @@
   private preemptJobsForSlots(job: JobView, count: number): void {
     let stopped = 0;
     for (const { isGang, tasks } of this.preemptibleJobs) {
-      for (const [i, candidate] of tasks.entries()) {
-        if (stopped >= count && !isGang) return;
+      let isGangTold = false;
+      for (const candidate of tasks) {
+        if (stopped >= count && !isGangTold) return;
         if (!this.mayPreemptForSlot(job, candidate)) continue;
         // The stop of one member stops the gang.
-        this.preemptTask(candidate, !isGang || i === 0);
+        this.preemptTask(candidate, !isGangTold);
+        isGangTold = isGang;
         stopped++;
       }
-      if (stopped >= count) return;
     }
   }
 
@@ -183,7 +185,7 @@
   private get preemptibleJobs(): PreemptibleJob[] {
     this.sortedJobs ??= this.snapshot
       .preemptibleJobs()
-      .sort((a, b) => (b.tasks[0]?.priority ?? 0) - (a.tasks[0]?.priority ?? 0));
+      .sort((a, b) => lowestPriorityOf([b]) - lowestPriorityOf([a]));
     return this.sortedJobs;
   }
 
@@ -385,6 +387,10 @@
   }
 }
 
+/** The lowest priority (highest number) of jobs, of which the first one has it; -Infinity if there are none. */
+const lowestPriorityOf = ([first]: readonly PreemptibleJob[]): number =>
+  first?.tasks[0]?.priority ?? -Infinity;
+
 /** Orders candidates: lowest priority first, then smallest loss. */
 const byPreemptionOrder = (a: PreemptionCandidate, b: PreemptionCandidate): number =>
   b.priority - a.priority || a.lostWorkMs - b.lostWorkMs;
--- a/src/scheduler/scheduling-model.ts
+++ b/src/scheduler/scheduling-model.ts
@@ -159,6 +159,8 @@
   limit: number;
   /** Number of tasks that are tracked; more than `limit` if an earlier leader placed them. */
   used: number;
+  /** Those of them that are stopping and soon free their slots. */
+  stopping: number;
   /** Those of them that are replicas, which run until their job is cancelled. */
   replicas: number;
 }
--- a/test/fakes/samples.ts
+++ b/test/fakes/samples.ts
@@ -97,7 +97,7 @@
     expectedTasks: [],
     cpusFreedSoon: 0,
     teams,
-    slots: { limit: Infinity, used: 0, replicas: 0 },
+    slots: { limit: Infinity, used: 0, stopping: 0, replicas: 0 },
     types: [TYPE],
     offers: [],
     preemptionCandidates: [],
--- a/test/tracked-tasks.test.ts
+++ b/test/tracked-tasks.test.ts
@@ -59,6 +59,8 @@
     const template = { ...SMALL_TASK, shape, pieces: ARRAY_TASKS, urgency: 'best_effort' };
     for (let i = 0; i < 3; i++) await cluster.submit({ ...template, runMs: LONG_MS });
     await untilFull(cluster);
+    let stopped = 0;
+    cluster.onStopped = () => stopped++;
     const pieces = shape === 'array' ? 300 : 10;
     const urgent = { ...SMALL_TASK, urgency: 'urgent', runMs: 3000 };
     const jobs = [
@@ -67,6 +69,9 @@
       await cluster.submit({ ...urgent, pieces: 3, shape: 'service', runMs: 0 }),
     ];
     for (const job of jobs) await untilServed(cluster, job, 60);
+    // Tasks that are stopping already are counted on, so that few more make way than have to.
+    const wanted = pieces + pieces / 2 + 3;
+    assert.ok(stopped <= wanted * 2, `${stopped} tasks made way for ${wanted}`);
     assert.ok(watched.peak <= SMALL_LIMIT_WITH_EXITS, `${watched.peak} tasks`);
     await cluster.close();
   });
