Of the writes that wait for memory, those of urgent jobs go first

Beside 300 arrays whose records take the store more than a minute, the first record of an urgent array waited behind all of them.

--- a/src/jobs/write-admission.ts
+++ b/src/jobs/write-admission.ts
@@ -47,14 +47,17 @@
     this.bytesByJob.delete(job);
   }
 
-  /** Removes and returns the job of the same class that has waited longest and may be written now. */
+  /**
+   * Removes and returns a waiting job of the same class that may be written now: one of the highest
+   * priority, and of those the one that has waited longest.
+   */
   next(job: Job): Job | null {
     const waiting = this.waiting[classOf(job)];
     if (this.bytes[classOf(job)] >= this.maxBytes) return null;
-    for (const first of waiting) {
-      waiting.delete(first);
-      return first;
-    }
-    return null;
+    let first: Job | null = null;
+    for (const candidate of waiting)
+      if (!first || candidate.spec.priority < first.spec.priority) first = candidate;
+    if (first) waiting.delete(first);
+    return first;
   }
 }
